The real router: the module on real sockets

One program round brackencross/balance.py: memcache meta commands from clients and to cache servers, the origin over HTTP/1.1, discovery's list and watch. The settings parser moves out of simhost.py, unchanged, as both hosts read the same object.

Cause: the log showed the assert on asyncio.Transport in connection_made, which uvloop's transports do not pass; a cast replaces it. Parsing and the module were ruled out, as no connection got that far.

--- /dev/null
+++ b/brackencross/__main__.py
@@ -0,0 +1,150 @@
+"""One router on real sockets, as the deployment starts it."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+import uvloop
+
+from brackencross import interface as api
+from brackencross.balance import Router
+from brackencross.net.caches import CacheConnection
+from brackencross.net.clients import Clients
+from brackencross.net.discovery import Discovery, ListError, ListReader, read_address
+from brackencross.net.host import Host
+from brackencross.net.origin import OriginConnection
+from brackencross.net.pool import Address, Pool
+from brackencross.settings import number, read_settings, section
+
+MOST_CONNECTIONS = 24  # to one server; more requests than that go out behind others
+LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
+LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
+BACKLOG = 512
+
+log = logging.getLogger("brackencross")
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used; the message names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What the deployment tells a router."""
+
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    streams: int
+    known: Any
+    settings: api.Settings
+
+
+def read_config(environ: dict[str, str]) -> Config:
+    """The configuration that the environment names."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        table = orjson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as e:
+        raise ConfigError(f"NODE_CONFIG: {e}") from e
+    if not isinstance(table, dict):
+        raise ConfigError("NODE_CONFIG: must hold an object")
+    conf = section(table, "settings")
+    settings = read_settings(conf)
+    return Config(
+        listen=_address(table, "listen", environ.get("NODE_LISTEN")),
+        discovery=_address(table, "discovery", environ.get("NODE_DISCOVERY")),
+        seed=_seed(table),
+        sockets=int(number(section(table, "limits"), "sockets", 1024, "limits.", 64)),
+        streams=int(number(section(conf, "limits"), "multiplex", 1, "limits.", 1)),
+        known=table.get("known"),
+        settings=settings,
+    )
+
+
+def _address(table: dict[str, Any], field: str, default: str | None) -> Address:
+    value = table.get(field, default)
+    try:
+        return read_address(str(value))
+    except ValueError as e:
+        raise ConfigError(f"{field} must be host:port, not {value!r}") from e
+
+
+def _seed(table: dict[str, Any]) -> int:
+    try:
+        return int(table["seed"], 16)
+    except (KeyError, TypeError, ValueError) as e:
+        raise ConfigError(f"seed must be hex digits, not {table.get('seed')!r}") from e
+
+
+def _pool_of(config: Config, entry: api.ServerEntry, address: Address) -> Pool:
+    settings = config.settings
+    origin = settings.aside and entry.kind == settings.origin_kind
+    return Pool(
+        entry.server,
+        address,
+        OriginConnection if origin else CacheConnection,
+        most=MOST_CONNECTIONS,
+        streams=1 if origin else config.streams,
+        connect_timeout=settings.connect_timeout,
+        idle=settings.connection_idle,
+    )
+
+
+async def serve(config: Config) -> None:
+    """Run until told to stop."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number_ in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number_, stop.set)
+    reader = ListReader()
+    router = Router(config.settings, config.seed, loop.time())
+    discovery = Discovery(config.discovery, reader, config.settings.subscribe)
+    host = Host(router, lambda e, a: _pool_of(config, e, a), discovery.ask, config.sockets // 2)
+    if config.known is not None:
+        try:
+            _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
+        except ListError as e:
+            raise ConfigError(f"known: {e}") from e
+        host.servers(known, addresses)
+    clients = Clients(host, host.knows_servers, config.sockets // 3)
+    server = await loop.create_server(clients.connect, *config.listen, backlog=BACKLOG)
+    watch = asyncio.create_task(discovery.run(host.servers))
+    gc.freeze()
+    await stop.wait()
+    await asyncio.sleep(LAST_CONNECTIONS)
+    server.close()
+    clients.drain()
+    try:
+        await asyncio.wait_for(clients.drained(), LAST_ANSWERS)
+    except TimeoutError:
+        log.error("stopped with client connections open")
+    watch.cancel()
+
+
+def main() -> int:
+    """Run one router; answers with the exit code."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
+    try:
+        config = read_config(dict(os.environ))
+        uvloop.run(serve(config))
+    except (ConfigError, api.SettingsError) as e:
+        print(f"brackencross: {e}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackencross/interface.py
+++ b/brackencross/interface.py
@@ -189,9 +189,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Refuse:
-    """Final answer: not done, and trying again is harmless."""
+    """Final answer: not done, and trying again is harmless, best after a while."""
 
     request: str
+    retry_after: float | None = None  # seconds that the client should stay away
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/brackencross/net/__init__.py
@@ -0,0 +1,1 @@
+"""The router on real sockets round the decision module."""
--- /dev/null
+++ b/brackencross/net/caches.py
@@ -0,0 +1,50 @@
+"""Connections to cache servers."""
+
+from __future__ import annotations
+
+import time
+
+from brackencross.interface import Status
+from brackencross.net import memcache
+from brackencross.net.memcache import Reply, ReplyKind
+from brackencross.net.pool import Attempt, Connection, Pool
+
+OUTCOMES = {
+    ReplyKind.MISS: Status.MISS,
+    ReplyKind.BUSY: Status.FULL,
+    ReplyKind.ERROR: Status.ERROR,
+    ReplyKind.VALUE: Status.OK,
+    ReplyKind.STORED: Status.OK,
+}
+
+
+class CacheConnection(Connection):
+    """Speaks the meta commands; replies come in the order of the commands."""
+
+    def __init__(self, pool: Pool) -> None:
+        super().__init__(pool)
+        self._parser = memcache.ReplyParser()
+
+    def encode(self, attempt: Attempt) -> bytes:
+        wait_ms = max(1, round((attempt.until - time.monotonic()) * 1000))
+        return memcache.write_command(attempt.command, wait_ms)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for reply in self._parser.feed(data):
+                self._take(reply)
+        except memcache.FramingError as e:
+            self.broken(e)
+
+    def _take(self, reply: Reply) -> None:
+        if not self.attempts:
+            raise memcache.FramingError("a reply to nothing")
+        command = self.attempts[0].command
+        # guards against answering a client with what was meant for another request
+        if reply.request_id is not None and reply.request_id != command.request_id:
+            raise memcache.FramingError("a reply to another request")
+        if reply.kind not in (ReplyKind.BUSY, ReplyKind.ERROR):
+            unfit = ReplyKind.VALUE if command.write else ReplyKind.STORED
+            if reply.request_id is None or reply.kind is unfit:
+                raise memcache.FramingError(f"{reply.kind.value} does not fit the command")
+        self.replied(OUTCOMES[reply.kind], reply.body)
--- /dev/null
+++ b/brackencross/net/discovery.py
@@ -0,0 +1,179 @@
+"""The list of servers: asked for once whole, then watched."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import orjson
+
+from brackencross import interface as api
+from brackencross.net.pool import Address
+
+log = logging.getLogger(__name__)
+
+WAIT = 10.0  # of a watch, after which it answers with nothing new
+PATIENCE = 1.0  # beyond what a call may take: a hung one is given up
+PAUSE = 0.5  # after a call that failed
+Told = Callable[[api.ServerList, dict[str, Address]], None]
+MAX_LIST = 8 * 1024 * 1024
+STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
+
+
+class ListError(ValueError):
+    """A list that can't be used."""
+
+
+class ListReader:
+    """Reads lists in discovery's form."""
+
+    def __init__(self) -> None:
+        self._since: dict[str, tuple[float, float]] = {}  # of each server: as told, and on our clock
+
+    def read(
+        self, message: Any, kind: api.ListKind | None = None
+    ) -> tuple[int, api.ServerList, dict[str, Address]]:
+        """The version, the news for the module and the addresses; all of it or nothing."""
+        try:
+            if kind is None:
+                kind = api.ListKind.FULL if message["full"] else api.ListKind.DELTA
+            rows = [(self._entry(row), read_address(row["addr"])) for row in message["servers"]]
+            version = int(message["version"])
+        except (KeyError, TypeError, ValueError, AttributeError) as e:
+            raise ListError(f"malformed list: {e!r}") from e
+        entries = tuple(entry for entry, _ in rows)
+        return version, api.ServerList(kind, entries), {entry.server: address for entry, address in rows}
+
+    def _entry(self, row: dict[str, Any]) -> api.ServerEntry:
+        name = row["id"]
+        if not isinstance(name, str) or not name:
+            raise ValueError("id must be text")
+        return api.ServerEntry(
+            server=name,
+            state=STATES[row["state"]],
+            kind=str(row.get("kind") or ""),
+            zone=str(row.get("zone") or ""),
+            cell=int(row.get("cell") or 0),
+            weight=max(0.0, float(row.get("weight") or 0.0)),
+            since=self._started(name, float(row.get("started_ms") or 0.0)),
+        )
+
+    def _started(self, name: str, started_ms: float) -> float:
+        """Unix time on the module's clock; the same start gives the same time, or it would seem a new one."""
+        if started_ms <= 0:
+            return 0.0
+        told, since = self._since.get(name, (0.0, 0.0))
+        if told != started_ms:
+            since = max(1e-3, time.monotonic() - (time.time() - started_ms / 1000))
+            self._since[name] = started_ms, since
+        return since
+
+
+def read_address(text: str) -> Address:
+    """`host:port` as a pair."""
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"bad address {text!r}")
+    return host.strip("[]"), int(port)
+
+
+class Client:
+    """One HTTP/1.1 connection to discovery, opened anew when it breaks."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def get(self, target: str, timeout: float) -> Any:
+        """The JSON of a 200; OSError, ValueError or a time-out when there is none."""
+        try:
+            async with asyncio.timeout(timeout):
+                return orjson.loads(await self._exchange(target))
+        except h11.ProtocolError as e:
+            self.close()
+            raise ValueError(f"not HTTP: {e}") from e
+        except BaseException:
+            self.close()  # a late answer must not be taken for that of the next call
+            raise
+
+    async def _exchange(self, target: str) -> bytes:
+        if self._stream is None:
+            self._stream = await asyncio.open_connection(*self._address)
+            self._http = h11.Connection(h11.CLIENT)
+        reader, writer = self._stream
+        request = h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*self._address))])
+        writer.write((self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b""))
+        status, body = 0, bytearray()
+        while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_LIST:  # guards memory against an endless list
+                    raise ValueError("list too large")
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("discovery closed the connection")
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        else:
+            self.close()
+        if status != 200:
+            raise ValueError(f"discovery answered {status}")
+        return bytes(body)
+
+    def close(self) -> None:
+        if self._stream is not None:
+            self._stream[1].transport.abort()
+            self._stream = None
+
+
+class Discovery:
+    """Tells what discovery has to say for as long as it runs; while it is silent the last list stands."""
+
+    def __init__(self, address: Address, reader: ListReader, on_request: bool) -> None:
+        self._client = Client(address)
+        self._reader = reader
+        self._on_request = on_request  # a call is made when the module asks, not by itself
+        self._asked = asyncio.Event()
+        self.heard = False  # from discovery, since the start
+
+    def ask(self) -> None:
+        """The module asks for the list."""
+        self._asked.set()
+
+    async def run(self, told: Told) -> None:
+        """List and watch, again after every failure."""
+        while True:
+            if self._on_request:
+                await self._asked.wait()
+                self._asked.clear()
+            try:
+                await self._follow(told)
+            except (OSError, ValueError) as e:
+                log.warning("discovery: %s", str(e) or type(e).__name__)
+            except Exception:  # guards against routing by an old list for good
+                log.exception("discovery failed")
+            if self._on_request:
+                told(api.ServerList(api.ListKind.FAILED), {})
+            else:
+                await asyncio.sleep(PAUSE)
+
+    async def _follow(self, told: Told) -> None:
+        version = self._take(told, await self._client.get("/api/targets", PATIENCE + self._on_request * WAIT))
+        while True:  # at once: what changes between an answer and the next watch would be told late
+            target = f"/api/targets?index={version}&wait={round(WAIT * 1000)}"
+            version = self._take(told, await self._client.get(target, WAIT + PATIENCE))
+
+    def _take(self, told: Told, message: Any) -> int:
+        version, news, addresses = self._reader.read(message)
+        self.heard = True
+        if news.entries or news.kind is api.ListKind.FULL:
+            told(news, addresses)
+        return version
--- /dev/null
+++ b/brackencross/net/host.py
@@ -0,0 +1,236 @@
+"""Drives the decision module: hands it events and carries out its actions, and decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from brackencross import interface as api
+from brackencross.balance import Router
+from brackencross.net import memcache
+from brackencross.net.memcache import Command, read_figure
+from brackencross.net.pool import Address, Attempt, Pool
+
+log = logging.getLogger(__name__)
+
+Answer = Callable[[bytes], None]
+SWEEP = 1.0  # seconds between looks at idle connections
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that is owed its one final answer."""
+
+    request: str
+    command: Command
+    answer: Answer
+    deadline: float
+    timer: asyncio.TimerHandle
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+class Host:
+    """One router on real sockets."""
+
+    def __init__(
+        self,
+        router: Router,
+        make_pool: Callable[[api.ServerEntry, Address], Pool],
+        ask_list: Callable[[], None],
+        most_connections: int,
+    ) -> None:
+        self._router = router
+        self._make_pool = make_pool
+        self._ask_list = ask_list
+        self._most_connections = most_connections  # to all servers together
+        self._loop = asyncio.get_running_loop()
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._held: dict[str, Held] = {}
+        self._open: dict[tuple[str, int], tuple[Attempt, Pool]] = {}  # attempts without an outcome
+        self._pools: dict[str, Pool] = {}
+        self._since: dict[str, float] = {}
+        self._loop.call_later(SWEEP, self._sweep)
+
+    # What happens
+
+    def knows_servers(self) -> bool:
+        return bool(self._pools)
+
+    def take(self, command: Command, answer: Answer) -> str | None:
+        """Take a client's request; answers with its name, or None if it was turned down at once."""
+        name = command.request_id.decode()
+        if name in self._held:  # guards the first of the two: answers are told apart by id
+            answer(b"CLIENT_ERROR id in use\r\n")
+            return None
+        time_left = (read_figure(command.fields, "d") or 0.0) / 1000
+        hint = read_figure(command.fields, "h")
+        timer = self._loop.call_later(time_left, self._on_deadline, name)
+        self._held[name] = Held(name, command, answer, time.monotonic() + time_left, timer)
+        self._feed(
+            api.Request(
+                name,
+                command.fields["c"],
+                time_left,
+                command.key.decode(),
+                None if hint is None else hint / 1e6,
+                command.write,
+            )
+        )
+        return name
+
+    def gone(self, name: str) -> None:
+        """The client of a request has left."""
+        held = self._held.pop(name, None)
+        if held is not None:
+            held.timer.cancel()
+            self._feed(api.ClientGone(name))
+
+    def servers(self, news: api.ServerList, addresses: dict[str, Address]) -> None:
+        """Discovery has told something of the list of servers."""
+        # the module hears of the list before it hears what becomes of attempts by it
+        self._events.append(news)
+        self._busy = True
+        try:
+            self._update_pools(news, addresses)
+        finally:
+            self._busy = False
+        self._pump()
+
+    def _update_pools(self, news: api.ServerList, addresses: dict[str, Address]) -> None:
+        listed = {e.server for e in news.entries if e.state is not api.State.GONE}
+        removed = {e.server for e in news.entries} - listed
+        if news.kind in (api.ListKind.FULL, api.ListKind.SAVED):
+            removed |= self._pools.keys() - listed
+        for name in removed & self._pools.keys():
+            self._pools.pop(name).stop()
+            self._since.pop(name)
+        for entry in news.entries:
+            if entry.server in listed:
+                self._update_pool(entry, addresses[entry.server])
+        for pool in self._pools.values():  # guards the limit on descriptors
+            pool.most = max(1, min(pool.most, self._most_connections // len(self._pools)))
+
+    def _update_pool(self, entry: api.ServerEntry, address: Address) -> None:
+        pool = self._pools.get(entry.server)
+        if pool is None:
+            pool = self._pools[entry.server] = self._make_pool(entry, address)
+        elif entry.since > self._since[entry.server]:
+            pool.restart(entry.since)
+        self._since[entry.server] = entry.since
+        if pool.address != address:
+            pool.move(address)
+        if entry.state is api.State.READY:
+            pool.ready = True
+        else:
+            pool.stop()
+
+    def _sweep(self) -> None:
+        for pool in self._pools.values():
+            pool.expire()
+        self._loop.call_later(SWEEP, self._sweep)
+
+    def _on_deadline(self, name: str) -> None:
+        """The client stops waiting: nothing may stay out for the request, and its answer is due."""
+        held = self._held[name]
+        for attempt in held.attempts:
+            self._give_up(attempt.request, attempt.number, api.Status.TIMEOUT)
+        if name in self._held:  # guards against a request that the module has lost sight of
+            log.error("request %s was not answered by its deadline", name)
+            self._lose(held)
+
+    def _lose(self, held: Held) -> None:
+        """Fail a request that the module no longer looks after, and have it forgotten."""
+        self._finish(held, memcache.FAILED)
+        self._feed(api.ClientGone(held.request))
+
+    def _on_outcome(self, attempt: Attempt, status: api.Status, body: bytes) -> None:
+        del self._open[attempt.request, attempt.number]
+        held = self._held.get(attempt.request)
+        if held is not None and status is api.Status.OK:
+            self._finish(held, memcache.write_served(held.command, body))
+            held = None
+        latency = time.monotonic() - attempt.sent_at
+        self._feed(api.Outcome(attempt.request, attempt.number, status, held is None, latency))
+
+    def _finish(self, held: Held, answer: bytes) -> None:
+        """Give the one final answer of a request."""
+        del self._held[held.request]
+        held.timer.cancel()
+        held.answer(answer)
+
+    # What the module makes of it
+
+    def _feed(self, event: api.Event) -> None:
+        self._events.append(event)
+        self._pump()
+
+    def _pump(self) -> None:
+        """Hand over events one by one: what an action brings about comes after all that is before it."""
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self._router.handle(time.monotonic(), event)
+        except Exception:  # guards all other requests against a fault that one event shows
+            log.exception("the decision module failed on %r", event)
+            held = self._held.get(getattr(event, "request", ""))
+            if held is not None:
+                self._lose(held)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTimer(delay, token):
+                self._loop.call_later(delay, self._feed, api.TimerFired(token))
+            case api.Cancel(name, number):
+                self._give_up(name, number, api.Status.CANCELLED)
+            case api.Refuse(name) if name in self._held:
+                self._finish(self._held[name], memcache.write_busy(action.retry_after))
+            case api.Fail(name) if name in self._held:
+                self._finish(self._held[name], memcache.FAILED)
+            case api.CloseIdle(server) if server in self._pools:
+                self._pools[server].close_idle()
+            case api.Subscribe():
+                self._ask_list()
+            case api.Log(text):
+                log.info("%s", text)
+
+    def _send(self, action: api.Send) -> None:
+        name, now = action.request, time.monotonic()
+        held, pool = self._held.get(name), self._pools.get(action.server)
+        if held is None:  # guards against work for a request that has its answer
+            self._feed(api.Outcome(name, 0, api.Status.MOOT, True))
+            return
+        until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
+        attempt = Attempt(name, len(held.attempts), held.command, now, until, self._on_outcome)
+        held.attempts.append(attempt)
+        if pool is None:
+            self._feed(api.Outcome(name, attempt.number, api.Status.CONNECT_FAILED))
+            return
+        self._open[name, attempt.number] = attempt, pool
+        if until < held.deadline:
+            status = api.Status.TIMEOUT
+            attempt.timer = self._loop.call_later(until - now, self._give_up, name, attempt.number, status)
+        pool.send(attempt)
+
+    def _give_up(self, name: str, number: int, status: api.Status) -> None:
+        """Stop waiting for an attempt, if it is still out."""
+        if (name, number) in self._open:
+            attempt, pool = self._open[name, number]
+            pool.abandon(attempt, status)
--- /dev/null
+++ b/brackencross/net/origin.py
@@ -0,0 +1,95 @@
+"""Connections to the origin, over HTTP/1.1."""
+
+from __future__ import annotations
+
+from urllib.parse import quote_from_bytes
+
+import h11
+
+from brackencross.interface import Status
+from brackencross.net.memcache import MAX_VALUE, Command
+from brackencross.net.pool import Attempt, Connection, Pool
+
+SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
+
+
+class OriginConnection(Connection):
+    """Carries one request at a time."""
+
+    def __init__(self, pool: Pool) -> None:
+        super().__init__(pool)
+        self._http = h11.Connection(h11.CLIENT)
+        self._response: h11.Response | None = None
+        self._body = bytearray()
+
+    def encode(self, attempt: Attempt) -> bytes:
+        command = attempt.command
+        body = command.value or b""
+        http = self._http
+        head = http.send(_request_of(command, "{}:{}".format(*self.pool.address), len(body))) or b""
+        return (
+            head
+            + (http.send(h11.Data(body)) or b"" if body else b"")
+            + (http.send(h11.EndOfMessage()) or b"")
+        )
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as e:
+            self.broken(e)
+
+    def eof_received(self) -> None:
+        self.data_received(b"")  # a response without a length ends here
+
+    def _read_events(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Response):
+                self._response = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > MAX_VALUE:  # guards memory against an endless body
+                    raise h11.RemoteProtocolError("value too large")
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish()
+                return
+            elif not isinstance(event, h11.InformationalResponse):
+                return  # needs more data, or the connection has ended
+
+    def _finish(self) -> None:
+        response, body = self._response, bytes(self._body)
+        if response is None or not self.attempts:
+            raise h11.RemoteProtocolError("a response to nothing")
+        status = status_of(response)
+        if status is Status.OK and self.attempts[0].command.write and not _is_receipt(body):
+            raise h11.RemoteProtocolError("a receipt that fits no line")
+        self._response, self._body = None, bytearray()
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        else:  # the origin will close it: not to be reused
+            self.pool.lost(self)
+            self.transport.close()
+        self.replied(status, body)
+
+
+def _request_of(command: Command, host: str, length: int) -> h11.Request:
+    headers = [(b"Host", host.encode()), (b"Request-Id", command.request_id), (b"Request-Info", command.info)]
+    if command.write:
+        headers.append((b"Content-Length", b"%d" % length))
+    target = "/" + quote_from_bytes(command.key, SAFE_IN_PATH)
+    return h11.Request(method="PUT" if command.write else "GET", target=target, headers=headers)
+
+
+def status_of(response: h11.Response) -> Status:
+    """What the origin's answer says of the attempt."""
+    if response.status_code == 200:
+        return Status.OK
+    # only this header proves that it never ran: a bare 503 or 504 may come from anything on the way
+    never_ran = any(name == b"not-started" and value == b"1" for name, value in response.headers)
+    return Status.FULL if response.status_code in (503, 504) and never_ran else Status.ERROR
+
+
+def _is_receipt(body: bytes) -> bool:
+    return 0 < len(body) <= 1024 and all(32 < byte < 127 for byte in body)
--- /dev/null
+++ b/brackencross/net/pool.py
@@ -0,0 +1,245 @@
+"""Connections to one server and the attempts that wait for one; nothing here knows a protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from brackencross.interface import Status
+from brackencross.net.memcache import Command
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+IDLE_SHARE = 0.75  # of the idle limit, for a request written as the server closes ends as a reset
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a request, from its send to its one outcome."""
+
+    request: str
+    number: int
+    command: Command
+    sent_at: float
+    until: float  # when the router stops waiting for it
+    report: Callable[[Attempt, Status, bytes], None] | None
+    timer: asyncio.TimerHandle | None = None
+
+    def end(self, status: Status, body: bytes = b"") -> None:
+        """Report the outcome; whatever comes later has nobody left to hear it."""
+        report, self.report = self.report, None
+        if self.timer is not None:
+            self.timer.cancel()
+        if report is not None:
+            report(self, status, body)
+
+
+class Connection(asyncio.Protocol):
+    """One connection: attempts in the order written. Subclasses write and parse."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.attempts: deque[Attempt] = deque()  # written and not replied to, given up ones among them
+        self.opened_at = self.used_at = time.monotonic()
+        self.held_back = False  # the last bytes written are not yet with the system
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        # high water at 0 tells at once whether the last byte is out: until then the attempt never ran
+        self.transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self.held_back = True
+
+    def resume_writing(self) -> None:
+        self.held_back = False
+
+    def send(self, attempt: Attempt) -> None:
+        """Write an attempt behind those that are out."""
+        self.used_at = time.monotonic()
+        self.attempts.append(attempt)
+        self.transport.write(self.encode(attempt))
+
+    def encode(self, attempt: Attempt) -> bytes:
+        raise NotImplementedError
+
+    def replied(self, status: Status, body: bytes = b"") -> None:
+        """The oldest attempt has its reply."""
+        attempt = self.attempts.popleft()
+        self.used_at = time.monotonic()
+        if not self.attempts:
+            self.pool.freed(self)
+        attempt.end(status, body)
+
+    def broken(self, reason: object) -> None:
+        """Give up the connection: what its peer sends can't be told apart any more."""
+        log.warning("closing a connection to %s: %s", self.pool.name, reason)
+        self.transport.abort()
+        self.connection_lost(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.lost(self)
+        attempts, self.attempts = self.attempts, deque()
+        while attempts:
+            attempt = attempts.popleft()
+            # guards against a needless failure: what broke before its last byte was out never ran
+            unsent = self.held_back and not attempts
+            attempt.end(Status.CONNECT_FAILED if unsent else Status.RESET)
+
+    def abandoned(self) -> bool:
+        """Whether nobody waits for anything on it."""
+        return all(a.report is None for a in self.attempts)
+
+    def close(self) -> None:
+        self.transport.close()
+
+
+class Pool:
+    """The connections to one server: the latest used is reused first, a new one opened when none is idle."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        connect: Callable[[Pool], Connection],
+        *,
+        most: int,
+        streams: int,
+        connect_timeout: float,
+        idle: float,
+    ) -> None:
+        self.name, self.address = name, address
+        self.most, self.streams = most, streams
+        self.connect_timeout, self.idle_limit = connect_timeout, idle * IDLE_SHARE
+        self.ready = True  # may be sent to; a drained or removed server may not
+        self._connect = connect
+        self._loop = asyncio.get_running_loop()
+        self._all: dict[Connection, None] = {}
+        self._idle: list[Connection] = []  # the most recently used is last
+        self._waiting: deque[Attempt] = deque()
+        self._dialling: set[asyncio.Task[None]] = set()
+
+    def __len__(self) -> int:
+        return len(self._all) + len(self._dialling)
+
+    def send(self, attempt: Attempt) -> None:
+        """Write an attempt to an idle connection, or have it wait for one."""
+        if not self.ready:  # guards against an attempt in the queue of a server that has just gone
+            attempt.end(Status.CONNECT_FAILED)
+            return
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.transport.is_closing():  # its peer has just closed it
+                connection.send(attempt)
+                return
+        if len(self) >= self.most and not self._make_room():
+            self._send_behind(attempt)
+            return
+        self._waiting.append(attempt)
+        if len(self._dialling) < len(self._waiting):
+            self._dial()
+
+    def _make_room(self) -> bool:
+        """Guards against given up attempts keeping every connection: close the one given up longest."""
+        for connection in self._all:
+            if connection.attempts and connection.abandoned():
+                self._drop(connection)
+                return True
+        return False
+
+    def _send_behind(self, attempt: Attempt) -> None:
+        """At the most connections: queue behind the fewest, for answers come in order."""
+        least = min(self._all, key=lambda c: len(c.attempts), default=None)
+        if least is None or len(least.attempts) >= self.streams:
+            attempt.end(Status.CONNECT_FAILED)
+        else:
+            least.send(attempt)
+
+    def _dial(self) -> None:
+        task = self._loop.create_task(self._open())
+        self._dialling.add(task)
+
+    async def _open(self) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        host, port = self.address
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                _, connection = await self._loop.create_connection(lambda: self._connect(self), host, port)
+        except (OSError, TimeoutError):
+            self._dialling.discard(task)
+            if self._waiting and len(self._waiting) > len(self._dialling):
+                self._waiting.popleft().end(Status.CONNECT_FAILED)
+        else:
+            self._dialling.discard(task)
+            self._all[connection] = None
+            self.freed(connection)
+
+    def freed(self, connection: Connection) -> None:
+        """A connection has nothing out: it takes the attempt that waits longest, or turns idle."""
+        if connection not in self._all:
+            return
+        if self._waiting:
+            connection.send(self._waiting.popleft())
+        elif self.ready:
+            self._idle.append(connection)
+        else:
+            self._drop(connection)
+
+    def lost(self, connection: Connection) -> None:
+        """A connection has ended."""
+        self._all.pop(connection, None)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def abandon(self, attempt: Attempt, status: Status) -> None:
+        """Stop waiting for an attempt; if written, its connection is in use until the reply has come."""
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+            if status is Status.TIMEOUT:  # of a connection that never came up
+                status = Status.CONNECT_FAILED
+        attempt.end(status)
+        if not self.ready:  # guards against leaks: nobody would ever close it
+            self.close_idle()
+
+    def _drop(self, connection: Connection) -> None:
+        self.lost(connection)
+        connection.close()
+
+    def close_idle(self) -> None:
+        """Close what nobody waits on."""
+        for connection in [c for c in self._all if c.abandoned()]:
+            self._drop(connection)
+
+    def expire(self) -> None:
+        """Close what has stood idle for nearly as long as the server allows."""
+        oldest = time.monotonic() - self.idle_limit
+        for connection in [c for c in self._all if c.used_at <= oldest and c.abandoned()]:
+            self._drop(connection)
+
+    def stop(self) -> None:
+        """The server drains or is gone: nothing new goes out, what is out may end."""
+        self.ready = False
+        while self._waiting:
+            self._waiting.popleft().end(Status.CONNECT_FAILED)
+        self.close_idle()
+
+    def restart(self, started_at: float) -> None:
+        """The server is a new process since then: older connections lead nowhere."""
+        for connection in [c for c in self._all if c.opened_at < started_at]:
+            self.lost(connection)
+            connection.transport.abort()
+
+    def move(self, address: Address) -> None:
+        """Connections opened from now on go to another address."""
+        self.address = address
+        for connection in list(self._idle):
+            self._drop(connection)
--- /dev/null
+++ b/brackencross/settings.py
@@ -0,0 +1,110 @@
+"""Reads the settings object that the simulator and the deployment share into the module's own form."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from brackencross import interface as api
+
+EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
+
+
+def number(table: dict[str, Any], field: str, default: float, where: str, least: float = 0.0) -> float:
+    """Read a number of the settings, or its default when absent; name the field when it can't be used."""
+    value = table.get(field)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
+        raise api.SettingsError(
+            f"settings: {where}{field} must be a number of at least {least:g}, not {value!r}"
+        )
+    return value
+
+
+def choice(table: dict[str, Any], field: str, default: str, known: dict[str, Any], where: str) -> Any:
+    """Read one of a few known words."""
+    value = table.get(field)
+    value = default if value is None else value
+    if not isinstance(value, str) or value not in known:
+        raise api.SettingsError(f"settings: {where}{field} must be one of {', '.join(known)}, not {value!r}")
+    return known[value]
+
+
+def section(conf: dict[str, Any], field: str) -> dict[str, Any]:
+    """Read a nested object, empty when absent."""
+    value = conf.get(field)
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise api.SettingsError(f"settings: {field} must be an object, not {value!r}")
+    return value
+
+
+def rows(conf: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    """Read a list of named objects, empty when absent."""
+    value = conf.get(field)
+    value = [] if value is None else value
+    if not isinstance(value, list) or not all(isinstance(r, dict) for r in value):
+        raise api.SettingsError(f"settings: {field} must be a list of objects")
+    for i, row in enumerate(value):
+        if not isinstance(row.get("name"), str):
+            raise api.SettingsError(f"settings: {field}[{i}].name is missing")
+    return value
+
+
+def read_class(row: dict[str, Any]) -> api.RequestClass:
+    """One class of the settings."""
+    where = f"classes[{row['name']}]."
+    groups = {g.value: g for g in api.Group}
+    return api.RequestClass(
+        name=row["name"],
+        aim=number(row, "aim", number(row, "giveUp", 1.0, where), where),
+        effect=choice(row, "effect", "single_shot", EFFECTS, where),
+        group=choice(row, "group", "cell", groups, where),
+        window=number(row, "repeatWindow", 0.0, where),
+        worth=number(row, "value", 1.0, where),
+    )
+
+
+def read_budget(rules: dict[str, Any]) -> api.Budget | None:
+    """The budget of further attempts, where one is stated; the half left out of one counts as 0."""
+    if rules.get("extraFree") is None and rules.get("repeatRatio") is None:
+        return None
+    span = number(rules, "lookBack", 0.0, "rules.")
+    if span <= 0:
+        raise api.SettingsError("settings: rules.lookBack must be above 0 where a budget is stated")
+    return api.Budget(
+        number(rules, "extraFree", 0.0, "rules."), number(rules, "repeatRatio", 0.0, "rules."), span
+    )
+
+
+def read_settings(conf: Any) -> api.Settings:
+    """The wire's settings as the module's; unknown keys are ignored and absent ones take defaults."""
+    if not isinstance(conf, dict):
+        raise api.SettingsError("settings: conf must be an object")
+    classes = {row["name"]: read_class(row) for row in rows(conf, "classes")}
+    if not classes:
+        raise api.SettingsError("settings: classes is empty")
+    limits, rules, info = section(conf, "limits"), section(conf, "rules"), section(conf, "familyInfo")
+    kinds = conf.get("skus") or []
+    origin = int(number(info, "originKind", -1, "familyInfo.", -1))
+    return api.Settings(
+        classes=classes,
+        tick=number(conf, "resolution", 0.005, ""),
+        aside=choice(info, "mode", "through", {"aside": True, "through": False}, "familyInfo."),
+        origin_kind=str(kinds[origin]) if 0 <= origin < len(kinds) else None,
+        subscribe=choice(conf, "membershipMode", "automatic", {"subscribe": True, "automatic": False}, ""),
+        second_copies=bool(limits.get("secondCopies", False)),
+        may_cancel=bool(limits.get("mayCancel", False)),
+        max_attempts=max(1, int(number(limits, "mostTries", 1, "limits."))),
+        cold_share=number(rules, "coldFrom", 0.3, "rules."),
+        ramp=number(rules, "rampTime", 10.0, "rules."),
+        fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
+        fall_window=number(rules, "overloadFor", 1.0, "rules."),
+        index=int(number(conf, "me", 0, "")),
+        routers=max(1, int(number(conf, "siblings", 1, ""))),
+        connections_priced=number(section(conf, "penalties"), "connection", 0.0, "penalties.") > 0,
+        connect_timeout=number(limits, "dialTimeout", 0.25, "limits."),
+        connection_idle=number(limits, "connIdle", 15.0, "limits."),
+        budget=read_budget(rules),
+    )
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -13,7 +13,8 @@
 
 from brackencross import interface as api
 from brackencross import simhost
-from brackencross.simhost import Host, WireError, read_settings
+from brackencross.settings import read_settings
+from brackencross.simhost import Host, WireError
 
 ROOT = Path(__file__).parent.parent
 CONF: dict[str, Any] = {
