A refusal tells the client when to come back

Refuse carries retry_after, chosen by the module: the usual latency of the caches, by which time a round of what is out has been answered. Watches of an agent on the own machine last 2 s, so that a hung one is found sooner; figures in a client's list are bounded, as one of 1e300 would overflow a timer.

--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -143,6 +143,9 @@
     except (ConfigError, api.SettingsError) as e:
         print(f"brackencross: {e}", file=sys.stderr)
         return 2
+    except OSError as e:  # the address to listen on is taken, say
+        print(f"brackencross: {e}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/brackencross/balance.py
+++ b/brackencross/balance.py
@@ -394,8 +394,8 @@
         if held.streaming or held.open_attempts():
             held.waiting = False
             return
-        name = held.request.request
-        self.out.append(api.Refuse(name) if self._permits(held, None) else api.Fail(name))
+        name, pause = held.request.request, max(self.settings.tick, self.latency)  # till there is room
+        self.out.append(api.Refuse(name, pause) if self._permits(held, None) else api.Fail(name))
         self._forget(held)
 
     def _forget(self, held: Held) -> None:
--- a/brackencross/net/clients.py
+++ b/brackencross/net/clients.py
@@ -54,7 +54,11 @@
             case Command():
                 slot.request = self._clients.host.take(item, lambda answer: self._answered(slot, answer))
             case Noop():
-                slot.answer = memcache.READY if self._clients.ready() else memcache.NOT_READY
+                slot.answer = (
+                    memcache.READY
+                    if self._clients.ready() and not self._clients.draining
+                    else memcache.NOT_READY
+                )
             case BadCommand(answer, fatal):
                 slot.answer, self._lost_framing = answer, fatal
 
--- a/brackencross/net/discovery.py
+++ b/brackencross/net/discovery.py
@@ -16,7 +16,10 @@
 
 log = logging.getLogger(__name__)
 
-WAIT = 10.0  # of a watch, after which it answers with nothing new
+WAIT = 20.0  # seconds of a watch, after which it answers with nothing new
+WAIT_PUSHED = (
+    2.0  # the same at an agent of our own machine: calls cost nothing, and a hung one is found sooner
+)
 PATIENCE = 1.0  # beyond what a call may take: a hung one is given up
 PAUSE = 0.5  # after a call that failed
 Told = Callable[[api.ServerList, dict[str, Address]], None]
@@ -141,8 +144,8 @@
         self._client = Client(address)
         self._reader = reader
         self._on_request = on_request  # a call is made when the module asks, not by itself
+        self._wait = WAIT if on_request else WAIT_PUSHED
         self._asked = asyncio.Event()
-        self.heard = False  # from discovery, since the start
 
     def ask(self) -> None:
         """The module asks for the list."""
@@ -166,14 +169,13 @@
                 await asyncio.sleep(PAUSE)
 
     async def _follow(self, told: Told) -> None:
-        version = self._take(told, await self._client.get("/api/targets", PATIENCE + self._on_request * WAIT))
+        version = self._take(told, await self._client.get("/api/targets", self._wait + PATIENCE))
         while True:  # at once: what changes between an answer and the next watch would be told late
-            target = f"/api/targets?index={version}&wait={round(WAIT * 1000)}"
-            version = self._take(told, await self._client.get(target, WAIT + PATIENCE))
+            target = f"/api/targets?index={version}&wait={round(self._wait * 1000)}"
+            version = self._take(told, await self._client.get(target, self._wait + PATIENCE))
 
     def _take(self, told: Told, message: Any) -> int:
         version, news, addresses = self._reader.read(message)
-        self.heard = True
         if news.entries or news.kind is api.ListKind.FULL:
             told(news, addresses)
         return version
--- a/brackencross/net/memcache.py
+++ b/brackencross/net/memcache.py
@@ -10,6 +10,7 @@
 MAX_VALUE = 64 * 1024
 MAX_LINE = 4096
 MAX_KEY = 250
+MAX_FIGURE = 1e9  # milliseconds or microseconds: far above any deadline, and no timer overflows
 
 READY, FAILED, UNKNOWN = b"MN\r\n", b"SERVER_ERROR failed\r\n", b"ERROR\r\n"
 NOT_READY = b"SERVER_ERROR not ready\r\n"
@@ -117,14 +118,14 @@
 
 
 def read_figure(fields: dict[str, str], name: str) -> float | None:
-    """A figure of a `P` list, at least 0; None when absent."""
+    """A figure of a `P` list; None when absent."""
     if name not in fields:
         return None
     try:
         figure = float(fields[name])
     except ValueError:
         figure = -1.0
-    if not (math.isfinite(figure) and figure >= 0):
+    if not 0 <= figure <= MAX_FIGURE:
         raise ValueError(f"bad {name}")
     return figure
 
--- a/brackencross/simhost.py
+++ b/brackencross/simhost.py
@@ -93,7 +93,7 @@
 
 WRITERS: dict[type, Callable[[Any], dict[str, Any]]] = {
     api.Send: write_send,
-    api.Refuse: lambda a: {"op": "Reject", "ticket": a.request},
+    api.Refuse: lambda a: {"op": "Reject", "ticket": a.request, "coolDown": a.retry_after},
     api.Fail: lambda a: {"op": "GiveUp", "ticket": a.request},
     api.Cancel: lambda a: {"op": "Cancel", "ticket": a.request, "sendNo": a.attempt},
     api.CloseIdle: lambda a: {"op": "LetGo", "server": a.server},
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -133,7 +133,7 @@
         api.ServerList(api.ListKind.FULL, ()),
     ):
         assert [a for a in d.feed(event) if not isinstance(a, api.SetTimer)] == []
-    assert d.router.handle(d.now, api.Request("r", "unheard-of", 1.0)) == [api.Refuse("r")]
+    assert d.router.handle(d.now, api.Request("r", "unheard-of", 1.0)) == [api.Refuse("r", d.conf.tick)]
 
 
 def test_a_stream_that_began_is_left_alone() -> None:
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -161,7 +161,7 @@
 def test_final_answers_on_the_wire() -> None:
     host = born(familyInfo={"mode": "through"}, limits={"mostTries": 1})
     play(host, 1.1, ask("1"), ask("2", priority="pay"))
-    assert {"op": "Reject", "ticket": "1"} in play(host, 1.2, done("1", 0, "dropped"))
+    assert {"op": "Reject", "ticket": "1", "coolDown": 0.01} in play(host, 1.2, done("1", 0, "dropped"))
     assert {"op": "GiveUp", "ticket": "2"} in play(host, 1.2, done("2", 0, "dropped"))
 
 
