Tests of the real router over loopback sockets

Writing them showed one gap: an unknown class went on to the module (it refused it); it now gets an error line.

--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -89,49 +90,67 @@
         raise ConfigError(f"seed must be hex digits, not {table.get('seed')!r}") from e
 
 
-def _pool_of(config: Config, entry: api.ServerEntry, address: Address) -> Pool:
-    settings = config.settings
-    origin = settings.aside and entry.kind == settings.origin_kind
-    return Pool(
-        entry.server,
-        address,
-        OriginConnection if origin else CacheConnection,
-        most=MOST_CONNECTIONS,
-        streams=1 if origin else config.streams,
-        connect_timeout=settings.connect_timeout,
-        idle=settings.connection_idle,
-    )
+class Node:
+    """All parts of one running router."""
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        reader = ListReader()
+        router = Router(config.settings, config.seed, time.monotonic())
+        self._discovery = Discovery(config.discovery, reader, config.settings.subscribe)
+        self._host = Host(router, self._pool, self._discovery.ask, config.sockets // 2)
+        self._clients = Clients(self._host, self._host.knows_servers, config.sockets // 3)
+        if config.known is not None:
+            try:
+                _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
+            except ListError as e:
+                raise ConfigError(f"known: {e}") from e
+            self._host.servers(known, addresses)
+
+    def _pool(self, entry: api.ServerEntry, address: Address) -> Pool:
+        settings = self._config.settings
+        origin = settings.aside and entry.kind == settings.origin_kind
+        return Pool(
+            entry.server,
+            address,
+            OriginConnection if origin else CacheConnection,
+            most=MOST_CONNECTIONS,
+            streams=1 if origin else self._config.streams,
+            connect_timeout=settings.connect_timeout,
+            idle=settings.connection_idle,
+        )
+
+    async def start(self) -> Address:
+        """Listen and follow discovery; answers with the address listened on."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._clients.connect, *self._config.listen, backlog=BACKLOG)
+        self._watch = asyncio.create_task(self._discovery.run(self._host.servers))
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def stop(self) -> None:
+        """Take what still comes, answer all that is held, and end."""
+        await asyncio.sleep(LAST_CONNECTIONS)
+        self._server.close()
+        self._clients.drain()
+        try:
+            await asyncio.wait_for(self._clients.drained(), LAST_ANSWERS)
+        except TimeoutError:
+            log.error("stopped with client connections open")
+        self._watch.cancel()
 
 
 async def serve(config: Config) -> None:
     """Run until told to stop."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    told = asyncio.Event()
     for number_ in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number_, stop.set)
-    reader = ListReader()
-    router = Router(config.settings, config.seed, loop.time())
-    discovery = Discovery(config.discovery, reader, config.settings.subscribe)
-    host = Host(router, lambda e, a: _pool_of(config, e, a), discovery.ask, config.sockets // 2)
-    if config.known is not None:
-        try:
-            _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
-        except ListError as e:
-            raise ConfigError(f"known: {e}") from e
-        host.servers(known, addresses)
-    clients = Clients(host, host.knows_servers, config.sockets // 3)
-    server = await loop.create_server(clients.connect, *config.listen, backlog=BACKLOG)
-    watch = asyncio.create_task(discovery.run(host.servers))
-    gc.freeze()
-    await stop.wait()
-    await asyncio.sleep(LAST_CONNECTIONS)
-    server.close()
-    clients.drain()
-    try:
-        await asyncio.wait_for(clients.drained(), LAST_ANSWERS)
-    except TimeoutError:
-        log.error("stopped with client connections open")
-    watch.cancel()
+        loop.add_signal_handler(number_, told.set)
+    node = Node(config)
+    await node.start()
+    gc.freeze()  # what is here stays: not to be looked through again and again
+    await told.wait()
+    await node.stop()
 
 
 def main() -> int:
--- a/brackencross/net/host.py
+++ b/brackencross/net/host.py
@@ -64,6 +64,9 @@
     def take(self, command: Command, answer: Answer) -> str | None:
         """Take a client's request; answers with its name, or None if it was turned down at once."""
         name = command.request_id.decode()
+        if command.fields["c"] not in self._router.settings.classes:
+            answer(b"CLIENT_ERROR unknown class\r\n")
+            return None
         if name in self._held:  # guards the first of the two: answers are told apart by id
             answer(b"CLIENT_ERROR id in use\r\n")
             return None
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,210 @@
+"""The other ends of a router's sockets: each shows what came and answers only as a test tells it to."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, replace
+from typing import Any
+
+import h11
+import orjson
+import uvloop
+
+from brackencross import interface as api
+from brackencross.__main__ import Config, Node
+
+PATIENCE = 10.0  # seconds for a whole scenario: only a failing test comes near
+LOCAL = "127.0.0.1"
+
+
+def scenario(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Run a test on a loop of its own."""
+
+    @functools.wraps(test)
+    def run(*args: Any, **kwargs: Any) -> None:
+        async def bounded() -> None:
+            async with asyncio.timeout(PATIENCE):
+                await test(*args, **kwargs)
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(bounded())
+
+    return run
+
+
+@dataclass(eq=False)
+class Message:
+    """Something a peer was sent."""
+
+    head: bytes  # a command line, or an HTTP method and target
+    value: bytes | None
+    headers: dict[bytes, bytes]
+    writer: asyncio.StreamWriter
+
+    @property
+    def words(self) -> list[bytes]:
+        return self.head.split(b" ")
+
+    @property
+    def flag(self) -> bytes:
+        """The `O` flag."""
+        return next(w for w in self.words if w.startswith(b"O"))
+
+    def reply(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def reply_value(self, value: bytes) -> None:
+        self.reply(b"VA %d %b h1\r\n%b\r\n" % (len(value), self.flag, value))
+
+    def respond(self, body: bytes, status: int = 200, *headers: bytes) -> None:
+        lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body), *headers]
+        self.reply(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    def respond_list(self, version: int, *rows: dict[str, Any], full: bool = True) -> None:
+        self.respond(orjson.dumps({"version": version, "full": full, "servers": rows}))
+
+    def end(self) -> None:
+        self.writer.close()
+
+    def reset(self) -> None:
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.writer.transport.abort()
+
+
+async def read_command(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Message:
+    line = (await reader.readuntil(b"\r\n"))[:-2]
+    value = None
+    if line.startswith(b"ms "):
+        value = (await reader.readexactly(int(line.split(b" ")[2]) + 2))[:-2]
+    return Message(line, value, {}, writer)
+
+
+async def read_http(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Message:
+    head = await reader.readuntil(b"\r\n\r\n")
+    http = h11.Connection(h11.SERVER)
+    http.receive_data(head)
+    request = http.next_event()
+    assert isinstance(request, h11.Request)
+    headers = dict(request.headers)
+    body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
+    return Message(request.method + b" " + request.target, body, headers, writer)
+
+
+class Peer:
+    """A server that puts what it reads into a queue."""
+
+    def __init__(self, read: Callable[..., Awaitable[Message]] = read_command) -> None:
+        self.read = read
+        self.messages: asyncio.Queue[Message] = asyncio.Queue()
+        self.opened, self.ended = 0, asyncio.Semaphore(0)
+        self.port = 0
+
+    async def start(self) -> Peer:
+        self.server = await asyncio.start_server(self._serve, LOCAL, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        try:
+            while True:
+                self.messages.put_nowait(await self.read(reader, writer))
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            self.ended.release()
+
+    async def next(self) -> Message:
+        return await self.messages.get()
+
+    def row(self, name: str, kind: str = "std", **fields: Any) -> dict[str, Any]:
+        """Its line in discovery's list."""
+        base = {"id": name, "addr": f"{LOCAL}:{self.port}", "zone": "z", "kind": kind, "cell": 0}
+        return {**base, "state": "in_service", "weight": 1.0, "started_ms": 0, **fields}
+
+
+class Client:
+    """A client with one connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def get(self, name: str, key: str = "k", wait: int = 5000, cls: str = "read") -> None:
+        self.send(f"mg {key} v O{name} Pc={cls},t=x,d={wait}\r\n".encode())
+
+    def put(self, name: str, value: bytes, key: str = "k", wait: int = 5000, cls: str = "once") -> None:
+        self.send(f"ms {key} {len(value)} O{name} Pc={cls},t=x,d={wait}\r\n".encode() + value + b"\r\n")
+
+    async def line(self) -> bytes:
+        return await self.reader.readuntil(b"\r\n")
+
+    async def value(self, name: str) -> bytes:
+        """The value of a whole answer to this request."""
+        head = (await self.line()).split()
+        assert head[0] == b"VA" and head[2] == b"O" + name.encode(), head
+        return (await self.reader.readexactly(int(head[1]) + 2))[:-2]
+
+    async def ended(self) -> bool:
+        """Wait for the end of the connection; whether nothing more came before it."""
+        return await self.reader.read() == b""
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+async def connect(address: tuple[str, int]) -> Client:
+    return Client(*await asyncio.open_connection(*address))
+
+
+READ = api.RequestClass("read", aim=2.0)
+KEYED = api.RequestClass("keyed", 2.0, api.Effect.KEYED, api.Group.ALL, window=2.0)
+ONCE = api.RequestClass("once", 2.0, api.Effect.UNSAFE)
+SETTINGS = api.Settings(
+    classes={c.name: c for c in (READ, KEYED, ONCE)},
+    aside=True,
+    origin_kind="origin",
+    second_copies=True,
+    may_cancel=True,
+    max_attempts=3,
+)
+
+
+class World:
+    """A router with one cache, an origin and discovery round it."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.settings = replace(SETTINGS, **changes)
+        self.cache, self.origin, self.discovery = Peer(), Peer(read_http), Peer(read_http)
+
+    async def start(self) -> World:
+        """Start all of it and tell the first list."""
+        for peer in (self.cache, self.origin, self.discovery):
+            await peer.start()
+        self.node = Node(self.config())
+        self.address = await self.node.start()
+        (await self.discovery.next()).respond_list(1, *self.rows())
+        self.watch = await self.discovery.next()  # its coming tells that the list was taken
+        return self
+
+    def config(self) -> Config:
+        known = {"version": 0, "full": True, "servers": []}
+        discovery = (LOCAL, self.discovery.port)
+        return Config((LOCAL, 0), discovery, 1, 1024, 100, known, self.settings)
+
+    def rows(self, **fields: Any) -> list[dict[str, Any]]:
+        return [self.cache.row("c", **fields), self.origin.row("o", "origin")]
+
+    async def tell(self, *rows: dict[str, Any], full: bool = False) -> None:
+        """Discovery has news; returns when they are taken."""
+        self.watch.respond_list(2, *rows, full=full)
+        self.watch = await self.discovery.next()
+
+    async def client(self) -> Client:
+        return await connect(self.address)
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,361 @@
+"""What comes back on a socket, and what the decision module is told of it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from brackencross import interface as api
+from brackencross.balance import Router
+from brackencross.interface import Status
+from brackencross.net.caches import CacheConnection
+from brackencross.net.host import Host
+from brackencross.net.memcache import Command, read_fields
+from brackencross.net.origin import OriginConnection
+from brackencross.net.pool import Connection, Pool
+from tests.peers import LOCAL, SETTINGS, Message, Peer, read_http, scenario
+
+
+class Script(Router):
+    """Takes no decisions of its own: sends each request once and notes what it is told."""
+
+    def __init__(self, *more: api.Action) -> None:
+        super().__init__(SETTINGS, 1, 0.0)
+        self.more = list(more)  # answers to what comes after the first request
+        self.told: asyncio.Queue[api.Event] = asyncio.Queue()
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.told.put_nowait(event)
+        if isinstance(event, api.Request):
+            return [api.Send(event.request, "s")]
+        if isinstance(event, api.Outcome) and not event.closed:
+            return self.more or [api.Fail(event.request)]
+        return []
+
+    async def outcome(self) -> api.Outcome:
+        while not isinstance(event := await self.told.get(), api.Outcome):
+            pass
+        return event
+
+
+class Bench:
+    """A host with one server, whose client keeps all answers it gets."""
+
+    def __init__(
+        self,
+        script: Router,
+        port: int,
+        kind: Callable[[Pool], Connection] = CacheConnection,
+        most: int = 8,
+        connect_timeout: float = 0.25,
+    ) -> None:
+        def pool(entry: api.ServerEntry, address: tuple[str, int]) -> Pool:
+            return Pool(
+                "s", address, kind, most=most, streams=100, connect_timeout=connect_timeout, idle=60.0
+            )
+
+        self.answers: dict[str, list[bytes]] = {}
+        self.host = Host(script, pool, lambda: None, 100)
+        self.host.servers(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s"),)), {"s": (LOCAL, port)})
+
+    def take(self, name: str, value: bytes | None = None, wait: int = 5000) -> None:
+        info = b"c=once,t=x,d=%d" % wait
+        command = Command(b"k", name.encode(), info, read_fields(info), value)
+        answers = self.answers[name] = []
+        self.host.take(command, answers.append)
+
+
+def reply(data: bytes) -> Callable[[Message], Any]:
+    return lambda message: message.reply(data)
+
+
+def reply_then_end(data: bytes) -> Callable[[Message], Any]:
+    def act(message: Message) -> None:
+        message.reply(data)
+        message.end()
+
+    return act
+
+
+CACHE = [
+    (reply(b"VA 1 O1 h1\r\nv\r\n"), Status.OK),
+    (reply(b"VA 1 O1 h1 Linflight=7,queue=2\r\nv\r\n"), Status.OK),
+    (reply(b"EN O1\r\n"), Status.MISS),
+    (reply(b"EN O1 h0 Z\r\n"), Status.MISS),
+    (reply(b"SERVER_ERROR failed\r\n"), Status.ERROR),
+    (reply(b"SERVER_ERROR busy\r\n"), Status.FULL),
+    (reply(b"SERVER_ERROR busy 250\r\n"), Status.FULL),
+    (Message.reset, Status.RESET),
+    (Message.end, Status.RESET),
+    (reply_then_end(b"VA 9 O1\r\nhalf"), Status.RESET),
+    (reply(b"VA 1 O2\r\nv\r\n"), Status.RESET),  # meant for another request
+    (reply(b"EN O2\r\n"), Status.RESET),
+    (reply(b"EN\r\n"), Status.RESET),
+    (reply(b"HD O1 cr\r\n"), Status.RESET),  # fits no read
+    (reply(b"VA x O1\r\nv\r\n"), Status.RESET),
+    (reply(b"VA 70000 O1\r\nv\r\n"), Status.RESET),
+    (reply(b"VA 1 O1\r\nvalue\r\n"), Status.RESET),
+    (reply(b"CLIENT_ERROR what\r\n"), Status.RESET),
+    (reply(b"y" * 5000), Status.RESET),
+]
+
+
+@scenario
+@pytest.mark.parametrize(("act", "status"), CACHE)
+async def test_what_a_cache_says(act: Callable[[Message], Any], status: Status) -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1")
+    act(await peer.next())
+    outcome = await script.outcome()
+    assert (outcome.status, outcome.closed) == (status, status is Status.OK)
+    served = b"VA 1 O1\r\nv\r\n"
+    assert bench.answers["1"] == [served if status is Status.OK else b"SERVER_ERROR failed\r\n"]
+
+
+@scenario
+async def test_a_receipt_of_a_cache() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", b"body")
+    got = await peer.next()
+    assert got.value == b"body"
+    got.reply(b"HD O1 cr-7\r\n")
+    assert (await script.outcome()).status is Status.OK
+    assert bench.answers["1"] == [b"HD O1 cr-7\r\n"]
+
+
+ORIGIN: list[tuple[bytes, list[bytes], bytes, Status]] = [
+    (b"200", [], b"v", Status.OK),
+    (b"200", [b"Server-Load: inflight=3"], b"v", Status.OK),
+    (b"500", [], b"", Status.ERROR),
+    (b"500", [b"Not-Started: 1"], b"", Status.ERROR),  # proves nothing with a 500
+    (b"503", [b"Not-Started: 1"], b"", Status.FULL),
+    (b"504", [b"not-started: 1"], b"", Status.FULL),
+    (b"503", [], b"", Status.ERROR),
+    (b"504", [], b"", Status.ERROR),
+    (b"503", [b"Not-Started: 0"], b"", Status.ERROR),
+    (b"404", [], b"", Status.ERROR),
+]
+
+
+@scenario
+@pytest.mark.parametrize("write", [False, True])
+@pytest.mark.parametrize(("code", "headers", "body", "status"), ORIGIN)
+async def test_what_the_origin_says(
+    code: bytes, headers: list[bytes], body: bytes, status: Status, write: bool
+) -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection)
+    bench.take("1", b"body" if write else None)
+    (await peer.next()).respond(body, int(code), *headers)
+    assert (await script.outcome()).status is status
+    served = b"HD O1 cv\r\n" if write else b"VA 1 O1\r\nv\r\n"
+    assert bench.answers["1"] == [served if status is Status.OK else b"SERVER_ERROR failed\r\n"]
+    bench.take("2")
+    (await peer.next()).respond(b"w")
+    await script.outcome()
+    assert peer.opened == 1  # the connection is kept
+
+
+@scenario
+@pytest.mark.parametrize(
+    "act",
+    [
+        Message.reset,
+        Message.end,
+        reply(b"nonsense\r\n\r\n"),
+        reply_then_end(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+        reply(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000),
+        reply(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 100000),
+        reply(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na\r\nb"),  # a receipt that would split the answer
+    ],
+)
+async def test_a_broken_answer_of_the_origin_is_a_reset(act: Callable[[Message], Any]) -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection)
+    bench.take("1", b"body")
+    act(await peer.next())
+    assert (await script.outcome()).status is Status.RESET
+
+
+@scenario
+async def test_an_origin_that_closes_after_each_answer() -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection)
+    for name in "12":
+        bench.take(name)
+        (await peer.next()).respond(b"v", 200, b"Connection: close")
+        assert (await script.outcome()).status is Status.OK
+    assert peer.opened == 2
+
+
+@scenario
+async def test_a_refused_connection_never_ran() -> None:
+    with socket.socket() as unused:
+        unused.bind((LOCAL, 0))
+        script = Script()
+        Bench(script, unused.getsockname()[1]).take("1")
+        assert (await script.outcome()).status is Status.CONNECT_FAILED
+
+
+@scenario
+async def test_a_connection_that_never_comes_up_never_ran() -> None:
+    with socket.socket() as full:  # a full backlog drops what would connect, like a vanished machine
+        full.bind((LOCAL, 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        script = Script()
+        Bench(script, full.getsockname()[1], connect_timeout=0.1).take("1")
+        outcome = await script.outcome()
+        assert outcome.status is Status.CONNECT_FAILED
+        assert 0.09 <= outcome.latency < 0.2
+        Bench(script, full.getsockname()[1]).take("1", wait=50)  # nor when the client gives up before
+        assert (await script.outcome()).status is Status.CONNECT_FAILED
+        for filler in fillers:
+            filler.close()
+
+
+@scenario
+async def test_what_breaks_before_its_last_byte_is_out_never_ran() -> None:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind((LOCAL, 0))
+        listener.listen()
+        listener.setblocking(False)
+        script = Script()
+        bench = Bench(script, listener.getsockname()[1], most=1)
+        loop = asyncio.get_running_loop()
+        names = [str(n) for n in range(90)]  # more than fits into the system's buffers
+        bench.take(names[0], b"x" * 65536)
+        connection, _ = await loop.sock_accept(listener)
+        connection.setblocking(True)
+        await asyncio.to_thread(connection.recv, 1, socket.MSG_PEEK)
+        for name in names[1:]:
+            bench.take(name, b"x" * 65536)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        connection.close()
+        outcomes = {(o := await script.outcome()).request: o.status for _ in names}
+        assert outcomes[names[0]] is Status.RESET
+        assert outcomes[names[-1]] is Status.CONNECT_FAILED
+
+
+@scenario
+async def test_no_reply_is_a_timeout_when_the_router_stops_waiting() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", wait=60)
+    got = await peer.next()
+    outcome = await script.outcome()
+    assert (outcome.status, outcome.closed) == (Status.TIMEOUT, False)
+    assert bench.answers["1"] == [b"SERVER_ERROR failed\r\n"]
+    got.reply_value(b"late")
+    bench.take("2")
+    (await peer.next()).reply_value(b"two")
+    assert (await script.outcome()).request == "2"
+    assert bench.answers["1"] == [b"SERVER_ERROR failed\r\n"]
+
+
+class Timed(Script):
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        actions = super().handle(now, event)
+        return [api.Send(a.request, a.server, 0.05) if isinstance(a, api.Send) else a for a in actions]
+
+
+@scenario
+async def test_an_attempt_has_a_time_of_its_own() -> None:
+    peer = await Peer().start()
+    script = Timed(api.Send("1", "s"))
+    bench = Bench(script, peer.port)
+    bench.take("1")
+    first = await peer.next()
+    assert b"d=50" in first.head or b"d=49" in first.head
+    assert (await script.outcome()).attempt == 0
+    second = await peer.next()
+    second.reply_value(b"v")
+    outcome = await script.outcome()
+    assert (outcome.attempt, outcome.status, outcome.closed) == (1, Status.OK, True)
+    assert bench.answers["1"] == [b"VA 1 O1\r\nv\r\n"]
+
+
+@scenario
+async def test_what_is_done_for_an_answered_request_is_moot() -> None:
+    peer = await Peer().start()
+    script = Script(api.Refuse("1", 0.0123), api.Fail("1"), api.Send("1", "s"), api.Cancel("1", 0))
+    bench = Bench(script, peer.port)
+    bench.take("1")
+    (await peer.next()).reply(b"EN O1\r\n")
+    assert (await script.outcome()).status is Status.MISS
+    assert (await script.outcome()).status is Status.MOOT
+    assert bench.answers["1"] == [b"SERVER_ERROR busy 13\r\n"]
+    assert peer.messages.empty()
+
+
+class Faulty(Script):
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request) and event.request == "bad":
+            raise RuntimeError("a fault in the module")
+        return super().handle(now, event)
+
+
+@scenario
+async def test_a_fault_in_the_module_loses_no_request(caplog: pytest.LogCaptureFixture) -> None:
+    peer, script = await Peer().start(), Faulty()
+    bench = Bench(script, peer.port)
+    bench.take("1")
+    bench.take("bad")
+    assert bench.answers["bad"] == [b"SERVER_ERROR failed\r\n"]
+    assert "a fault in the module" in caplog.text
+    (await peer.next()).reply_value(b"v")
+    await script.outcome()
+    assert bench.answers["1"] == [b"VA 1 O1\r\nv\r\n"]
+
+
+class Silent(Script):
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        super().handle(now, event)
+        return []
+
+
+@scenario
+async def test_a_request_the_module_loses_sight_of_is_failed_at_its_deadline() -> None:
+    script = Silent()
+    bench = Bench(script, 9)
+    bench.take("1", wait=30)
+    while not isinstance(await script.told.get(), api.ClientGone):
+        pass
+    assert bench.answers["1"] == [b"SERVER_ERROR failed\r\n"]
+
+
+@scenario
+async def test_an_attempt_that_waits_takes_the_connection_that_falls_free() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1")
+    first = await peer.next()
+    bench.take("2")
+    second = await peer.next()  # behind the first: there may be no other connection
+    assert first.writer is second.writer
+    first.reply_value(b"1")
+    second.reply_value(b"2")
+    assert [(await script.outcome()).request for _ in "12"] == ["1", "2"]
+
+
+@scenario
+async def test_given_up_attempts_do_not_keep_all_connections() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1", wait=30)
+    await peer.next()
+    assert (await script.outcome()).status is Status.TIMEOUT
+    bench.take("2")
+    await peer.ended.acquire()
+    (await peer.next()).reply_value(b"2")
+    assert (await script.outcome()).status is Status.OK
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,132 @@
+"""The program as the deployment starts it: configuration, start and end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brackencross.__main__ import main
+from tests.peers import LOCAL, Client, Peer, connect, scenario
+from tests.test_simhost import CONF
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as s:
+        s.bind((LOCAL, 0))
+        port: int = s.getsockname()[1]
+        return port
+
+
+def config(port: int, *rows: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    base = {"name": "n0", "listen": f"{LOCAL}:{port}", "discovery": f"{LOCAL}:9", "seed": "8c1f30d27a5be964"}
+    known = {"version": 1, "full": True, "servers": rows}
+    settings = {**CONF, "membershipMode": "automatic"}
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+    return {**base, "limits": limits, "known": known, "settings": settings, **changes}
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"listen": 7}, "listen"),
+        ({"listen": "127.0.0.1:x"}, "listen"),
+        ({"discovery": "nowhere"}, "discovery"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"limits": 3}, "limits"),
+        ({"known": {"version": 1}}, "known"),
+        ({"known": 3}, "known"),
+        ({"settings": None}, "classes"),
+        ({"settings": {"classes": [{"name": "x", "aim": "soon"}]}}, "classes[x].aim"),
+    ],
+)
+def test_a_bad_configuration_is_one_line_that_names_the_field(
+    changes: dict[str, Any],
+    field: str,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config(free_port(), **changes)))
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    assert main() == 2
+    err = capfd.readouterr().err
+    assert err.count("\n") == 1 and field in err
+
+
+@pytest.mark.parametrize("text", [None, "not json", "[]"])
+def test_a_missing_or_unreadable_configuration(
+    text: str | None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    assert main() == 2
+    err = capfd.readouterr().err
+    assert err.count("\n") == 1 and "NODE_CONFIG" in err
+
+
+async def start(path: Path, port: int, cache: Peer) -> tuple[asyncio.subprocess.Process, Client]:
+    path.write_text(json.dumps(config(port, cache.row("c"))))
+    environ = {**os.environ, "NODE_CONFIG": str(path)}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "brackencross", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
+    )
+    while True:
+        try:
+            client = await connect((LOCAL, port))
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.02)  # nothing tells of a listener but a connection
+        else:
+            break
+    client.send(b"mn\r\n")
+    assert await client.line() == b"MN\r\n"
+    return process, client
+
+
+@scenario
+async def test_sigterm_answers_all_that_is_held_and_still_takes_what_comes(tmp_path: Path) -> None:
+    cache, port = await Peer().start(), free_port()
+    process, client = await start(tmp_path / "config.json", port, cache)
+    idle = await connect((LOCAL, port))
+    client.get("1")
+    held = await cache.next()
+    process.send_signal(signal.SIGTERM)
+    client.get("2")  # on a connection that stays open
+    (await cache.next()).reply_value(b"two")
+    late = await connect((LOCAL, port))
+    late.get("3")
+    (await cache.next()).reply_value(b"three")
+    assert await late.value("3") == b"three"
+    assert await idle.ended()
+    assert await late.ended()
+    with pytest.raises(ConnectionRefusedError):
+        await connect((LOCAL, port))
+    held.reply_value(b"one")
+    assert [await client.value(n) for n in "12"] == [b"one", b"two"]
+    assert await client.ended()
+    assert await process.wait() == 0
+
+
+@scenario
+async def test_a_router_starts_again_under_its_address(tmp_path: Path) -> None:
+    cache, port = await Peer().start(), free_port()
+    for name in "12":
+        process, client = await start(tmp_path / "config.json", port, cache)
+        client.get(name)
+        (await cache.next()).reply_value(b"v")
+        assert await client.value(name) == b"v"
+        process.kill()
+        await process.wait()
