Doublings in the module are bounded: a router failed every request after 2.5 hours

Seen: the restart test hung with a ramp of a microsecond. Cause: 2.0 ** ((now - keep_at) / ramp) in _linked raises OverflowError once the ratio passes 1,024, so with this site's ramp of 8.9 s 2.5 hours after the start, on every request; the same holds for losses of one server in a row and for failures of the list. Ruled out: the pool and the list reader, as a ramp of a millisecond passed both. Three tests fail without the mend.

--- a/brackencross/balance.py
+++ b/brackencross/balance.py
@@ -41,6 +41,7 @@
 CALM = 1 / 4  # of the aim: with a usual latency above, being late means a crowd rather than a loss
 CROWDED = 1.5  # sends for each answer in good time; more are shed before they cost anything
 MOST_SHED = 0.9  # of new reads: a tenth still shows what the fleet bears
+MOST_DOUBLINGS = 1000  # guards against overflow, which ended all service after some hours
 STALE_CUT = 0.25  # of the idle time after which a connection failed: two failures get below any we know of
 SIGN = 0.15  # share of failures, or more than elsewhere, that is no chance: two in ten
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
@@ -168,7 +169,7 @@
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             if self.settings.subscribe:  # again after a doubling, jittered pause: routers don't call in step
-                self.list_failures += 1
+                self.list_failures = min(self.list_failures + 1, MOST_DOUBLINGS)
                 pause = min(self.settings.ramp, self.settings.fall_window * 2.0 ** (self.list_failures - 2))
                 self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
                 self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
@@ -351,7 +352,7 @@
             self.out.append(api.SetTimer(OVERDUE * aim, f"late:{name}:{len(held.attempts) - 1}"))
 
     def _linked(self, server: Server) -> bool:  # over a connection that should still work
-        survives = self.keep * 2.0 ** ((self.now - self.keep_at) / self.settings.ramp)
+        survives = self.keep * 2.0 ** min((self.now - self.keep_at) / self.settings.ramp, MOST_DOUBLINGS)
         return server.load > 0 or self.now - server.used_at <= min(self.settings.connection_idle, survives)
 
     def _wait(self, held: Held) -> None:
@@ -441,7 +442,7 @@
         if answered:
             server.used_at, server.losses = self.now, 0
         elif lost or failed:  # guards against dead servers: passed over for a growing pause
-            server.losses += server.cache
+            server.losses = min(server.losses + server.cache, MOST_DOUBLINGS)
             pause = min(self.settings.ramp, self.shortest_aim * 2.0 ** (server.losses - 2))
             server.trial_at = self.now + pause * self.random.uniform(0.5, 1.0)
         if not server.load and server.used_at > -math.inf and (lost or failed or self.signs["shut"] > SIGN):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -111,6 +111,30 @@
     assert len(d.ended) == 60
 
 
+def test_days_of_service_overflow_nothing() -> None:
+    d = Driver(settings())
+    d.list(*fleet("a"))
+    d.now += 30 * 86400.0
+    assert d.request("r", finish=True) == "a"
+
+
+def test_a_server_lost_a_thousand_times_is_tried_again() -> None:
+    d = Driver(settings())
+    d.list(*fleet("a"))
+    for n in range(1100):
+        assert d.request(f"r{n}") == "a"
+        d.end(f"r{n}", api.Status.CONNECT_FAILED)
+        d.now += 2 * d.conf.ramp
+
+
+def test_discovery_down_for_days_is_asked_again() -> None:
+    d = Driver(settings(subscribe=True))
+    for _ in range(1100):
+        d.list(kind=api.ListKind.FAILED)
+        pause = next(a.delay for a in d.last if isinstance(a, api.SetTimer))
+        assert 0 < pause <= d.conf.ramp
+
+
 def test_client_gone_ends_everything_for_it() -> None:
     d = Driver(settings())
     d.list(*fleet("a", "b"))
