A loss soon after use no longer counts against idle connections

Ruled out by a log of dials: connects that fail (18, all after the storm had begun) and the host's own idle close (none). Cause, logged: _learn_health took two time-outs at a silent server, whose connection had been unused for 0.27 s, as a sign that idle connections die, and set keep to 0.07 s: every server unused for longer was closed and dialled again. Mend: only a connection unused for longer than the class's aim says anything of idle ones.

--- a/brackencross/balance.py
+++ b/brackencross/balance.py
@@ -73,7 +73,7 @@
     aim: float  # of its class
     cost: float  # expected work, 1 where no hint is given
     sent_at: float
-    idle: float  # time its connection was unused: 0 for a busy one, infinite for a new one
+    idle: float  # time its connection was unused, infinite if new; losses within an aim are the server's
     open: bool = True
     may_have_run: bool = True  # until an outcome proves the contrary
 
@@ -448,7 +448,7 @@
         if not server.load and server.used_at > -math.inf and (lost or failed or self.signs["shut"] > SIGN):
             self.out.append(api.CloseIdle(server.entry.server))
             server.used_at = -math.inf
-        slow, idle = event.latency > self.settings.connect_timeout / 2, 0 < attempt.idle < math.inf
+        slow, idle = event.latency > self.settings.connect_timeout / 2, attempt.aim < attempt.idle < math.inf
         if attempt.idle == math.inf:
             self._note("shut", failed and not slow)
             self._note("vain", failed and slow)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -543,6 +543,19 @@
     assert [type(a) for a in d.last[:2]] == [api.CloseIdle, api.Send]
 
 
+def test_losses_soon_after_use_are_no_sign_of_idle_connections_that_die() -> None:
+    """Two time-outs at a silent server had a router open a new connection for every second request."""
+    d = Driver(settings(max_attempts=1))
+    d.list(*fleet("a"))
+    for n in range(8):
+        d.request(f"r{n}", key="k", finish=True)
+        d.now += 0.3
+        server = d.request(f"lost{n}", key="k")
+        d.end(f"lost{n}", api.Status.TIMEOUT, latency=0.6)
+        d.router.servers[str(server)].trial_at = d.now
+    assert d.router.keep == math.inf
+
+
 def test_idle_connections_that_work_are_kept() -> None:
     d = Driver(settings(max_attempts=1))
     d.list(*fleet("a"))
