A connection that ends as it opens is not kept; the share of connections grows back

Found on reading: a server that closes at once could be added to the pool after its end and count against the most for good (the test holds 20 requests to one such connection); and the share of a server's connections only ever shrank.

--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -26,7 +26,6 @@
 from brackencross.net.pool import Address, Pool
 from brackencross.settings import number, read_settings, section
 
-MOST_CONNECTIONS = 24  # to one server; more requests than that go out behind others
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
 LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
 BACKLOG = 512
@@ -114,7 +113,6 @@
             entry.server,
             address,
             OriginConnection if origin else CacheConnection,
-            most=MOST_CONNECTIONS,
             streams=1 if origin else self._config.streams,
             connect_timeout=settings.connect_timeout,
             idle=settings.connection_idle,
--- a/brackencross/net/pool.py
+++ b/brackencross/net/pool.py
@@ -111,13 +111,13 @@
         address: Address,
         connect: Callable[[Pool], Connection],
         *,
-        most: int,
         streams: int,
         connect_timeout: float,
         idle: float,
     ) -> None:
         self.name, self.address = name, address
-        self.most, self.streams = most, streams
+        self.streams = streams
+        self.most = 1  # connections at once, as far as descriptors allow
         self.connect_timeout, self.idle_limit = connect_timeout, idle * IDLE_SHARE
         self.ready = True  # may be sent to; a drained or removed server may not
         self._connect = connect
@@ -174,6 +174,8 @@
         try:
             async with asyncio.timeout(self.connect_timeout):
                 _, connection = await self._loop.create_connection(lambda: self._connect(self), host, port)
+            if connection.transport.is_closing():  # guards against keeping one that has ended already
+                raise ConnectionResetError
         except (OSError, TimeoutError):
             self._dialling.discard(task)
             if self._waiting and len(self._waiting) > len(self._dialling):
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -54,12 +54,10 @@
         connect_timeout: float = 0.25,
     ) -> None:
         def pool(entry: api.ServerEntry, address: tuple[str, int]) -> Pool:
-            return Pool(
-                "s", address, kind, most=most, streams=100, connect_timeout=connect_timeout, idle=60.0
-            )
+            return Pool("s", address, kind, streams=100, connect_timeout=connect_timeout, idle=60.0)
 
         self.answers: dict[str, list[bytes]] = {}
-        self.host = Host(script, pool, lambda: None, 100)
+        self.host = Host(script, pool, lambda: None, most)
         self.host.servers(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s"),)), {"s": (LOCAL, port)})
 
     def take(self, name: str, value: bytes | None = None, wait: int = 5000) -> None:
@@ -348,6 +346,20 @@
     assert [(await script.outcome()).request for _ in "12"] == ["1", "2"]
 
 
+@scenario
+async def test_a_server_that_ends_every_connection_at_once_leaves_none_behind() -> None:
+    def shut(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    server = await asyncio.start_server(shut, LOCAL, 0)
+    script = Script()
+    bench = Bench(script, server.sockets[0].getsockname()[1], most=1)
+    for name in map(str, range(20)):
+        bench.take(name)
+        assert (await script.outcome()).status in (Status.CONNECT_FAILED, Status.RESET)
+    server.close()
+
+
 @scenario
 async def test_given_up_attempts_do_not_keep_all_connections() -> None:
     peer, script = await Peer().start(), Script()
