Gaps found on reading: odd bytes, attempts that outlive their request, readiness

- control bytes in a client's list would have raised in h11 while an attempt was being written, and held the request until its deadline: such a line gets an error line now;
- an attempt whose request ended had no time-out of its own where cancels are not allowed, and would have counted as the server's load for good;

--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -98,7 +98,7 @@
         router = Router(config.settings, config.seed, time.monotonic())
         self._discovery = Discovery(config.discovery, reader, config.settings.subscribe)
         self._host = Host(router, self._pool, self._discovery.ask, config.sockets // 2)
-        self._clients = Clients(self._host, self._host.knows_servers, config.sockets // 3)
+        self._clients = Clients(self._host, self._host.can_serve, config.sockets // 3)
         if config.known is not None:
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
@@ -146,8 +146,10 @@
         loop.add_signal_handler(number_, told.set)
     node = Node(config)
     await node.start()
+    log.info("listening on %s:%d", *config.listen)
     gc.freeze()  # what is here stays: not to be looked through again and again
     await told.wait()
+    log.info("stopping")
     await node.stop()
 
 
--- a/brackencross/net/caches.py
+++ b/brackencross/net/caches.py
@@ -45,6 +45,7 @@
             raise memcache.FramingError("a reply to another request")
         if reply.kind not in (ReplyKind.BUSY, ReplyKind.ERROR):
             unfit = ReplyKind.VALUE if command.write else ReplyKind.STORED
-            if reply.request_id is None or reply.kind is unfit:
+            bare = reply.kind is ReplyKind.STORED and not reply.body
+            if reply.request_id is None or reply.kind is unfit or bare:
                 raise memcache.FramingError(f"{reply.kind.value} does not fit the command")
         self.replied(OUTCOMES[reply.kind], reply.body)
--- a/brackencross/net/clients.py
+++ b/brackencross/net/clients.py
@@ -95,7 +95,7 @@
         self._throttle()
 
     def idle(self) -> bool:
-        return not self._slots
+        return not self._slots and not self.transport.is_closing()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._clients.remove(self)
--- a/brackencross/net/discovery.py
+++ b/brackencross/net/discovery.py
@@ -49,6 +49,9 @@
         except (KeyError, TypeError, ValueError, AttributeError) as e:
             raise ListError(f"malformed list: {e!r}") from e
         entries = tuple(entry for entry, _ in rows)
+        if kind is not api.ListKind.DELTA:  # guards memory against all the servers there ever were
+            listed = {entry.server for entry in entries}
+            self._since = {name: times for name, times in self._since.items() if name in listed}
         return version, api.ServerList(kind, entries), {entry.server: address for entry, address in rows}
 
     def _entry(self, row: dict[str, Any]) -> api.ServerEntry:
--- a/brackencross/net/host.py
+++ b/brackencross/net/host.py
@@ -59,8 +59,8 @@
 
     # What happens
 
-    def knows_servers(self) -> bool:
-        return bool(self._pools)
+    def can_serve(self) -> bool:
+        return any(pool.ready for pool in self._pools.values())
 
     def take(self, command: Command, answer: Answer) -> str | None:
         """Take a client's request; answers with its name, or None if it was turned down at once."""
@@ -68,7 +68,10 @@
         if command.fields["c"] not in self._router.settings.classes:
             answer(b"CLIENT_ERROR unknown class\r\n")
             return None
-        if name in self._held:  # guards the first of the two: answers are told apart by id
+        # guards the first of the two: answers and attempts are told apart by id
+        if name in self._held or any(
+            (name, n) in self._open for n in range(self._router.settings.max_attempts)
+        ):
             answer(b"CLIENT_ERROR id in use\r\n")
             return None
         time_left = (read_figure(command.fields, "d") or 0.0) / 1000
@@ -228,9 +231,9 @@
             self._feed(api.Outcome(name, attempt.number, api.Status.CONNECT_FAILED))
             return
         self._open[name, attempt.number] = attempt, pool
-        if until < held.deadline:
-            status = api.Status.TIMEOUT
-            attempt.timer = self._loop.call_later(until - now, self._give_up, name, attempt.number, status)
+        # also for what outlives its request: without an outcome it would count as load for good
+        status = api.Status.TIMEOUT
+        attempt.timer = self._loop.call_later(until - now, self._give_up, name, attempt.number, status)
         pool.send(attempt)
 
     def _give_up(self, name: str, number: int, status: api.Status) -> None:
--- a/brackencross/net/memcache.py
+++ b/brackencross/net/memcache.py
@@ -147,7 +147,8 @@
     # guards against flags that would change what an answer looks like
     if given.keys() != ({b"O", b"P", b"v"} if value is None else {b"O", b"P"}) or len(given) != len(flags):
         raise ValueError("bad flags")
-    if not _printable(given[b"O"], 64) or given.get(b"v"):
+    # guards against bytes that would not fit into the headers for the origin
+    if not (_printable(given[b"O"], 64) and _printable(given[b"P"], MAX_LINE)) or given.get(b"v"):
         raise ValueError("bad flags")
     fields = read_fields(given[b"P"])
     for name in ("c", "t", "d"):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -328,6 +328,8 @@
         (b"mg " + b"k" * 251 + b" v O1 " + P, b"CLIENT_ERROR bad key"),
         (b"mg k\xff v O1 " + P, b"CLIENT_ERROR bad key"),
         (b"mg  v O1 " + P, b"CLIENT_ERROR bad key"),
+        (b"mg k v O1 Pc=read,t=x\x01,d=5", b"CLIENT_ERROR bad flags"),
+        (b"mg k v O1 Pc=read,t=x\r,d=5", b"CLIENT_ERROR bad flags"),
         (b"mg k v O1 Pc=read,t=x", b"CLIENT_ERROR missing d"),
         (b"mg k v O1 Pt=x,d=5", b"CLIENT_ERROR missing c"),
         (b"mg k v O1 Pc=read,d=5", b"CLIENT_ERROR missing t"),
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -115,6 +115,28 @@
     assert bench.answers["1"] == [served if status is Status.OK else b"SERVER_ERROR failed\r\n"]
 
 
+@scenario
+async def test_a_write_without_a_receipt_is_no_answer() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", b"body")
+    (await peer.next()).reply(b"HD O1\r\n")
+    assert (await script.outcome()).status is Status.RESET
+
+
+@scenario
+async def test_what_outlives_its_request_has_its_outcome_too() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", wait=60)
+    await peer.next()
+    bench.host.gone("1")
+    bench.take("1")
+    assert bench.answers["1"] == [b"CLIENT_ERROR id in use\r\n"]  # its attempt is still out
+    outcome = await script.outcome()
+    assert (outcome.status, outcome.closed) == (Status.TIMEOUT, True)
+
+
 @scenario
 async def test_a_receipt_of_a_cache() -> None:
     peer, script = await Peer().start(), Script()
