Caches get at most 4 connections from a router, the origin 24

A cache's full table costs capacity, and three routers held 24 connections a cache at the most. Ruled out: time-outs (45 of the ends) and the origin's queue (22).

--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -26,6 +26,8 @@
 from brackencross.net.pool import Address, Pool
 from brackencross.settings import number, read_settings, section
 
+CACHE_CONNECTIONS = 4  # to one cache; more requests than that go out behind others
+ORIGIN_CONNECTIONS = 24
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
 LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
 BACKLOG = 512
@@ -113,6 +115,7 @@
             entry.server,
             address,
             OriginConnection if origin else CacheConnection,
+            most=ORIGIN_CONNECTIONS if origin else CACHE_CONNECTIONS,
             streams=1 if origin else self._config.streams,
             connect_timeout=settings.connect_timeout,
             idle=settings.connection_idle,
--- a/brackencross/net/host.py
+++ b/brackencross/net/host.py
@@ -18,7 +18,6 @@
 log = logging.getLogger(__name__)
 
 Answer = Callable[[bytes], None]
-MOST_EACH = 24  # connections to one server; more requests than that go out behind others
 SWEEP = 1.0  # seconds between looks at idle connections
 
 
@@ -120,7 +119,7 @@
             if entry.server in listed:
                 self._update_pool(entry, addresses[entry.server])
         for pool in self._pools.values():  # guards the limit on descriptors
-            pool.most = max(1, min(MOST_EACH, self._most_connections // len(self._pools)))
+            pool.most = max(1, min(pool.wanted, self._most_connections // len(self._pools)))
 
     def _update_pool(self, entry: api.ServerEntry, address: Address) -> None:
         pool = self._pools.get(entry.server)
--- a/brackencross/net/pool.py
+++ b/brackencross/net/pool.py
@@ -111,13 +111,14 @@
         address: Address,
         connect: Callable[[Pool], Connection],
         *,
+        most: int,
         streams: int,
         connect_timeout: float,
         idle: float,
     ) -> None:
         self.name, self.address = name, address
         self.streams = streams
-        self.most = 1  # connections at once, as far as descriptors allow
+        self.wanted = self.most = most  # connections at once, and as many as descriptors allow
         self.connect_timeout, self.idle_limit = connect_timeout, idle * IDLE_SHARE
         self.ready = True  # may be sent to; a drained or removed server may not
         self._connect = connect
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -54,7 +54,9 @@
         connect_timeout: float = 0.25,
     ) -> None:
         def pool(entry: api.ServerEntry, address: tuple[str, int]) -> Pool:
-            return Pool("s", address, kind, streams=100, connect_timeout=connect_timeout, idle=60.0)
+            return Pool(
+                "s", address, kind, most=most, streams=100, connect_timeout=connect_timeout, idle=60.0
+            )
 
         self.answers: dict[str, list[bytes]] = {}
         self.host = Host(script, pool, lambda: None, most)
