--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -26,7 +26,7 @@
 from brackencross.net.pool import Address, Pool
 from brackencross.settings import number, read_settings, section
 
-CACHE_CONNECTIONS = 4  # to one cache; more requests than that go out behind others
+CACHE_CONNECTIONS = 2  # to one cache; more requests than that go out behind others
 ORIGIN_CONNECTIONS = 24
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
 LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
