--- a/brackencross/net/clients.py
+++ b/brackencross/net/clients.py
@@ -72,6 +72,7 @@
         while self._slots and self._slots[0].answer is not None:
             self.transport.write(self._slots.popleft().answer or b"")
         if not self._slots and self._lost_framing:
+            self.transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER, self.transport.abort)
         elif not self._slots and self._clients.draining:
             self.transport.close()
--- a/brackencross/net/memcache.py
+++ b/brackencross/net/memcache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -12,6 +13,8 @@
 MAX_KEY = 250
 MAX_FIGURE = 1e9  # milliseconds or microseconds: far above any deadline, and no timer overflows
 
+PRINTABLE = re.compile(rb"[!-~]+")
+
 READY, FAILED, UNKNOWN = b"MN\r\n", b"SERVER_ERROR failed\r\n", b"ERROR\r\n"
 NOT_READY = b"SERVER_ERROR not ready\r\n"
 
@@ -130,8 +133,9 @@
     return figure
 
 
-def _printable(token: bytes, most: int) -> bool:
-    return 0 < len(token) <= most and token.isascii() and all(32 < byte < 127 for byte in token)
+def is_printable(token: bytes, most: int) -> bool:
+    """Whether a token fits into a line, or into a header."""
+    return len(token) <= most and PRINTABLE.fullmatch(token) is not None
 
 
 def _bad(reason: object, fatal: bool = False) -> BadCommand:
@@ -141,14 +145,14 @@
 def _read_command(words: list[bytes], value: bytes | None) -> Command:
     """Check the words of an `mg` or `ms` line; a ValueError tells what is wrong."""
     flags = words[2 if value is None else 3 :]
-    if not _printable(words[1], MAX_KEY):
+    if not is_printable(words[1], MAX_KEY):
         raise ValueError("bad key")
     given = {flag[:1]: flag[1:] for flag in flags}
     # guards against flags that would change what an answer looks like
     if given.keys() != ({b"O", b"P", b"v"} if value is None else {b"O", b"P"}) or len(given) != len(flags):
         raise ValueError("bad flags")
     # guards against bytes that would not fit into the headers for the origin
-    if not (_printable(given[b"O"], 64) and _printable(given[b"P"], MAX_LINE)) or given.get(b"v"):
+    if not (is_printable(given[b"O"], 64) and is_printable(given[b"P"], MAX_LINE)) or given.get(b"v"):
         raise ValueError("bad flags")
     fields = read_fields(given[b"P"])
     for name in ("c", "t", "d"):
--- a/brackencross/net/origin.py
+++ b/brackencross/net/origin.py
@@ -7,10 +7,11 @@
 import h11
 
 from brackencross.interface import Status
-from brackencross.net.memcache import MAX_VALUE, Command
+from brackencross.net.memcache import MAX_VALUE, Command, is_printable
 from brackencross.net.pool import Attempt, Connection, Pool
 
 SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
+MAX_RECEIPT = 1024
 
 
 class OriginConnection(Connection):
@@ -63,7 +64,7 @@
         if response is None or not self.attempts:
             raise h11.RemoteProtocolError("a response to nothing")
         status = status_of(response)
-        if status is Status.OK and self.attempts[0].command.write and not _is_receipt(body):
+        if status is Status.OK and self.attempts[0].command.write and not is_printable(body, MAX_RECEIPT):
             raise h11.RemoteProtocolError("a receipt that fits no line")
         self._response, self._body = None, bytearray()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
@@ -89,7 +90,3 @@
     # only this header proves that it never ran: a bare 503 or 504 may come from anything on the way
     never_ran = any(name == b"not-started" and value == b"1" for name, value in response.headers)
     return Status.FULL if response.status_code in (503, 504) and never_ran else Status.ERROR
-
-
-def _is_receipt(body: bytes) -> bool:
-    return 0 < len(body) <= 1024 and all(32 < byte < 127 for byte in body)
