--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -323,20 +323,18 @@
     assert await client.value("2") == b"w"
 
 
-@scenario
-async def test_a_list_told_twice_is_no_restart() -> None:
-    world = await World().start()
-    client = await world.client()
-    started = (time.time() - 3600) * 1000
-    await world.tell(*world.rows(started_ms=started), full=True)
-    client.get("1")
-    (await world.cache.next()).reply_value(b"v")
-    await client.value("1")
-    await world.tell(*world.rows(started_ms=started), full=True)
-    client.get("2")
-    (await world.cache.next()).reply_value(b"v")
-    await client.value("2")
-    assert world.cache.opened == 1
+def test_a_step_of_the_wall_clock_makes_no_server_seem_restarted(monkeypatch: pytest.MonkeyPatch) -> None:
+    reader, now = discovery.ListReader(), time.time()
+    row = {"id": "c", "addr": "127.0.0.1:9", "state": "in_service", "started_ms": (now - 60) * 1000}
+    message = {"version": 1, "full": True, "servers": [row]}
+    _, first, _ = reader.read(message)
+    monkeypatch.setattr(time, "time", lambda: now - 5)
+    _, second, _ = reader.read(message)
+    assert first == second
+    assert abs(time.monotonic() - 60 - first.entries[0].since) < 1
+    row["started_ms"] = now * 1000
+    _, third, _ = reader.read(message)
+    assert third.entries[0].since > first.entries[0].since
 
 
 @scenario
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -373,18 +373,23 @@
     assert [(await script.outcome()).request for _ in "12"] == ["1", "2"]
 
 
+class Stillborn(CacheConnection):
+    """Its server has ended it by the time it is up."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.abort()
+
+
 @scenario
-async def test_a_server_that_ends_every_connection_at_once_leaves_none_behind() -> None:
-    def shut(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.transport.abort()
-
-    server = await asyncio.start_server(shut, LOCAL, 0)
-    script = Script()
-    bench = Bench(script, server.sockets[0].getsockname()[1], most=1)
-    for name in map(str, range(20)):
+async def test_a_connection_that_ends_as_it_comes_up_is_not_kept() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, Stillborn, most=1)
+    for name in "12":
         bench.take(name)
-        assert (await script.outcome()).status in (Status.CONNECT_FAILED, Status.RESET)
-    server.close()
+        assert (await script.outcome()).status is Status.CONNECT_FAILED
+        await peer.ended.acquire()
+    assert peer.opened == 2
 
 
 @scenario
