--- a/brackencross/net/caches.py
+++ b/brackencross/net/caches.py
@@ -7,7 +7,7 @@
 from brackencross.interface import Status
 from brackencross.net import memcache
 from brackencross.net.memcache import Reply, ReplyKind
-from brackencross.net.pool import Attempt, Connection, Pool
+from brackencross.net.pool import Attempt, Connection, Ended, Pool
 
 OUTCOMES = {
     ReplyKind.MISS: Status.MISS,
@@ -30,13 +30,16 @@
         return memcache.write_command(attempt.command, wait_ms)
 
     def data_received(self, data: bytes) -> None:
+        ended, fault = [], None
         try:
             for reply in self._parser.feed(data):
-                self._take(reply)
+                ended.append(self._match(reply))
         except memcache.FramingError as e:
-            self.broken(e)
+            fault = e
+        self.settle(ended, self._parser.begun, fault)
 
-    def _take(self, reply: Reply) -> None:
+    def _match(self, reply: Reply) -> Ended:
+        """The oldest attempt with its reply."""
         if not self.attempts:
             raise memcache.FramingError("a reply to nothing")
         command = self.attempts[0].command
@@ -48,4 +51,4 @@
             bare = reply.kind is ReplyKind.STORED and not reply.body
             if reply.request_id is None or reply.kind is unfit or bare:
                 raise memcache.FramingError(f"{reply.kind.value} does not fit the command")
-        self.replied(OUTCOMES[reply.kind], reply.body)
+        return self.attempts.popleft(), OUTCOMES[reply.kind], reply.body
--- a/brackencross/net/memcache.py
+++ b/brackencross/net/memcache.py
@@ -76,6 +76,9 @@
     def __init__(self) -> None:
         self._data = bytearray()
 
+    def __len__(self) -> int:
+        return len(self._data)
+
     def add(self, data: bytes) -> None:
         self._data += data
 
@@ -222,6 +225,11 @@
         self._buffer = _Buffer()
         self._pending: tuple[int, bytes | None] | None = None  # length and id of a value still to come
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a reply has come."""
+        return self._pending is not None or len(self._buffer) > 0
+
     def feed(self, data: bytes) -> Iterator[Reply]:
         """Yield whole replies; raises FramingError on anything that is none."""
         self._buffer.add(data)
--- a/brackencross/net/origin.py
+++ b/brackencross/net/origin.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from urllib.parse import quote_from_bytes
 
 import h11
 
 from brackencross.interface import Status
 from brackencross.net.memcache import MAX_VALUE, Command, is_printable
-from brackencross.net.pool import Attempt, Connection, Pool
+from brackencross.net.pool import Attempt, Connection, Ended, Pool
 
 SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
 MAX_RECEIPT = 1024
@@ -22,6 +23,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._response: h11.Response | None = None
         self._body = bytearray()
+        self._closing = False
 
     def encode(self, attempt: Attempt) -> bytes:
         command = attempt.command
@@ -35,16 +37,32 @@
         )
 
     def data_received(self, data: bytes) -> None:
+        ended, fault = [], None
         try:
+            if not self.attempts:
+                raise h11.RemoteProtocolError("a response to nothing")
             self._http.receive_data(data)
-            self._read_events()
+            if self._read_response():
+                ended = [self._match()]
         except h11.RemoteProtocolError as e:
-            self.broken(e)
+            fault = e
+        self.settle(ended, bool(self.attempts) and self._begun(), fault)
+        if ended and fault is None and self._closing:  # the origin will close it: not to be reused
+            self.transport.close()
 
-    def eof_received(self) -> None:
-        self.data_received(b"")  # a response without a length ends here
+    def _begun(self) -> bool:
+        return self._response is not None or bool(self._http.trailing_data[0])
 
-    def _read_events(self) -> None:
+    def eof_received(self) -> None:
+        """A response without a length ends here; any other is broken off."""
+        if self.attempts and self._response is not None:
+            with contextlib.suppress(h11.RemoteProtocolError):
+                self._http.receive_data(b"")
+                if self._read_response():
+                    self.settle([self._match()], False)
+
+    def _read_response(self) -> bool:
+        """Whether the response is whole."""
         while True:
             event = self._http.next_event()
             if isinstance(event, h11.Response):
@@ -54,25 +72,26 @@
                 if len(self._body) > MAX_VALUE:  # guards memory against an endless body
                     raise h11.RemoteProtocolError("value too large")
             elif isinstance(event, h11.EndOfMessage):
-                self._finish()
-                return
+                return True
             elif not isinstance(event, h11.InformationalResponse):
-                return  # needs more data, or the connection has ended
+                return False  # needs more data, or the connection has ended
 
-    def _finish(self) -> None:
+    def _match(self) -> Ended:
+        """The attempt with its response, which carries no id: guards it against whatever else came."""
         response, body = self._response, bytes(self._body)
-        if response is None or not self.attempts:
+        if response is None:
             raise h11.RemoteProtocolError("a response to nothing")
         status = status_of(response)
         if status is Status.OK and self.attempts[0].command.write and not is_printable(body, MAX_RECEIPT):
             raise h11.RemoteProtocolError("a receipt that fits no line")
         self._response, self._body = None, bytearray()
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        surplus, _ = self._http.trailing_data
+        if not surplus and self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-        else:  # the origin will close it: not to be reused
+        else:  # the origin will close it, or has sent more than belongs to the response
             self.pool.lost(self)
-            self.transport.close()
-        self.replied(status, body)
+            self._closing = True
+        return self.attempts.popleft(), status, body
 
 
 def _request_of(command: Command, host: str, length: int) -> h11.Request:
--- a/brackencross/net/pool.py
+++ b/brackencross/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import time
 from collections import deque
 from collections.abc import Callable
@@ -16,6 +17,8 @@
 log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
+HALF_READ = 0.3  # seconds for a reply to end that has begun: until then all behind it wait in vain
+WARN_EVERY = 5.0  # seconds between warnings about one server
 IDLE_SHARE = 0.75  # of the idle limit, for a request written as the server closes ends as a reset
 
 
@@ -40,19 +43,25 @@
             report(self, status, body)
 
 
+Ended = tuple[Attempt, Status, bytes]
+
+
 class Connection(asyncio.Protocol):
     """One connection: attempts in the order written. Subclasses write and parse."""
 
     transport: asyncio.Transport
 
     def __init__(self, pool: Pool) -> None:
-        self.pool = pool
+        self.pool, self.address = pool, pool.address
         self.attempts: deque[Attempt] = deque()  # written and not replied to, given up ones among them
         self.opened_at = self.used_at = time.monotonic()
+        self.half_since: float | None = None  # when the reply began of which a part is still to come
         self.held_back = False  # the last bytes written are not yet with the system
+        self._unread = select.poll()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self._unread.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         # high water at 0 tells at once whether the last byte is out: until then the attempt never ran
         self.transport.set_write_buffer_limits(high=0)
 
@@ -62,6 +71,10 @@
     def resume_writing(self) -> None:
         self.held_back = False
 
+    def quiet(self) -> bool:
+        """Whether nothing has come since the last reply: a second copy would pass for the next one."""
+        return not self.transport.is_closing() and not self._unread.poll(0)
+
     def send(self, attempt: Attempt) -> None:
         """Write an attempt behind those that are out."""
         self.used_at = time.monotonic()
@@ -71,33 +84,52 @@
     def encode(self, attempt: Attempt) -> bytes:
         raise NotImplementedError
 
-    def replied(self, status: Status, body: bytes = b"") -> None:
-        """The oldest attempt has its reply."""
-        attempt = self.attempts.popleft()
+    def settle(self, ended: list[Ended], part: bool, fault: object = None) -> None:
+        """Report what one read brought, once it is known whether the connection can be used again."""
         self.used_at = time.monotonic()
-        if not self.attempts:
+        if fault is None and part and not self.attempts:
+            fault = "more than belongs to the reply"
+        if fault is not None:
+            self.pool.warn(fault)
+            self.pool.lost(self)
+            self.transport.abort()
+        elif not part:
+            self.half_since = None
+        elif self.half_since is None or ended:
+            self.half_since = self.used_at
+        if not self.attempts and fault is None:
             self.pool.freed(self)
-        attempt.end(status, body)
+        for attempt, status, body in ended:
+            attempt.end(status, body)
+        if fault is not None:  # the oldest is answered, though nobody can read it; those behind never will be
+            self._end_all(Status.ERROR, Status.CANCELLED)
 
-    def broken(self, reason: object) -> None:
+    def broken(self, fault: object) -> None:
         """Give up the connection: what its peer sends can't be told apart any more."""
-        log.warning("closing a connection to %s: %s", self.pool.name, reason)
-        self.transport.abort()
-        self.connection_lost(None)
+        self.settle([], False, fault)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.lost(self)
+        self._end_all(Status.RESET, Status.RESET)
+
+    def _end_all(self, oldest: Status, others: Status) -> None:
         attempts, self.attempts = self.attempts, deque()
+        status = oldest
         while attempts:
             attempt = attempts.popleft()
             # guards against a needless failure: what broke before its last byte was out never ran
             unsent = self.held_back and not attempts
-            attempt.end(Status.CONNECT_FAILED if unsent else Status.RESET)
+            attempt.end(Status.CONNECT_FAILED if unsent else status)
+            status = others
 
     def abandoned(self) -> bool:
         """Whether nobody waits for anything on it."""
         return all(a.report is None for a in self.attempts)
 
+    def blocked(self) -> bool:
+        """Whether what is sent now would queue behind a reply that may never end."""
+        return self.half_since is not None or any(a.report is None for a in self.attempts)
+
     def close(self) -> None:
         self.transport.close()
 
@@ -121,12 +153,15 @@
         self.wanted = self.most = most  # connections at once, and as many as descriptors allow
         self.connect_timeout, self.idle_limit = connect_timeout, idle * IDLE_SHARE
         self.ready = True  # may be sent to; a drained or removed server may not
+        # beyond the most, where every connection is blocked by a reply that may never end
+        self.spare = 1 if streams > 1 else 0
         self._connect = connect
         self._loop = asyncio.get_running_loop()
         self._all: dict[Connection, None] = {}
         self._idle: list[Connection] = []  # the most recently used is last
         self._waiting: deque[Attempt] = deque()
         self._dialling: set[asyncio.Task[None]] = set()
+        self._quiet_until, self._untold = 0.0, 0  # of warnings
 
     def __len__(self) -> int:
         return len(self._all) + len(self._dialling)
@@ -138,15 +173,23 @@
             return
         while self._idle:
             connection = self._idle.pop()
-            if not connection.transport.is_closing():  # its peer has just closed it
+            if connection.quiet():
                 connection.send(attempt)
                 return
-        if len(self) >= self.most and not self._make_room():
-            self._send_behind(attempt)
-            return
-        self._waiting.append(attempt)
-        if len(self._dialling) < len(self._waiting):
+            self._drop(connection)
+        if len(self) < self.most or self._make_room():
+            self._waiting.append(attempt)
+            if len(self._dialling) < len(self._waiting):
+                self._dial()
+        elif self._send_behind(attempt):
+            pass
+        elif self._dialling:
+            self._waiting.append(attempt)
+        elif len(self) < self.most + self.spare:
+            self._waiting.append(attempt)
             self._dial()
+        else:  # no fault of the server's
+            attempt.end(Status.FULL if self.streams == 1 else Status.MOOT)
 
     def _make_room(self) -> bool:
         """Guards against given up attempts keeping every connection: close the one given up longest."""
@@ -156,13 +199,12 @@
                 return True
         return False
 
-    def _send_behind(self, attempt: Attempt) -> None:
+    def _send_behind(self, attempt: Attempt) -> bool:
         """At the most connections: queue behind the fewest, for answers come in order."""
-        least = min(self._all, key=lambda c: len(c.attempts), default=None)
-        if least is None or len(least.attempts) >= self.streams:
-            attempt.end(Status.CONNECT_FAILED)
-        else:
-            least.send(attempt)
+        usable = [c for c in self._all if len(c.attempts) < self.streams and not c.blocked()]
+        if usable:
+            min(usable, key=lambda c: len(c.attempts)).send(attempt)
+        return bool(usable)
 
     def _dial(self) -> None:
         task = self._loop.create_task(self._open())
@@ -175,12 +217,16 @@
         try:
             async with asyncio.timeout(self.connect_timeout):
                 _, connection = await self._loop.create_connection(lambda: self._connect(self), host, port)
-            if connection.transport.is_closing():  # guards against keeping one that has ended already
+            # guards against keeping one that has ended already, or that leads to where the server was
+            if connection.transport.is_closing() or (host, port) != self.address:
+                connection.transport.abort()
                 raise ConnectionResetError
         except (OSError, TimeoutError):
             self._dialling.discard(task)
-            if self._waiting and len(self._waiting) > len(self._dialling):
+            while self._waiting:
                 self._waiting.popleft().end(Status.CONNECT_FAILED)
+                if self._dialling:  # which may serve the others
+                    break
         else:
             self._dialling.discard(task)
             self._all[connection] = None
@@ -190,12 +236,15 @@
         """A connection has nothing out: it takes the attempt that waits longest, or turns idle."""
         if connection not in self._all:
             return
-        if self._waiting:
+        if not self.ready or connection.address != self.address:
+            self._drop(connection)
+        elif self._waiting and connection.quiet():
             connection.send(self._waiting.popleft())
-        elif self.ready:
-            self._idle.append(connection)
+            # no dial is under way for the rest
+            while len(self._dialling) < len(self._waiting) and len(connection.attempts) < self.streams:
+                connection.send(self._waiting.popleft())
         else:
-            self._drop(connection)
+            self._idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
         """A connection has ended."""
@@ -222,9 +271,23 @@
         for connection in [c for c in self._all if c.abandoned()]:
             self._drop(connection)
 
+    def warn(self, fault: object) -> None:
+        """Guards the log against a server whose every reply is spoilt."""
+        now = time.monotonic()
+        if now >= self._quiet_until:
+            self._quiet_until = now + WARN_EVERY
+            log.warning("closing a connection to %s: %s (%d not told)", self.name, fault, self._untold)
+            self._untold = 0
+        else:
+            self._untold += 1
+
     def expire(self) -> None:
-        """Close what has stood idle for nearly as long as the server allows."""
-        oldest = time.monotonic() - self.idle_limit
+        """Close what has stood idle for nearly as long as the server allows, and what stopped midway."""
+        now = time.monotonic()
+        for connection in [c for c in self._all if c.half_since is not None]:
+            if now - (connection.half_since or now) >= HALF_READ:
+                connection.broken("a reply that does not end")
+        oldest = now - self.idle_limit
         for connection in [c for c in self._all if c.used_at <= oldest and c.abandoned()]:
             self._drop(connection)
 
