--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -125,7 +125,7 @@
         """Listen and follow discovery; answers with the address listened on."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._clients.connect, *self._config.listen, backlog=BACKLOG)
-        self._watch = asyncio.create_task(self._discovery.run(self._host.servers))
+        self._discovery.start(self._host.servers)
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
@@ -138,7 +138,22 @@
             await asyncio.wait_for(self._clients.drained(), LAST_ANSWERS)
         except TimeoutError:
             log.error("stopped with client connections open")
-        self._watch.cancel()
+        self._discovery.stop()
+
+    def reload(self) -> None:
+        """Read the configuration again: discovery may have moved, all else holds until a restart."""
+        try:
+            config = read_config(dict(os.environ))
+        except Exception as e:  # guards the running router against whatever the file holds
+            log.error("the running configuration stays: %s", e)
+            return
+        log.info("discovery is at %s:%d", *config.discovery)
+        now = replace(self._config, discovery=config.discovery)
+        if replace(config, seed=now.seed, known=now.known) != now:
+            log.warning("only discovery is taken over; the other changes take a restart")
+        if now != self._config:
+            self._config = now
+            self._discovery.move(config.discovery)
 
 
 async def serve(config: Config) -> None:
@@ -148,6 +163,7 @@
     for number_ in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number_, told.set)
     node = Node(config)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     await node.start()
     log.info("listening on %s:%d", *config.listen)
     gc.freeze()  # what is here stays: not to be looked through again and again
@@ -158,6 +174,7 @@
 
 def main() -> int:
     """Run one router; answers with the exit code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not kill
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
     try:
         config = read_config(dict(os.environ))
--- a/brackencross/net/discovery.py
+++ b/brackencross/net/discovery.py
@@ -21,6 +21,7 @@
     2.0  # the same at an agent of our own machine: calls cost nothing, and a hung one is found sooner
 )
 PATIENCE = 1.0  # beyond what a call may take: a hung one is given up
+LIST_PATIENCE = 1.2  # for the whole list of a pushed one, which is there at once: two tries within 4 s
 PAUSE = 0.5  # after a call that failed
 Told = Callable[[api.ServerList, dict[str, Address]], None]
 MAX_LIST = 8 * 1024 * 1024
@@ -49,9 +50,12 @@
         except (KeyError, TypeError, ValueError, AttributeError) as e:
             raise ListError(f"malformed list: {e!r}") from e
         entries = tuple(entry for entry, _ in rows)
-        if kind is not api.ListKind.DELTA:  # guards memory against all the servers there ever were
-            listed = {entry.server for entry in entries}
-            self._since = {name: times for name, times in self._since.items() if name in listed}
+        # guards memory against all the servers there ever were
+        gone = {entry.server for entry in entries if entry.state is api.State.GONE}
+        if kind is not api.ListKind.DELTA:
+            gone |= self._since.keys() - {entry.server for entry in entries}
+        for name in gone & self._since.keys():
+            del self._since[name]
         return version, api.ServerList(kind, entries), {entry.server: address for entry, address in rows}
 
     def _entry(self, row: dict[str, Any]) -> api.ServerEntry:
@@ -148,37 +152,55 @@
         self._reader = reader
         self._on_request = on_request  # a call is made when the module asks, not by itself
         self._wait = WAIT if on_request else WAIT_PUSHED
+        self._list_patience = self._wait + PATIENCE if on_request else LIST_PATIENCE
         self._asked = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
 
     def ask(self) -> None:
         """The module asks for the list."""
         self._asked.set()
 
-    async def run(self, told: Told) -> None:
+    def start(self, told: Told) -> None:
+        """List and watch from now on."""
+        self._told = told
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()  # guards against a hung watch: its connection closes with it
+
+    def move(self, address: Address) -> None:
+        """Leave the present address at once and take the whole list from another."""
+        self.stop()
+        self._client = Client(address)
+        self._asked.set()
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
         """List and watch, again after every failure."""
         while True:
             if self._on_request:
                 await self._asked.wait()
                 self._asked.clear()
             try:
-                await self._follow(told)
+                await self._follow(self._client)
             except (OSError, ValueError) as e:
                 log.warning("discovery: %s", str(e) or type(e).__name__)
             except Exception:  # guards against routing by an old list for good
                 log.exception("discovery failed")
             if self._on_request:
-                told(api.ServerList(api.ListKind.FAILED), {})
+                self._told(api.ServerList(api.ListKind.FAILED), {})
             else:
                 await asyncio.sleep(PAUSE)
 
-    async def _follow(self, told: Told) -> None:
-        version = self._take(told, await self._client.get("/api/targets", self._wait + PATIENCE))
+    async def _follow(self, client: Client) -> None:
+        version = self._take(await client.get("/api/targets", self._list_patience))
         while True:  # at once: what changes between an answer and the next watch would be told late
             target = f"/api/targets?index={version}&wait={round(self._wait * 1000)}"
-            version = self._take(told, await self._client.get(target, self._wait + PATIENCE))
+            version = self._take(await client.get(target, self._wait + PATIENCE))
 
-    def _take(self, told: Told, message: Any) -> int:
+    def _take(self, message: Any) -> int:
         version, news, addresses = self._reader.read(message)
         if news.entries or news.kind is api.ListKind.FULL:
-            told(news, addresses)
+            self._told(news, addresses)
         return version
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -337,6 +337,15 @@
     assert third.entries[0].since > first.entries[0].since
 
 
+def test_nothing_is_kept_of_servers_that_have_gone() -> None:
+    reader = discovery.ListReader()
+    for n in range(5):
+        row = {"id": str(n), "addr": "127.0.0.1:9", "started_ms": 1000.0}
+        for state in ("in_service", "terminated"):
+            reader.read({"version": n, "full": False, "servers": [{**row, "state": state}]})
+    assert not reader._since
+
+
 @scenario
 @pytest.mark.parametrize(
     "body",
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,7 +14,7 @@
 import pytest
 
 from brackencross.__main__ import main
-from tests.peers import LOCAL, Client, Peer, connect, scenario
+from tests.peers import LOCAL, Client, Peer, connect, read_http, scenario
 from tests.test_simhost import CONF
 
 ROOT = Path(__file__).parent.parent
@@ -78,8 +78,10 @@
     assert err.count("\n") == 1 and "NODE_CONFIG" in err
 
 
-async def start(path: Path, port: int, cache: Peer) -> tuple[asyncio.subprocess.Process, Client]:
-    path.write_text(json.dumps(config(port, cache.row("c"))))
+async def start(
+    path: Path, port: int, cache: Peer, **changes: Any
+) -> tuple[asyncio.subprocess.Process, Client]:
+    path.write_text(json.dumps(config(port, cache.row("c"), **changes)))
     environ = {**os.environ, "NODE_CONFIG": str(path)}
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-B", "-m", "brackencross", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
@@ -130,3 +132,65 @@
         assert await client.value(name) == b"v"
         process.kill()
         await process.wait()
+
+
+async def served_by(cache: Peer, client: Client, name: str) -> None:
+    client.get(name)
+    (await cache.next()).reply_value(b"v")
+    assert await client.value(name) == b"v"
+
+
+@scenario
+@pytest.mark.parametrize("silent", ["watch", "list"])
+async def test_sighup_leaves_a_hung_discovery_for_the_new_one(silent: str, tmp_path: Path) -> None:
+    cache, other, path, port = (
+        await Peer().start(),
+        await Peer().start(),
+        tmp_path / "config.json",
+        free_port(),
+    )
+    old, new = await Peer(read_http).start(), await Peer(read_http).start()
+    process, client = await start(path, port, cache, discovery=f"{LOCAL}:{old.port}")
+    call = await old.next()
+    if silent == "watch":
+        call.respond_list(7, cache.row("c"))
+        await old.next()
+    path.write_text(json.dumps(config(port, cache.row("c"), discovery=f"{LOCAL}:{new.port}")))
+    process.send_signal(signal.SIGHUP)
+    call = await new.next()
+    assert call.head == b"GET /api/targets"  # whole, whatever the version of the old one was
+    await old.ended.acquire()
+    await served_by(cache, client, "1")  # the old list stands meanwhile
+    call.respond_list(2, other.row("d"))
+    assert (await new.next()).head.startswith(b"GET /api/targets?index=2&")
+    await served_by(other, client, "2")
+    assert old.messages.empty() and old.opened == 1
+    process.kill()
+    await process.wait()
+
+
+@scenario
+@pytest.mark.parametrize("text", ["", "[]", '{"discovery":"nowhere"}', None])
+async def test_sighup_with_an_unusable_file_changes_nothing(text: str | None, tmp_path: Path) -> None:
+    cache, other, path, port = (
+        await Peer().start(),
+        await Peer().start(),
+        tmp_path / "config.json",
+        free_port(),
+    )
+    discovery = await Peer(read_http).start()
+    process, client = await start(path, port, cache, discovery=f"{LOCAL}:{discovery.port}")
+    (await discovery.next()).respond_list(1, cache.row("c"))
+    watch = await discovery.next()
+    path.unlink() if text is None else path.write_text(text)
+    process.send_signal(signal.SIGHUP)
+    assert process.stderr is not None
+    while b"the running configuration stays" not in await process.stderr.readline():
+        pass
+    await served_by(cache, client, "1")
+    watch.respond_list(2, other.row("d"))  # the watch goes on
+    await discovery.next()
+    await served_by(other, client, "2")
+    assert discovery.opened == 1
+    process.kill()
+    await process.wait()
