--- a/brackencross/balance.py
+++ b/brackencross/balance.py
@@ -23,12 +23,13 @@
 POINTS_EACH = 15  # and in larger ones this many a server: one point each made a server's share pure chance
 EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
 CHANCE = 2.0  # standard deviations that the cap leaves to chance: small counts tripped it and split keys
-SPILL = 2  # servers a key may visit: further on they lack it, and a crowd of hits would turn into misses
+SPILL = 3  # servers a key may visit: further on they lack it; with 2 a quarter was refused beside idle ones
 CROWD = 32  # routers that share a server where connections are priced; 20 to 48 do as well in large fleets
 RECENT = 64  # own latest requests by which a key's popularity is judged; 16 and 32 do nearly as well
 HASHES_KEPT = 2**16  # as many as there are positions; bounds the memory of key hashes
 WARM_SPEND = 0.5  # of the overload a cold server bears; the rest is left to chance and to other routers
 LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
+FIRST_GROWTH = 1.0  # by each good answer till the first cut: a restart in mid-load can't wait for seconds
 CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
 ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
 FETCH_ROOM = 2.0  # times the usual latency that must be left: a fetch given up midway is not even stored
@@ -130,7 +131,7 @@
         self.ring: list[tuple[int, str]] = []
         # of the fleet, each router keeping to one: guards against more routers than a server can connect to
         self.parts = math.ceil(settings.routers / CROWD) if settings.connections_priced else 1
-        self.ring_load, self.stale = 0, False
+        self.ring_load, self.stale, self.queued, self.list_failures = 0, False, 0, 0
         self.least = max(LIMIT_LEAST, min(1.0, CROWD / settings.routers))  # limit at the origin
         self.points: dict[str, int] = {}  # virtual nodes of each server on the ring
         self.hash = lru_cache(HASHES_KEPT)(ring_hash)
@@ -139,7 +140,6 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.served, self.heard, self.good = (0.0, 0.0, 0.0)  # work, answers, those in time, fading
         self.queue: list[tuple[float, int, Held]] = []  # for a place at the origin: worth first, then age
-        self.queued, self.list_failures = 0, 0
         self.budget = settings.budget or api.Budget(RETRIES_SAVED, RETRY_SHARE, settings.ramp)
         self.heard_at, self.latency = now, 0.0  # usual, of caches
         self.keep, self.keep_at = math.inf, now  # idle time that connections survive, as last learned
@@ -500,7 +500,7 @@
             if refused:  # what is out there now is what it bears
                 server.limit = min(server.limit, max(1.0, server.load))
         elif event.status in (api.Status.OK, api.Status.MISS) and server.load + 1 >= server.limit / 2:
-            server.limit += min(server.limit, 1 / server.limit)
+            server.limit += min(server.limit, 1 / server.limit if server.cut_at > -math.inf else FIRST_GROWTH)
         if server.limit < 1.0:  # hundreds of routers with one fetch each are too many: kept by pauses
             server.rest_until = self.now + attempt.target * (1 / server.limit - 1)
             self.out.append(api.SetTimer(server.rest_until - self.now, "origin"))
