--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -27,10 +27,10 @@
 from brackencross.settings import number, read_settings, section
 
 CACHE_CONNECTIONS = 2  # to one cache; more requests than that go out behind others
-ORIGIN_CONNECTIONS = 24
+ORIGIN_CONNECTIONS = 32
+OWN_DESCRIPTORS = 24  # of the process itself: log, loop, listener, two discoveries, new connections
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
 LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
-BACKLOG = 512
 
 log = logging.getLogger("brackencross")
 
@@ -99,8 +99,12 @@
         reader = ListReader()
         router = Router(config.settings, config.seed, time.monotonic())
         self._discovery = Discovery(config.discovery, reader, config.settings.subscribe)
-        self._host = Host(router, self._pool, self._discovery.ask, config.sockets // 2)
-        self._clients = Clients(self._host, self._host.can_serve, config.sockets // 3)
+        to_servers = (config.sockets - OWN_DESCRIPTORS) // 3
+        to_clients = (
+            (config.sockets - OWN_DESCRIPTORS - to_servers) * 3 // 4
+        )  # the rest for those that come and go
+        self._host = Host(router, self._pool, self._discovery.ask, to_servers)
+        self._clients = Clients(self._host, self._host.can_serve, to_clients)
         if config.known is not None:
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
@@ -121,18 +125,16 @@
             idle=settings.connection_idle,
         )
 
-    async def start(self) -> Address:
+    def start(self) -> Address:
         """Listen and follow discovery; answers with the address listened on."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._clients.connect, *self._config.listen, backlog=BACKLOG)
+        address = self._clients.listen(self._config.listen)
         self._discovery.start(self._host.servers)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return host, port
+        return address
 
     async def stop(self) -> None:
         """Take what still comes, answer all that is held, and end."""
         await asyncio.sleep(LAST_CONNECTIONS)
-        self._server.close()
+        self._clients.stop_listening()
         self._clients.drain()
         try:
             await asyncio.wait_for(self._clients.drained(), LAST_ANSWERS)
@@ -164,7 +166,7 @@
         loop.add_signal_handler(number_, told.set)
     node = Node(config)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
-    await node.start()
+    node.start()
     log.info("listening on %s:%d", *config.listen)
     gc.freeze()  # what is here stays: not to be looked through again and again
     await told.wait()
--- a/brackencross/balance.py
+++ b/brackencross/balance.py
@@ -26,7 +26,7 @@
 SPILL = 3  # servers a key may visit: further on they lack it; with 2 many were refused beside idle ones
 CROWD = 32  # routers that share a server where connections are priced; 20 to 48 do as well in large fleets
 RECENT = 64  # own latest requests by which a key's popularity is judged; 16 and 32 do nearly as well
-HASHES_KEPT = 2**16  # as many as there are positions; bounds the memory of key hashes
+HASHES_KEPT = 2**12  # bounds the memory of key hashes, 16 MB at 2**16; a miss costs a microsecond
 WARM_SPEND = 0.5  # of the overload a cold server bears; the rest is left to chance and to other routers
 LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
 FIRST_GROWTH = 1.0  # by each good answer till the first cut: a restart under load can't wait for seconds
@@ -294,11 +294,11 @@
 
     def _affords(self, held: Held) -> bool:
         """Guards against feeding an overload: the stated budget of further attempts, or one of our own."""
-        if held.paid > 0:
-            return True
-        for times in (self.taken, self.further):
+        for times in (self.taken, self.further):  # at every send, or they would grow as long as all is well
             while times and times[0] <= self.now - self.budget.span:
                 times.popleft()
+        if held.paid > 0:
+            return True
         return len(self.further) + 1 <= self.budget.free + self.budget.ratio * len(self.taken)
 
     def _permits(self, held: Held, server: Server | None) -> bool:
--- a/brackencross/interface.py
+++ b/brackencross/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -71,6 +72,7 @@
     group: Group = Group.ALL
     window: float = 0.0
     worth: float = 1.0
+    give_up: float = math.inf  # seconds that a client waits at the most
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackencross/net/host.py
+++ b/brackencross/net/host.py
@@ -64,16 +64,20 @@
     def take(self, command: Command, answer: Answer) -> str | None:
         """Take a client's request; answers with its name, or None if it was turned down at once."""
         name = command.request_id.decode()
-        if command.fields["c"] not in self._router.settings.classes:
+        known = self._router.settings.classes.get(command.fields["c"])
+        if known is None:
             answer(b"CLIENT_ERROR unknown class\r\n")
             return None
+        time_left = float(command.fields["d"]) / 1000
+        if time_left > known.give_up:  # guards memory and timers against what no client waits for
+            answer(b"CLIENT_ERROR bad d\r\n")
+            return None
         # guards the first of the two: answers and attempts are told apart by id
         if name in self._held or any(
             (name, n) in self._open for n in range(self._router.settings.max_attempts)
         ):
             answer(b"CLIENT_ERROR id in use\r\n")
             return None
-        time_left = (read_figure(command.fields, "d") or 0.0) / 1000
         hint = read_figure(command.fields, "h")
         timer = self._loop.call_later(time_left, self._on_deadline, name)
         self._held[name] = Held(name, command, answer, time.monotonic() + time_left, timer)
@@ -118,8 +122,10 @@
         for entry in news.entries:
             if entry.server in listed:
                 self._update_pool(entry, addresses[entry.server])
-        for pool in self._pools.values():  # guards the limit on descriptors
-            pool.most = max(1, min(pool.wanted, self._most_connections // len(self._pools)))
+        # guards the limit on descriptors: each pool has its part of them by what it wants
+        wanted = sum(pool.wanted + pool.spare for pool in self._pools.values())
+        for pool in self._pools.values():
+            pool.most = max(1, min(pool.wanted, pool.wanted * self._most_connections // wanted))
 
     def _update_pool(self, entry: api.ServerEntry, address: Address) -> None:
         pool = self._pools.get(entry.server)
--- a/brackencross/net/memcache.py
+++ b/brackencross/net/memcache.py
@@ -11,12 +11,17 @@
 MAX_VALUE = 64 * 1024
 MAX_LINE = 4096
 MAX_KEY = 250
-MAX_FIGURE = 1e9  # milliseconds or microseconds: far above any deadline, and no timer overflows
 
 PRINTABLE = re.compile(rb"[!-~]+")
+# guards caches against signs, "_" and exponents, and timers against overflow
+FIGURE = re.compile(r"(0|[1-9][0-9]{0,8})(\.[0-9]{1,6})?")
+WORD = re.compile(r"[!-+.-<>-~-]{1,250}")  # printable, without what separates names and values
+# all that a list of names and values may hold: a cache closes on what it can't read, whoever waits there
+FORMS = {"c": WORD, "t": WORD, "k": WORD, "r": re.compile("[01]"), "d": FIGURE, "h": FIGURE, "size": FIGURE}
 
 READY, FAILED, UNKNOWN = b"MN\r\n", b"SERVER_ERROR failed\r\n", b"ERROR\r\n"
 NOT_READY = b"SERVER_ERROR not ready\r\n"
+TOO_LATE, TOO_MANY = b"CLIENT_ERROR no whole command in time\r\n", b"SERVER_ERROR too many connections\r\n"
 
 
 class FramingError(ValueError):
@@ -115,25 +120,22 @@
 
 
 def read_fields(info: bytes) -> dict[str, str]:
-    """The names and values of a `P` list."""
-    try:
-        pairs = [pair.split("=", 1) for pair in info.decode("ascii").split(",")]
-        return dict(pairs)  # raises on a pair without "="
-    except ValueError as e:
-        raise ValueError("bad list of names and values") from e
+    """The names and values of a `P` list: each known, once, in its form; a ValueError tells which is not."""
+    fields: dict[str, str] = {}
+    for pair in info.decode("ascii").split(","):
+        name, _, value = pair.partition("=")
+        form = FORMS.get(name)
+        if form is None or name in fields:
+            raise ValueError("bad list of names and values")
+        if form.fullmatch(value) is None:
+            raise ValueError(f"bad {name}")
+        fields[name] = value
+    return fields
 
 
 def read_figure(fields: dict[str, str], name: str) -> float | None:
     """A figure of a `P` list; None when absent."""
-    if name not in fields:
-        return None
-    try:
-        figure = float(fields[name])
-    except ValueError:
-        figure = -1.0
-    if not 0 <= figure <= MAX_FIGURE:
-        raise ValueError(f"bad {name}")
-    return figure
+    return float(fields[name]) if name in fields else None
 
 
 def is_printable(token: bytes, most: int) -> bool:
@@ -159,10 +161,8 @@
         raise ValueError("bad flags")
     fields = read_fields(given[b"P"])
     for name in ("c", "t", "d"):
-        if not fields.get(name):
+        if name not in fields:
             raise ValueError(f"missing {name}")
-    read_figure(fields, "d")
-    read_figure(fields, "h")
     return Command(words[1], given[b"O"], given[b"P"], fields, value)
 
 
@@ -173,14 +173,20 @@
         self._buffer = _Buffer()
         self._pending: list[bytes] | None = None  # words of an `ms` line whose value is still to come
 
-    def feed(self, data: bytes) -> Iterator[Command | Noop | BadCommand]:
-        """Yield what is whole; after a fatal one nothing more makes sense."""
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a command has come."""
+        return self._pending is not None or len(self._buffer) > 0
+
+    def add(self, data: bytes) -> None:
         self._buffer.add(data)
+
+    def next(self) -> Command | Noop | BadCommand | None:
+        """Take what is whole; after a fatal one nothing more makes sense."""
         try:
-            while (item := self._next()) is not None:
-                yield item
+            return self._next()
         except FramingError as e:
-            yield _bad(e, fatal=True)
+            return _bad(e, fatal=True)
 
     def _next(self) -> Command | Noop | BadCommand | None:
         if self._pending is not None:
--- a/brackencross/settings.py
+++ b/brackencross/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from brackencross import interface as api
@@ -63,6 +64,7 @@
         group=choice(row, "group", "cell", groups, where),
         window=number(row, "repeatWindow", 0.0, where),
         worth=number(row, "value", 1.0, where),
+        give_up=number(row, "giveUp", math.inf, where),
     )
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -163,7 +163,7 @@
     return Client(*await asyncio.open_connection(*address))
 
 
-READ = api.RequestClass("read", aim=2.0)
+READ = api.RequestClass("read", aim=2.0, give_up=9000.0)
 KEYED = api.RequestClass("keyed", 2.0, api.Effect.KEYED, api.Group.ALL, window=2.0)
 ONCE = api.RequestClass("once", 2.0, api.Effect.UNSAFE)
 SETTINGS = api.Settings(
@@ -190,7 +190,7 @@
         for peer in (self.cache, self.origin, self.discovery):
             await peer.start()
         self.node = Node(self.config())
-        self.address = await self.node.start()
+        self.address = self.node.start()
         (await self.discovery.next()).respond_list(1, *self.rows())
         self.watch = await self.discovery.next()  # its coming tells that the list was taken
         return self
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,231 @@
+"""Clients that wear a router out, beside others that make use of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from brackencross.net import clients
+from tests.peers import Client, World, scenario
+
+P = b"Pc=read,t=x,d=5000"
+
+
+async def crowded(most: int) -> World:
+    """A router that takes so many connections."""
+    world = await World().start()
+    world.node._clients._most = most
+    return world
+
+
+async def is_ready(client: Client) -> bool:
+    client.send(b"mn\r\n")
+    return await client.line() == b"MN\r\n"
+
+
+@pytest.fixture
+def impatient(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "PATIENCE", 0.1)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+
+
+HALVES = [b"", b"mg", b"mg k v O1 " + P, b"mg k v O1 " + P + b"\r", b"ms k 5 O1 " + P + b"\r\nhal"]
+
+
+@scenario
+@pytest.mark.parametrize("half", HALVES)
+@pytest.mark.parametrize("before", [False, True])
+async def test_a_client_that_stops_midway_gets_an_error_and_a_close(
+    half: bytes, before: bool, impatient: None
+) -> None:
+    world = await World().start()
+    usual, client = await world.client(), await world.client()
+    assert await is_ready(usual)
+    if before and half:
+        assert await is_ready(client)
+    client.send(half)
+    assert await client.line() == b"CLIENT_ERROR no whole command in time\r\n"
+    assert await client.ended()
+    assert await is_ready(usual)  # which was between two requests all the while
+    assert world.cache.messages.empty()
+
+
+@scenario
+async def test_a_value_that_trickles_is_no_excuse(impatient: None) -> None:
+    world = await World().start()
+    client = await world.client()
+    client.send(b"ms k 60000 O1 " + P + b"\r\n")
+
+    async def trickle() -> None:
+        while True:
+            client.send(b"x")
+            await asyncio.sleep(0.01)  # the pace of a slow client
+
+    task = asyncio.ensure_future(trickle())
+    assert await client.line() == b"CLIENT_ERROR no whole command in time\r\n"
+    task.cancel()
+
+
+@scenario
+async def test_half_a_command_behind_an_open_request_has_its_error_after_the_answer(impatient: None) -> None:
+    world = await World().start()
+    client = await world.client()
+    client.send(b"mg k v O1 " + P + b"\r\nmg k v O2")
+    got = await world.cache.next()
+    while not world.node._clients._used or not next(iter(world.node._clients._used))._ending:
+        await asyncio.sleep(0)
+    got.reply_value(b"v")
+    assert await client.value("1") == b"v"
+    assert await client.line() == b"CLIENT_ERROR no whole command in time\r\n"
+    assert await client.ended()
+
+
+@scenario
+async def test_a_client_that_is_slow_to_be_answered_is_not_late_itself(impatient: None) -> None:
+    world = await World().start()
+    client = await world.client()
+    client.get("1")
+    got = await world.cache.next()
+    await asyncio.sleep(0.3)  # longer than a client may take
+    got.reply_value(b"v")
+    assert await client.value("1") == b"v"
+    assert await is_ready(client)
+
+
+@scenario
+async def test_silent_connections_make_room_before_any_that_was_used() -> None:
+    world = await crowded(4)
+    usual = [await world.client() for _ in "12"]
+    for client in usual:
+        assert await is_ready(client)
+    crowd = [await world.client() for _ in range(40)]
+    for silent in crowd[:-2]:
+        assert await silent.ended()
+    for client in usual:
+        assert await is_ready(client)
+
+
+@scenario
+async def test_of_those_used_the_least_recently_used_makes_room() -> None:
+    world = await crowded(3)
+    first, second, busy = [await world.client() for _ in "123"]
+    for client in (first, second, first):
+        assert await is_ready(client)
+    busy.get("1")
+    got = await world.cache.next()
+    another = await world.client()
+    assert await is_ready(another)
+    assert await second.ended()
+    assert await is_ready(first)
+    got.reply_value(b"v")
+    assert await busy.value("1") == b"v"
+
+
+@scenario
+async def test_where_all_have_requests_open_a_new_one_is_turned_away() -> None:
+    world = await crowded(2)
+    busy = [await world.client() for _ in "12"]
+    for n, client in enumerate(busy):
+        client.get(str(n))
+    got = {m.flag: m for m in [await world.cache.next() for _ in busy]}
+    another = await world.client()
+    assert (await another.line()).startswith(b"SERVER_ERROR ")
+    assert await another.ended()
+    for n, client in enumerate(busy):
+        got[b"O%d" % n].reply_value(b"v")
+        assert await client.value(str(n)) == b"v"
+
+
+@scenario
+async def test_a_client_that_paused_for_long_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "IDLE", 0.1)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+    world = await World().start()
+    client = await world.client()
+    assert await is_ready(client)
+    assert await client.ended()
+
+
+@scenario
+async def test_a_client_that_takes_no_answers_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "UNREAD", 0.1)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+    world = await World().start()
+    client = await world.client()
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    n = 0
+    while world.node._clients._new or world.node._clients._used:
+        if n < 400:
+            client.get(str(n))
+            n += 1
+        while not world.cache.messages.empty():
+            (await world.cache.next()).reply_value(b"x" * 65536)
+        await asyncio.sleep(0.001)  # until the router has closed it
+
+
+@scenario
+async def test_hundreds_of_commands_at_once_are_taken_by_and_by() -> None:
+    world = await World(max_attempts=1).start()
+    client, other = await world.client(), await world.client()
+    commands = [b"mg k%d v O%d " % (n, n) + P + b"\r\n" for n in range(300)]
+    client.send(b"".join(commands))
+    assert await is_ready(other)
+    assert len(world.node._host._held) <= clients.MOST_PIPELINED
+    asked = []
+
+    async def answer() -> None:
+        while True:
+            message = await world.cache.next()
+            asked.append(message.flag)
+            assert len(world.node._host._held) <= clients.MOST_PIPELINED
+            message.reply_value(b"v")
+
+    task = asyncio.ensure_future(answer())
+    for n in range(300):  # each has its answer, in order: those above the module's limits are refused
+        head = await client.line()
+        if head.startswith(b"VA "):
+            assert head == b"VA 1 O%d\r\n" % n
+            assert await client.line() == b"v\r\n"
+        else:
+            assert head.startswith(b"SERVER_ERROR busy ")
+    assert asked
+    task.cancel()
+
+
+@scenario
+async def test_a_crowd_of_bad_commands_ends_the_connection() -> None:
+    world = await World().start()
+    client = await world.client()
+    client.send(b"what\r\n" * 5000)
+    for _ in range(clients.MOST_BAD):
+        assert await client.line() == b"ERROR\r\n"
+    assert await client.ended()
+
+
+@scenario
+async def test_a_client_with_good_commands_between_is_kept() -> None:
+    world = await World().start()
+    client = await world.client()
+    for _ in range(clients.MOST_BAD):
+        client.send(b"what\r\nmn\r\n")
+        assert [await client.line(), await client.line()] == [b"ERROR\r\n", b"MN\r\n"]
+
+
+@scenario
+async def test_what_comes_after_lost_framing_is_not_read() -> None:
+    world = await World().start()
+    client = await world.client()
+    client.get("1")
+    got = await world.cache.next()
+    client.send(b"ms k 60000000 O2 " + P + b"\r\n" + b"x" * 60_000_000)
+    connection = next(iter(world.node._clients._used))
+    while not connection._ending:
+        await asyncio.sleep(0)
+    got.reply_value(b"v")
+    assert await client.value("1") == b"v"
+    assert (await client.line()).startswith(b"CLIENT_ERROR ")
+    with pytest.raises(ConnectionError):
+        await client.writer.drain()
+        while True:
+            await client.writer.wait_closed()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -235,23 +235,6 @@
     assert await client.value(str(sent)) == b"last"
 
 
-@scenario
-async def test_the_oldest_idle_client_makes_room_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(World, "sockets", 9)  # three of them for clients
-    world = await World().start()
-    busy = await world.client()
-    busy.get("1")
-    got = await world.cache.next()
-    idle = await world.client()
-    others = [await world.client() for _ in "34"]
-    assert await idle.ended()
-    got.reply_value(b"v")
-    assert await busy.value("1") == b"v"
-    for other in others:
-        other.send(b"mn\r\n")
-        assert await other.line() == b"MN\r\n"
-
-
 # Lists
 
 
@@ -428,6 +411,16 @@
         (b"mg k v O1 Pc=read,t=x,d=-1", b"CLIENT_ERROR bad d"),
         (b"mg k v O1 Pc=read,t=x,d=1e300", b"CLIENT_ERROR bad d"),
         (b"mg k v O1 Pc=read,t=x,d=5,h=nan", b"CLIENT_ERROR bad h"),
+        (b"mg k v O1 Pc=read,t=x,d=5_0", b"CLIENT_ERROR bad d"),
+        (b"mg k v O1 Pc=read,t=x,d=+5", b"CLIENT_ERROR bad d"),
+        (b"mg k v O1 Pc=read,t=x,d=050", b"CLIENT_ERROR bad d"),
+        (b"mg k v O1 Pc=read,t=x,d=", b"CLIENT_ERROR bad d"),
+        (b"mg k v O1 Pc=read,t=x,d=9000001", b"CLIENT_ERROR bad d"),
+        (b"mg k v O1 Pc=read,t=x,d=5,d=6", b"CLIENT_ERROR bad list of names and values"),
+        (b"mg k v O1 Pc=read,t=x,d=5,z=6", b"CLIENT_ERROR bad list of names and values"),
+        (b"mg k v O1 Pc=read,t=x,d=5,size=1e3", b"CLIENT_ERROR bad size"),
+        (b"mg k v O1 Pc=read,t=x,d=5,r=2", b"CLIENT_ERROR bad r"),
+        (b"mg k v O1 Pc=read,t=,d=5", b"CLIENT_ERROR bad t"),
         (b"mg k v O1 Pc=read,t=x,d=5,oops", b"CLIENT_ERROR bad list of names and values"),
         (b"mg k v O1 Pc=odd,t=x,d=5", b"CLIENT_ERROR unknown class"),
         (b"ms k 1 O1 Pc=once,t=x\r\nv", b"CLIENT_ERROR missing d"),
@@ -453,6 +446,8 @@
         (b"ms k\r\n", b"CLIENT_ERROR bad command line"),
         (b"ms k many O1 " + P + b"\r\n", b"CLIENT_ERROR bad data length"),
         (b"ms k 65537 O1 " + P + b"\r\n", b"CLIENT_ERROR value too large"),
+        (b"ms k -1 O1 " + P + b"\r\n", b"CLIENT_ERROR bad data length"),
+        (b"ms k 99999999999 O1 " + P + b"\r\n", b"CLIENT_ERROR bad data length"),
         (b"ms k 2 O1 " + P + b"\r\nvalue\r\n", b"CLIENT_ERROR bad data chunk"),
     ],
 )
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -31,6 +31,7 @@
     base = {"name": "n0", "listen": f"{LOCAL}:{port}", "discovery": f"{LOCAL}:9", "seed": "8c1f30d27a5be964"}
     known = {"version": 1, "full": True, "servers": rows}
     settings = {**CONF, "membershipMode": "automatic"}
+    settings["classes"] = [{**row, "giveUp": 9.0} for row in settings["classes"]]
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
     return {**base, "limits": limits, "known": known, "settings": settings, **changes}
 
