--- a/brackencross/balance.py
+++ b/brackencross/balance.py
@@ -1,9 +1,6 @@
-"""Every decision of a brackencross router, as a state machine without I/O.
+"""Every decision of a router, as a state machine without I/O, in the words of `brackencross/interface.py`.
 
-The types, events and actions it speaks in are in `brackencross/interface.py`.
-
-Keys go to the first server clockwise on a weighted ring with less than (1 + epsilon) times the average.
-"""
+Keys go to the first server clockwise on a weighted ring with less than (1 + epsilon) times the average."""
 
 from __future__ import annotations
 
@@ -26,7 +23,6 @@
 SPILL = 3  # servers a key may visit: further on they lack it; with 2 many were refused beside idle ones
 CROWD = 32  # routers that share a server where connections are priced; 20 to 48 do as well in large fleets
 RECENT = 64  # own latest requests by which a key's popularity is judged; 16 and 32 do nearly as well
-HASHES_KEPT = 2**12  # bounds the memory of key hashes, 16 MB at 2**16; a miss costs a microsecond
 WARM_SPEND = 0.5  # of the overload a cold server bears; the rest is left to chance and to other routers
 LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
 FIRST_GROWTH = 1.0  # by each good answer till the first cut: a restart under load can't wait for seconds
@@ -47,6 +43,7 @@
 SIGN = 0.15  # share of failures, or more than elsewhere, that is no chance: two in ten
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 ANSWERED = (api.Status.OK, api.Status.MISS, api.Status.ERROR, api.Status.FULL)
+BROKEN = (api.Status.RESET, api.Status.ERROR, api.Status.CANCELLED)  # the server may be well
 NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS)
 
 
@@ -77,6 +74,7 @@
     idle: float  # time its connection was unused, infinite if new; losses within an aim are the server's
     open: bool = True
     may_have_run: bool = True  # until an outcome proves the contrary
+    broken: bool = False  # soon, by its connection: the same server most likely still has the key
 
 
 @dataclass(slots=True, eq=False)
@@ -124,8 +122,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.settings = settings
         self.shortest_aim = min(c.aim for c in settings.classes.values())
-        self.random = random.Random(seed)
-        self.now = now
+        self.now, self.random = now, random.Random(seed)
         self.out: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.ring: list[tuple[int, str]] = []
@@ -134,7 +131,7 @@
         self.ring_load, self.stale, self.queued, self.list_failures = 0, False, 0, 0
         self.least = max(LIMIT_LEAST, min(1.0, CROWD / settings.routers))  # limit at the origin
         self.points: dict[str, int] = {}  # virtual nodes of each server on the ring
-        self.hash = lru_cache(HASHES_KEPT)(ring_hash)
+        self.hash = lru_cache(2**12)(ring_hash)  # 2**16 of them took 16 MB, and a miss costs a microsecond
         self.recent: deque[str] = deque(maxlen=RECENT)  # keys
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
@@ -225,16 +222,18 @@
         cap = math.ceil((1 + EPSILON) * mean + CHANCE * math.sqrt(mean))
         # guards open connections while connects are in vain: servers with one first, for part of the ring
         linked_first = len(self.points) // 4 if self.signs["vain"] > SIGN else 0
-        passed, visited = set[str](), set[str]()
-        spare: dict[str, Server] = {}
+        passed, visited, barred, spare = set[str](), set[str](), set[str](), dict[str, Server]()
         last = None
         for step in range(len(self.ring)):
             name = self.ring[(start + step) % len(self.ring)][1]
             if len(passed) < held.skip:
                 passed.add(name)
                 continue
+            if name in barred or name in spare:  # a server is looked at once, not at each of its points
+                continue
             server = self.servers[name]
             if not self._eligible(held, server):
+                barred.add(name)
                 if server.load < server.limit:
                     continue  # not counted: a cold server within its budget, or one that was tried
             elif self.now < server.trial_at or len(spare) < linked_first and not self._linked(server):
@@ -251,7 +250,7 @@
 
     def _eligible(self, held: Held, server: Server) -> bool:
         """Whether a server may take the request now."""
-        if server.load >= server.limit or any(a.server is server for a in held.attempts):
+        if server.load >= server.limit or any(a.server is server and not a.broken for a in held.attempts):
             return False
         return self._within_budget(server, held) and self._permits(held, server)
 
@@ -279,12 +278,11 @@
 
     def _on_request(self, request: api.Request) -> None:
         known = self.settings.classes.get(request.request_class)
-        request_class = known or api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
-        until = self.now + min(request.time_left - self.settings.tick, request_class.aim)
-        key = request.request if request.key is None else request.key
-        held = Held(request, key, request_class, until, self.settings.aside and request.write)
+        kind = known or api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
+        due = self.now + min(request.time_left - self.settings.tick, kind.aim)
+        held = Held(request, request.key or request.request, kind, due, self.settings.aside and request.write)
         self.held[request.request] = held
-        held.skip = self.random.randrange(self._spread(key))
+        held.skip = self.random.randrange(self._spread(held.key))
         self.taken.append(self.now)
         # guards against a crowd at every server: the more a fleet is asked, the fewer it answers in time
         excess = min(MOST_SHED, max(0.0, self.heard - CROWDED * self.good - 1.0) / (self.heard + 1.0))
@@ -411,6 +409,7 @@
         if attempt is None:
             return
         attempt.open = False
+        attempt.broken = event.status in BROKEN and event.latency < OVERDUE * attempt.aim
         attempt.may_have_run = event.status not in NEVER_RAN
         attempt.server.load -= 1
         self.ring_load -= attempt.server.cache
@@ -441,7 +440,7 @@
         lost, failed = event.status is api.Status.RESET or unheard, event.status is api.Status.CONNECT_FAILED
         if answered:
             server.used_at, server.losses = self.now, 0
-        elif lost or failed:  # guards against dead servers: passed over for a growing pause
+        elif unheard or failed:  # guards against dead servers, which reset nothing twice: a growing pause
             server.losses = min(server.losses + server.cache, MOST_DOUBLINGS)
             pause = min(self.settings.ramp, self.shortest_aim * 2.0 ** (server.losses - 2))
             server.trial_at = self.now + pause * self.random.uniform(0.5, 1.0)
@@ -462,7 +461,7 @@
     def _after_failure(self, held: Held, event: api.Outcome) -> None:
         """The origin is next, where it is ours to ask; else a retry at a cache, while the budget lasts."""
         held.paid += event.status is api.Status.MISS
-        held.to_origin = held.to_origin or self.settings.aside  # other caches mostly lack the key
+        held.to_origin |= self.settings.aside and not held.attempts[event.attempt].broken  # others lack it
         self._advance(held) if self._affords(held) else self._end(held)
 
     def _serve_queue(self) -> None:
--- a/brackencross/net/pool.py
+++ b/brackencross/net/pool.py
@@ -18,6 +18,9 @@
 
 Address = tuple[str, int]
 HALF_READ = 0.3  # seconds for a reply to end that has begun: until then all behind it wait in vain
+OVERTAKEN = 0.4  # of the time for an attempt: one written so much later has its reply on another connection
+LEAST_IDLE = 0.5  # seconds; what breaks after a shorter pause tells nothing of idle connections
+IDLE_REGAIN = 1.03  # by each look at them: doubles in half a minute
 WARN_EVERY = 5.0  # seconds between warnings about one server
 IDLE_SHARE = 0.75  # of the idle limit, for a request written as the server closes ends as a reset
 
@@ -33,6 +36,8 @@
     until: float  # when the router stops waiting for it
     report: Callable[[Attempt, Status, bytes], None] | None
     timer: asyncio.TimerHandle | None = None
+    connection: Connection | None = None  # that it was written to
+    written_at: float = 0.0
 
     def end(self, status: Status, body: bytes = b"") -> None:
         """Report the outcome; whatever comes later has nobody left to hear it."""
@@ -54,7 +59,8 @@
     def __init__(self, pool: Pool) -> None:
         self.pool, self.address = pool, pool.address
         self.attempts: deque[Attempt] = deque()  # written and not replied to, given up ones among them
-        self.opened_at = self.used_at = time.monotonic()
+        self.opened_at = self.used_at = self.heard_at = time.monotonic()
+        self.pause = 0.0  # for which it stood idle before what is out was written
         self.half_since: float | None = None  # when the reply began of which a part is still to come
         self.held_back = False  # the last bytes written are not yet with the system
         self._unread = select.poll()
@@ -77,7 +83,11 @@
 
     def send(self, attempt: Attempt) -> None:
         """Write an attempt behind those that are out."""
-        self.used_at = time.monotonic()
+        now = time.monotonic()
+        if not self.attempts:
+            self.pause = now - self.used_at
+        self.used_at = attempt.written_at = now
+        attempt.connection = self
         self.attempts.append(attempt)
         self.transport.write(self.encode(attempt))
 
@@ -86,7 +96,8 @@
 
     def settle(self, ended: list[Ended], part: bool, fault: object = None) -> None:
         """Report what one read brought, once it is known whether the connection can be used again."""
-        self.used_at = time.monotonic()
+        self.used_at = self.heard_at = time.monotonic()
+        self.pause = 0.0
         if fault is None and part and not self.attempts:
             fault = "more than belongs to the reply"
         if fault is not None:
@@ -103,13 +114,25 @@
             attempt.end(status, body)
         if fault is not None:  # the oldest is answered, though nobody can read it; those behind never will be
             self._end_all(Status.ERROR, Status.CANCELLED)
+        elif ended:
+            self.pool.overtaken(ended[-1][0])
 
     def broken(self, fault: object) -> None:
         """Give up the connection: what its peer sends can't be told apart any more."""
         self.settle([], False, fault)
 
+    def silent(self, attempt: Attempt) -> None:
+        """Give up the connection, if nothing has come on it since an attempt that has waited long."""
+        if self.heard_at <= attempt.written_at and self in self.pool:
+            self.pool.warn("it fell silent")
+            self.pool.lost(self)
+            self.transport.abort()
+            self._end_all(Status.CANCELLED, Status.CANCELLED)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.lost(self)
+        if self.attempts:
+            self.pool.note_pause(self.pause)
         self._end_all(Status.RESET, Status.RESET)
 
     def _end_all(self, oldest: Status, others: Status) -> None:
@@ -151,7 +174,8 @@
         self.name, self.address = name, address
         self.streams = streams
         self.wanted = self.most = most  # connections at once, and as many as descriptors allow
-        self.connect_timeout, self.idle_limit = connect_timeout, idle * IDLE_SHARE
+        self.connect_timeout, self._idle_limit = connect_timeout, idle * IDLE_SHARE
+        self.idle_limit = self._idle_limit  # as last learned
         self.ready = True  # may be sent to; a drained or removed server may not
         # beyond the most, where every connection is blocked by a reply that may never end
         self.spare = 1 if streams > 1 else 0
@@ -166,6 +190,9 @@
     def __len__(self) -> int:
         return len(self._all) + len(self._dialling)
 
+    def __contains__(self, connection: Connection) -> bool:
+        return connection in self._all
+
     def send(self, attempt: Attempt) -> None:
         """Write an attempt to an idle connection, or have it wait for one."""
         if not self.ready:  # guards against an attempt in the queue of a server that has just gone
@@ -173,7 +200,7 @@
             return
         while self._idle:
             connection = self._idle.pop()
-            if connection.quiet():
+            if attempt.sent_at - connection.used_at < self.idle_limit and connection.quiet():
                 connection.send(attempt)
                 return
             self._drop(connection)
@@ -259,9 +286,23 @@
             if status is Status.TIMEOUT:  # of a connection that never came up
                 status = Status.CONNECT_FAILED
         attempt.end(status)
+        if status is Status.TIMEOUT and attempt.connection is not None:
+            attempt.connection.silent(attempt)
         if not self.ready:  # guards against leaks: nobody would ever close it
             self.close_idle()
 
+    def overtaken(self, attempt: Attempt) -> None:
+        """Guards against a connection that fell silent beside others that work, and swallows what is sent."""
+        for connection in [c for c in self._all if c.attempts and self.streams > 1]:
+            oldest = connection.attempts[0]
+            if attempt.written_at - oldest.written_at > OVERTAKEN * (oldest.until - oldest.written_at):
+                connection.silent(oldest)
+
+    def note_pause(self, pause: float) -> None:
+        """Guards against a server that ends idle connections sooner than it says, and does not tell."""
+        if pause > LEAST_IDLE:
+            self.idle_limit = max(LEAST_IDLE, min(self.idle_limit, pause / 2))
+
     def _drop(self, connection: Connection) -> None:
         self.lost(connection)
         connection.close()
@@ -287,6 +328,7 @@
         for connection in [c for c in self._all if c.half_since is not None]:
             if now - (connection.half_since or now) >= HALF_READ:
                 connection.broken("a reply that does not end")
+        self.idle_limit = min(self._idle_limit, self.idle_limit * IDLE_REGAIN)
         oldest = now - self.idle_limit
         for connection in [c for c in self._all if c.used_at <= oldest and c.abandoned()]:
             self._drop(connection)
