--- a/brackencross/net/pool.py
+++ b/brackencross/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import select
 import time
 from collections import deque
@@ -21,6 +22,8 @@
 OVERTAKEN = 0.4  # of the time for an attempt: one written so much later has its reply on another connection
 LEAST_IDLE = 0.5  # seconds; what breaks after a shorter pause tells nothing of idle connections
 IDLE_REGAIN = 1.03  # by each look at them: doubles in half a minute
+SPARE = 2  # connections
+ROUGH = 10.0  # seconds after one broke: what waits behind another on it is lost with it
 WARN_EVERY = 5.0  # seconds between warnings about one server
 IDLE_SHARE = 0.75  # of the idle limit, for a request written as the server closes ends as a reset
 
@@ -177,8 +180,9 @@
         self.connect_timeout, self._idle_limit = connect_timeout, idle * IDLE_SHARE
         self.idle_limit = self._idle_limit  # as last learned
         self.ready = True  # may be sent to; a drained or removed server may not
-        # beyond the most, where every connection is blocked by a reply that may never end
-        self.spare = 1 if streams > 1 else 0
+        # beyond the most, where one broke lately, or each is blocked by a reply that may never end
+        self.spare = SPARE if streams > 1 else 0
+        self._rough_until = -math.inf
         self._connect = connect
         self._loop = asyncio.get_running_loop()
         self._all: dict[Connection, None] = {}
@@ -204,7 +208,8 @@
                 connection.send(attempt)
                 return
             self._drop(connection)
-        if len(self) < self.most or self._make_room():
+        spare = self.spare if attempt.sent_at < self._rough_until else 0
+        if len(self) < self.most + spare or self._make_room():
             self._waiting.append(attempt)
             if len(self._dialling) < len(self._waiting):
                 self._dial()
@@ -275,6 +280,8 @@
 
     def lost(self, connection: Connection) -> None:
         """A connection has ended."""
+        if connection.attempts and connection in self._all:
+            self._rough_until = time.monotonic() + ROUGH
         self._all.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -69,7 +69,7 @@
             )
 
         self.answers: dict[str, list[bytes]] = {}
-        self.host = Host(script, make, lambda: None, most + 1)
+        self.host = Host(script, make, lambda: None, most + pool.SPARE)
         self.host.servers(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s"),)), {"s": (LOCAL, port)})
 
     def take(self, name: str, value: bytes | None = None, wait: int = 5000) -> None:
@@ -630,3 +630,19 @@
     await asyncio.sleep(0.15)  # over half of the pause that it did not survive
     bench.take("4")
     assert (await peer.next()).writer is not writers[2]
+
+
+@scenario
+async def test_where_connections_break_fewer_requests_share_one() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1")
+    bench.take("2")
+    first, second = await peer.next(), await peer.next()
+    assert first.writer is second.writer
+    first.reply(b"VA 1 Oother h1\r\nv\r\n")
+    outcomes = [(await script.outcome()).status for _ in "12"]
+    assert outcomes == [Status.ERROR, Status.CANCELLED]
+    for name in "345":
+        bench.take(name)
+    assert len({(await peer.next()).writer for _ in "345"}) == 1 + pool.SPARE
