Clients that ask once and stay make way: the place that rested longest is closed

Cause: clients hold a third of the descriptors at most for connections that ask.

Change: above 5/8 of that third (80 of 128 at 384 descriptors, 53 of 85 at 256, 213 of 341 at 1,024) the used connection that rested longest is closed as soon as another one rests. Never the one used last, never one with a command begun or unread bytes, nor one whose answers are still to be written. Resting connections stand in an order of their own, so neither this nor a full table scans anything; eight are looked at at the most. The table's own eviction takes its victim from the same order.

Three loopback tests, each fails without its part of the mend.

--- a/brackencross/__main__.py
+++ b/brackencross/__main__.py
@@ -19,7 +19,7 @@
 from brackencross import interface as api
 from brackencross.balance import Router
 from brackencross.net.caches import CacheConnection
-from brackencross.net.clients import Clients
+from brackencross.net.clients import CLIENTS_SHARE, KEPT_SHARE, Clients
 from brackencross.net.discovery import Discovery, ListError, ListReader, read_address
 from brackencross.net.host import Host
 from brackencross.net.origin import OriginConnection
@@ -104,7 +104,8 @@
             (config.sockets - OWN_DESCRIPTORS - to_servers) * 3 // 4
         )  # the rest for those that come and go
         self._host = Host(router, self._pool, self._discovery.ask, to_servers)
-        self._clients = Clients(self._host, self._host.can_serve, to_clients)
+        kept = int(config.sockets * CLIENTS_SHARE * KEPT_SHARE)
+        self._clients = Clients(self._host, self._host.can_serve, to_clients, kept)
         if config.known is not None:
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
--- a/brackencross/net/clients.py
+++ b/brackencross/net/clients.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 import time
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -29,6 +30,9 @@
 UNREAD = 10.0  # seconds in which a client takes no answer: what it has asked for would stay in memory
 SWEEP = 0.25  # seconds between looks at all connections
 BACKLOG = 512
+CLIENTS_SHARE = 1 / 3  # of the configured descriptors: what all clients together open for requests at most
+KEPT_SHARE = 5 / 8  # of that third: above it, who rested longest makes room; the rest is there for a burst
+LOOKS = 8  # at the most at connections that might make room, for each that is used: no scan of a crowd
 ACCEPTS = 16  # connections taken in one go: a crowd of them must hold up no answers
 FULL_PAUSE = 0.1  # seconds without accepting where the system has no descriptor left
 
@@ -65,6 +69,7 @@
     def data_received(self, data: bytes) -> None:
         if self._ending:
             return
+        self._clients.busy(self)
         if not self._parser.begun and self._clients.has_used(self):
             self._since = time.monotonic()
         self._parser.add(data)
@@ -128,8 +133,8 @@
         elif not self._slots and self._ending and not self.transport.is_closing():
             self.transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER, self.transport.abort)
-        elif self.idle() and self._clients.draining:
-            self.transport.close()
+        elif self.idle() and not self.transport.is_closing():
+            self._clients.rested(self)
         self._throttle()
 
     def _throttle(self) -> None:
@@ -153,6 +158,12 @@
     def idle(self) -> bool:
         return not self._slots and not self._parser.begun
 
+    def settled(self) -> bool:
+        """Whether closing it now would cross nothing, neither what has come unread nor what is unwritten."""
+        waiting = select.poll()
+        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not waiting.poll(0) and not self.transport.get_write_buffer_size()
+
     def check(self, now: float) -> None:
         """Guards descriptors and memory against clients that stop midway, never start, or stay for no use."""
         if self._ending or self.transport.is_closing():
@@ -179,13 +190,15 @@
 class Clients:
     """All client connections of this router."""
 
-    def __init__(self, host: Host, ready: Callable[[], bool], most: int) -> None:
+    def __init__(self, host: Host, ready: Callable[[], bool], most: int, kept: int) -> None:
         self.host, self._ready = host, ready
         self.draining = False
-        self._most = most
+        self._most = most  # connections at once
+        self._kept = kept  # used ones, beyond which those that rest make room
         self._loop = asyncio.get_running_loop()
         self._new: dict[ClientConnection, None] = {}  # none of their commands was of use; the oldest is first
         self._used: dict[ClientConnection, None] = {}  # the least recently used is first
+        self._resting = OrderedDict[ClientConnection, None]()  # of the used, the longest first
         self._opening: set[asyncio.Task[None]] = set()
         self._coming = 0  # accepted, and not yet among the new ones
         self._empty = asyncio.Event()
@@ -238,7 +251,7 @@
         """Guards the limit on descriptors: who never used one loses it first, then who did so longest ago."""
         if len(self._new) + len(self._used) + self._coming < self._most:
             return True
-        victim = next(iter(self._new), None) or next(filter(ClientConnection.idle, self._used), None)
+        victim = next(iter(self._new), None) or next(iter(self._resting), None)
         if victim is None:
             return False
         self.remove(victim)
@@ -269,9 +282,39 @@
         self._used.pop(connection, None)
         self._used[connection] = None
 
+    def busy(self, connection: ClientConnection) -> None:
+        """Something has come on it."""
+        self._resting.pop(connection, None)
+
+    def rested(self, connection: ClientConnection) -> None:
+        """All that came on it is answered."""
+        if self.draining:
+            connection.transport.close()
+        elif connection in self._used:
+            self._resting[connection] = None
+            self._make_way()
+
+    def _make_way(self) -> None:
+        """Guards clients' own third of the descriptors: those that ask once and stay would use it up.
+
+        Clients that find no connection free open one, as far as their third of the descriptors goes. Where
+        resting ones fill it, the others are refused beside an idle router. The one used last always stays,
+        as its client most likely comes back to it.
+        """
+        for _ in range(LOOKS):
+            if len(self._used) <= self._kept or len(self._resting) <= 1:
+                return
+            longest = next(iter(self._resting))
+            if longest.settled():
+                self.remove(longest)
+                longest.transport.close()
+            else:
+                self._resting.move_to_end(longest)
+
     def remove(self, connection: ClientConnection) -> None:
         self._new.pop(connection, None)
         self._used.pop(connection, None)
+        self._resting.pop(connection, None)
         if not self._new and not self._used:
             self._empty.set()
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -179,9 +179,8 @@
 class World:
     """A router with one cache, an origin and discovery round it."""
 
-    sockets = 1024
-
-    def __init__(self, **changes: Any) -> None:
+    def __init__(self, sockets: int = 1024, **changes: Any) -> None:
+        self.sockets = sockets
         self.settings = replace(SETTINGS, **changes)
         self.cache, self.origin, self.discovery = Peer(), Peer(read_http), Peer(read_http)
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -122,6 +122,67 @@
     assert await busy.value("1") == b"v"
 
 
+@scenario
+async def test_clients_that_ask_once_and_stay_do_not_use_up_the_third_that_clients_have() -> None:
+    world = await World(sockets=384).start()
+    third, kept = 384 // 3, 80
+    asked: list[Client] = []
+    busy = await world.client()
+    busy.get("busy")
+    got = await world.cache.next()
+    half = await world.client()
+    assert await is_ready(half)
+    half.send(b"mg")  # rests longest of all, but for this
+    for n in range(2 * third):
+        client = await world.client()
+        client.get(str(n))
+        (await world.cache.next()).reply_value(b"v")
+        assert await client.value(str(n)) == b"v"
+        asked.append(client)
+    for early in asked[: 2 * third + 2 - kept]:
+        assert await early.ended()  # those that rested longest, in time for clients to open others
+    for late in asked[2 * third + 2 - kept :]:
+        assert await is_ready(late)  # as many as ever are reused
+    half.send(b" k v Ohalf " + P + b"\r\n")
+    (await world.cache.next()).reply_value(b"v")
+    assert await half.value("half") == b"v"
+    got.reply_value(b"v")
+    assert await busy.value("busy") == b"v"
+
+
+@scenario
+async def test_the_connection_used_last_stays_whatever_the_number_of_busy_ones() -> None:
+    world = await World(sockets=64).start()
+    kept = world.node._clients._kept
+    busy = [await world.client() for _ in range(kept + 2)]
+    for n, client in enumerate(busy):
+        client.put(str(n), b"v")  # which the module holds till the origin has answered
+    while len(world.node._host._held) < len(busy):
+        await asyncio.sleep(0)
+    last = await world.client()
+    for _ in "12":
+        assert await is_ready(last)
+
+
+@scenario
+async def test_of_a_crowd_that_closing_would_cross_few_are_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = await World(sockets=384).start()
+    looked = 0
+
+    def unsettled(_: clients.ClientConnection) -> bool:
+        nonlocal looked
+        looked += 1
+        return False
+
+    monkeypatch.setattr(clients.ClientConnection, "settled", unsettled)
+    crowd = [await world.client() for _ in range(100)]
+    for client in crowd:
+        assert await is_ready(client)
+    looked = 0
+    assert await is_ready(crowd[0])
+    assert looked == clients.LOOKS
+
+
 @scenario
 async def test_where_all_have_requests_open_a_new_one_is_turned_away() -> None:
     world = await crowded(2)
