One name, one house: the package is ironrail, with policy/ and net/ as its rooms

Need: the repository, the product and the package had two names, decisions lay beside I/O in one folder, and `make test` asked for an environment made by hand.

--- a/brackencross/net/caches.py
+++ b/ironrail/net/caches.py
@@ -4,10 +4,10 @@
 
 import time
 
-from brackencross.interface import Status
-from brackencross.net import memcache
-from brackencross.net.memcache import Reply, ReplyKind
-from brackencross.net.pool import Attempt, Connection, Ended, Pool
+from ironrail.net import memcache
+from ironrail.net.memcache import Reply, ReplyKind
+from ironrail.net.pool import Attempt, Connection, Ended, Pool
+from ironrail.policy.interface import Status
 
 OUTCOMES = {
     ReplyKind.MISS: Status.MISS,
--- a/brackencross/net/clients.py
+++ b/ironrail/net/clients.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass
 from typing import cast
 
-from brackencross.net import memcache
-from brackencross.net.host import Host
-from brackencross.net.memcache import BadCommand, Command, CommandParser, Noop
-from brackencross.net.pool import Address
+from ironrail.net import memcache
+from ironrail.net.host import Host
+from ironrail.net.memcache import BadCommand, Command, CommandParser, Noop
+from ironrail.net.pool import Address
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/ironrail/net/config.py
@@ -0,0 +1,70 @@
+"""What the deployment tells a router: read from the JSON file that `NODE_CONFIG` names."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from ironrail.net.discovery import read_address
+from ironrail.net.pool import Address
+from ironrail.policy import interface as api
+from ironrail.settings import number, read_settings, section
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used; the message names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What the deployment tells a router."""
+
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    streams: int
+    known: Any
+    settings: api.Settings
+
+
+def read_config(environ: dict[str, str]) -> Config:
+    """The configuration that the environment names."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        table = orjson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as e:
+        raise ConfigError(f"NODE_CONFIG: {e}") from e
+    if not isinstance(table, dict):
+        raise ConfigError("NODE_CONFIG: must hold an object")
+    conf = section(table, "settings")
+    settings = read_settings(conf)
+    return Config(
+        listen=_address(table, "listen", environ.get("NODE_LISTEN")),
+        discovery=_address(table, "discovery", environ.get("NODE_DISCOVERY")),
+        seed=_seed(table),
+        sockets=int(number(section(table, "limits"), "sockets", 1024, "limits.", 64)),
+        streams=int(number(section(conf, "limits"), "multiplex", 1, "limits.", 1)),
+        known=table.get("known"),
+        settings=settings,
+    )
+
+
+def _address(table: dict[str, Any], field: str, default: str | None) -> Address:
+    value = table.get(field, default)
+    try:
+        return read_address(str(value))
+    except ValueError as e:
+        raise ConfigError(f"{field} must be host:port, not {value!r}") from e
+
+
+def _seed(table: dict[str, Any]) -> int:
+    try:
+        return int(table["seed"], 16)
+    except (KeyError, TypeError, ValueError) as e:
+        raise ConfigError(f"seed must be hex digits, not {table.get('seed')!r}") from e
--- a/brackencross/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -11,8 +11,8 @@
 import h11
 import orjson
 
-from brackencross import interface as api
-from brackencross.net.pool import Address
+from ironrail.net.pool import Address
+from ironrail.policy import interface as api
 
 log = logging.getLogger(__name__)
 
--- a/brackencross/net/host.py
+++ b/ironrail/net/host.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from brackencross import interface as api
-from brackencross.balance import Router
-from brackencross.net import memcache
-from brackencross.net.memcache import Command, read_figure
-from brackencross.net.pool import Address, Attempt, Pool
+from ironrail.net import memcache
+from ironrail.net.memcache import Command, read_figure
+from ironrail.net.pool import Address, Attempt, Pool
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
 
 log = logging.getLogger(__name__)
 
--- a/brackencross/__main__.py
+++ b/ironrail/net/node.py
@@ -1,4 +1,4 @@
-"""One router on real sockets, as the deployment starts it."""
+"""One router on real sockets: its parts, put together, from start to stop."""
 
 from __future__ import annotations
 
@@ -7,24 +7,18 @@
 import logging
 import os
 import signal
-import sys
 import time
-from dataclasses import dataclass, replace
-from pathlib import Path
-from typing import Any
-
-import orjson
-import uvloop
-
-from brackencross import interface as api
-from brackencross.balance import Router
-from brackencross.net.caches import CacheConnection
-from brackencross.net.clients import CLIENTS_SHARE, KEPT_SHARE, Clients
-from brackencross.net.discovery import Discovery, ListError, ListReader, read_address
-from brackencross.net.host import Host
-from brackencross.net.origin import OriginConnection
-from brackencross.net.pool import Address, Pool
-from brackencross.settings import number, read_settings, section
+from dataclasses import replace
+
+from ironrail.net.caches import CacheConnection
+from ironrail.net.clients import CLIENTS_SHARE, KEPT_SHARE, Clients
+from ironrail.net.config import Config, ConfigError, read_config
+from ironrail.net.discovery import Discovery, ListError, ListReader
+from ironrail.net.host import Host
+from ironrail.net.origin import OriginConnection
+from ironrail.net.pool import Address, Pool
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
 
 CACHE_CONNECTIONS = 2  # to one cache; more requests than that go out behind others
 ORIGIN_CONNECTIONS = 32
@@ -32,63 +26,7 @@
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
 LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
 
-log = logging.getLogger("brackencross")
-
-
-class ConfigError(ValueError):
-    """A configuration that can't be used; the message names the field."""
-
-
-@dataclass(frozen=True, slots=True)
-class Config:
-    """What the deployment tells a router."""
-
-    listen: Address
-    discovery: Address
-    seed: int
-    sockets: int
-    streams: int
-    known: Any
-    settings: api.Settings
-
-
-def read_config(environ: dict[str, str]) -> Config:
-    """The configuration that the environment names."""
-    path = environ.get("NODE_CONFIG")
-    if not path:
-        raise ConfigError("NODE_CONFIG is not set")
-    try:
-        table = orjson.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as e:
-        raise ConfigError(f"NODE_CONFIG: {e}") from e
-    if not isinstance(table, dict):
-        raise ConfigError("NODE_CONFIG: must hold an object")
-    conf = section(table, "settings")
-    settings = read_settings(conf)
-    return Config(
-        listen=_address(table, "listen", environ.get("NODE_LISTEN")),
-        discovery=_address(table, "discovery", environ.get("NODE_DISCOVERY")),
-        seed=_seed(table),
-        sockets=int(number(section(table, "limits"), "sockets", 1024, "limits.", 64)),
-        streams=int(number(section(conf, "limits"), "multiplex", 1, "limits.", 1)),
-        known=table.get("known"),
-        settings=settings,
-    )
-
-
-def _address(table: dict[str, Any], field: str, default: str | None) -> Address:
-    value = table.get(field, default)
-    try:
-        return read_address(str(value))
-    except ValueError as e:
-        raise ConfigError(f"{field} must be host:port, not {value!r}") from e
-
-
-def _seed(table: dict[str, Any]) -> int:
-    try:
-        return int(table["seed"], 16)
-    except (KeyError, TypeError, ValueError) as e:
-        raise ConfigError(f"seed must be hex digits, not {table.get('seed')!r}") from e
+log = logging.getLogger(__name__)
 
 
 class Node:
@@ -173,23 +111,3 @@
     await told.wait()
     log.info("stopping")
     await node.stop()
-
-
-def main() -> int:
-    """Run one router; answers with the exit code."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not kill
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
-    try:
-        config = read_config(dict(os.environ))
-        uvloop.run(serve(config))
-    except (ConfigError, api.SettingsError) as e:
-        print(f"brackencross: {e}", file=sys.stderr)
-        return 2
-    except OSError as e:  # the address to listen on is taken, say
-        print(f"brackencross: {e}", file=sys.stderr)
-        return 1
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/brackencross/net/origin.py
+++ b/ironrail/net/origin.py
@@ -7,9 +7,9 @@
 
 import h11
 
-from brackencross.interface import Status
-from brackencross.net.memcache import MAX_VALUE, Command, is_printable
-from brackencross.net.pool import Attempt, Connection, Ended, Pool
+from ironrail.net.memcache import MAX_VALUE, Command, is_printable
+from ironrail.net.pool import Attempt, Connection, Ended, Pool
+from ironrail.policy.interface import Status
 
 SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
 MAX_RECEIPT = 1024
--- a/brackencross/net/pool.py
+++ b/ironrail/net/pool.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from typing import cast
 
-from brackencross.interface import Status
-from brackencross.net.memcache import Command
+from ironrail.net.memcache import Command
+from ironrail.policy.interface import Status
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/ironrail/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Every decision of a router: pure modules without I/O and without a clock."""
--- a/brackencross/balance.py
+++ b/ironrail/policy/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of a router, as a state machine without I/O, in the words of `brackencross/interface.py`.
+"""Every decision of a router, as a state machine without I/O, in the words of `ironrail/policy/interface.py`.
 
 Keys go to the first server clockwise on a weighted ring with less than (1 + epsilon) times the average."""
 
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from functools import lru_cache
 
-from brackencross import interface as api
+from ironrail.policy import interface as api
 
 RING_SIZE = 2**16  # positions on the ring, as the paper has it
 TOTAL_POINTS = 150  # virtual nodes shared out by weight, as the paper has it, in fleets of up to 10 servers
--- a/brackencross/settings.py
+++ b/ironrail/settings.py
@@ -5,7 +5,7 @@
 import math
 from typing import Any
 
-from brackencross import interface as api
+from ironrail.policy import interface as api
 
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 
--- a/brackencross/simhost.py
+++ b/ironrail/simhost.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from brackencross import interface as api
-from brackencross.balance import Router
-from brackencross.settings import read_settings
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
+from ironrail.settings import read_settings
 
 STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 KINDS = {
@@ -138,7 +138,7 @@
             read = READERS[op](event)
             router = self.routers.get(number_)
         except api.SettingsError as e:
-            print(f"brackencross: {e}", file=sys.stderr)
+            print(f"ironrail: {e}", file=sys.stderr)
             commands.append({"op": "InternalError", "routerId": number_, "line": str(e)})
             return
         except (KeyError, TypeError, ValueError, AttributeError) as e:
@@ -158,7 +158,7 @@
         try:
             reply = host.batch(line)
         except WireError as e:
-            print(f"brackencross: {e}", file=sys.stderr)
+            print(f"ironrail: {e}", file=sys.stderr)
             return 2
         sys.stdout.buffer.write(reply)
         sys.stdout.buffer.flush()
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from brackencross import interface as api
-from brackencross.balance import Router
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
 
 READ = api.RequestClass("read", aim=1.0)
 KEYED = api.RequestClass("keyed", 1.0, api.Effect.KEYED, api.Group.ALL, window=1.5, worth=5.0)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -13,8 +13,9 @@
 import orjson
 import uvloop
 
-from brackencross import interface as api
-from brackencross.__main__ import Config, Node
+from ironrail.net.config import Config
+from ironrail.net.node import Node
+from ironrail.policy import interface as api
 
 PATIENCE = 10.0  # seconds for a whole scenario: only a failing test comes near
 LOCAL = "127.0.0.1"
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from brackencross.net import clients
+from ironrail.net import clients
 from tests.peers import Client, World, scenario
 
 P = b"Pc=read,t=x,d=5000"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from brackencross import interface as api
-from brackencross.net import discovery
+from ironrail.net import discovery
+from ironrail.policy import interface as api
 from tests.peers import Peer, World, scenario
 
 BUSY = b"SERVER_ERROR busy "
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -10,15 +10,15 @@
 
 import pytest
 
-from brackencross import interface as api
-from brackencross.balance import Router
-from brackencross.interface import Status
-from brackencross.net import host, pool
-from brackencross.net.caches import CacheConnection
-from brackencross.net.host import Host
-from brackencross.net.memcache import Command, read_fields
-from brackencross.net.origin import OriginConnection
-from brackencross.net.pool import Connection, Pool
+from ironrail.net import host, pool
+from ironrail.net.caches import CacheConnection
+from ironrail.net.host import Host
+from ironrail.net.memcache import Command, read_fields
+from ironrail.net.origin import OriginConnection
+from ironrail.net.pool import Connection, Pool
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
+from ironrail.policy.interface import Status
 from tests.peers import LOCAL, SETTINGS, Message, Peer, read_command, read_http, scenario
 
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from brackencross import balance
-from brackencross import interface as api
+from ironrail.policy import balance
+from ironrail.policy import interface as api
 from tests.driver import Driver, entry, settings
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,9 +11,9 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from brackencross import balance
-from brackencross import interface as api
-from brackencross.balance import Router
+from ironrail.policy import balance
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
 from tests.driver import Driver, entry, settings
 
 MAY_HAVE_RUN = [api.Status.ERROR, api.Status.RESET, api.Status.TIMEOUT, api.Status.CANCELLED]
