--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,11 @@
-# `make test` sets up all that it needs on a fresh machine.
+# Each of `make test` and `make rehearse` sets up all that it needs on a fresh machine.
 VENV ?= .kit-venv
 BIN := $(VENV)/bin
+SCENARIO ?= calm
+SEED ?= 1
+
+rehearse: setup
+	$(BIN)/ironrail rehearse $(SCENARIO) --seed $(SEED)
 
 test: setup
 	$(BIN)/ruff check .
@@ -10,10 +15,10 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
+$(VENV)/.ready: requirements.txt requirements-kit.txt requirements-dev.txt pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
-.PHONY: test setup
+.PHONY: rehearse test setup
--- /dev/null
+++ b/ironrail/cli.py
@@ -0,0 +1,50 @@
+"""The command `ironrail`. What a subcommand needs is imported when it runs: `run` stays lean."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import click
+
+
+def _commands() -> click.Group:
+    import click  # noqa: PLC0415
+
+    from ironrail.rehearsal.command import rehearse  # noqa: PLC0415
+
+    @click.group(
+        context_settings={"help_option_names": ["-h", "--help"]},
+        epilog="Example: ironrail rehearse calm --seed 7",
+    )
+    @click.version_option(package_name="ironrail")
+    def ironrail() -> None:
+        """A router in front of grid caches, and a kit to rehearse its failures."""
+
+    @ironrail.command(epilog="Example: NODE_CONFIG=/run/balancer/config.json ironrail run")
+    def run() -> None:
+        """Run one router in the foreground, as `python -m ironrail` does.
+
+        The environment variable NODE_CONFIG names its configuration, a JSON file.
+        """
+        from ironrail.__main__ import main as daemon  # noqa: PLC0415
+
+        sys.exit(daemon())
+
+    ironrail.add_command(rehearse)
+    return ironrail
+
+
+def main() -> None:
+    """Entry point; exit codes: 0 good, 1 a verdict failed, 2 unusable input, 3 no verdict possible."""
+    try:
+        commands = _commands()
+    except ModuleNotFoundError as e:
+        print(f"ironrail: {e.name} is missing; the kit needs: pip install 'ironrail[kit]'", file=sys.stderr)
+        sys.exit(2)
+    commands()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ironrail/rehearsal/command.py
@@ -0,0 +1,142 @@
+"""`ironrail rehearse`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import shlex
+import signal
+import sys
+from pathlib import Path
+
+import click
+import orjson
+import uvloop
+from rich.console import Console
+from rich.table import Table
+
+from ironrail.rehearsal.faults.plan import PlanError
+from ironrail.rehearsal.report.document import document
+from ironrail.rehearsal.report.page import write_page
+from ironrail.rehearsal.report.table import print_report
+from ironrail.rehearsal.routers import OWN_ROUTER
+from ironrail.rehearsal.run import Rehearsal, Result
+from ironrail.rehearsal.scenario import Scenario, ScenarioError, read_scenario, shipped
+
+KEPT, FAILED, UNUSABLE, NO_VERDICT, INTERRUPTED = 0, 1, 2, 3, 130
+PLAIN_WIDTH = 132  # columns where the output is no terminal
+GC_FIRST, GC_SECOND, GC_THIRD = 20_000, 50, 100  # whole collections held up sends for 60 to 100 ms
+PROGRESS_EVERY = 5.0  # seconds of the run between two lines that say how far it is
+
+
+class Printer:
+    """Says how far a run is, and what goes wrong in it."""
+
+    def __init__(self, console: Console, scenario: Scenario) -> None:
+        self._console, self._length = console, scenario.length
+        self._next = 0.0
+
+    def __call__(self, at: float, text: str) -> None:
+        if not text:
+            if at < self._next:
+                return
+            self._next = at - at % PROGRESS_EVERY + PROGRESS_EVERY
+            text = f"of {self._length:.0f} s"
+        self._console.print(f"{at:7.1f} s  {text}", highlight=False, markup=False)
+
+
+def play(scenario: Scenario, seed: int, command: tuple[str, ...], console: Console) -> Result:
+    """One run on a loop of its own; ends cleanly on SIGINT and SIGTERM."""
+    rehearsal = Rehearsal(scenario, seed, command=command, progress=Printer(console, scenario))
+
+    async def run() -> Result:
+        task = asyncio.ensure_future(rehearsal.run())
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, task.cancel)
+        return await task
+
+    gc.set_threshold(GC_FIRST, GC_SECOND, GC_THIRD)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(run())
+
+
+def make_console(stderr: bool = False) -> Console:
+    """A terminal as wide as it is, anything else wide enough for the tables."""
+    console = Console(stderr=stderr)
+    return console if console.is_terminal else Console(stderr=stderr, width=PLAIN_WIDTH)
+
+
+def _list() -> None:
+    table = Table(box=None)
+    for name in ("scenario", "seconds", "what it rehearses"):
+        table.add_column(name)
+    for name, path in shipped().items():
+        scenario = read_scenario(str(path))
+        table.add_row(name, f"{scenario.warm_up + scenario.length:.0f}", scenario.summary)
+    make_console().print(table)
+
+
+def _write(result: Result, json_file: str | None, html_file: str | None) -> None:
+    if json_file:
+        data = orjson.dumps(document(result), option=orjson.OPT_INDENT_2) + b"\n"
+        if json_file == "-":
+            sys.stdout.buffer.write(data)
+        else:
+            Path(json_file).write_bytes(data)
+    if html_file:
+        Path(html_file).write_text(write_page(result))
+
+
+@click.command(
+    epilog="Example: ironrail rehearse saturday --seed 7 --json report.json --html report.html\n\n"
+    "Exit codes: 0 all kept, 1 a verdict failed, 2 unusable input, 3 the machine was too busy for a verdict."
+)
+@click.argument("scenario", required=False)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="What is drawn at random.")
+@click.option("--routers", type=click.IntRange(1, 16), help="How many, in place of the scenario's.")
+@click.option("--json", "json_file", metavar="FILE", help="Write the report for programs; - is the output.")
+@click.option("--html", "html_file", metavar="FILE", help="Write a page with plots.")
+@click.option("--router", metavar="COMMAND", help="Rehearse this program in place of the router itself.")
+@click.option("--list", "list_them", is_flag=True, help="Tell which scenarios there are.")
+def rehearse(
+    scenario: str | None,
+    seed: int,
+    routers: int | None,
+    json_file: str | None,
+    html_file: str | None,
+    router: str | None,
+    list_them: bool,
+) -> None:
+    """Rehearse SCENARIO: a shipped one by its name, or a file.
+
+    Starts real routers among stand-in caches, archive, discovery and clients on loopback, makes go wrong
+    what the scenario says, and judges service and rules by what the stand-ins saw.
+    """
+    if list_them:
+        _list()
+        return
+    if scenario is None:
+        raise click.UsageError("name a SCENARIO, or --list them")
+    console = make_console(stderr=json_file == "-")
+    try:
+        chosen = read_scenario(scenario)
+        if routers is not None:
+            conf = chosen.routers.model_copy(update={"count": routers})
+            chosen = chosen.model_copy(update={"routers": conf})
+        command = tuple(shlex.split(router)) if router else OWN_ROUTER
+        result = play(chosen, seed, command, console)
+        _write(result, json_file, html_file)
+    except (ScenarioError, PlanError) as e:
+        click.echo(f"ironrail: {scenario}: {e}" if isinstance(e, PlanError) else f"ironrail: {e}", err=True)
+        sys.exit(UNUSABLE)
+    except OSError as e:
+        click.echo(f"ironrail: {e}", err=True)
+        sys.exit(UNUSABLE)
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        with contextlib.suppress(OSError):
+            click.echo("ironrail: interrupted; nothing is left running", err=True)
+        sys.exit(INTERRUPTED)
+    print_report(console, result)
+    sys.exit(NO_VERDICT if result.no_verdict else KEPT if result.kept else FAILED)
--- /dev/null
+++ b/ironrail/rehearsal/faults/carry.py
@@ -0,0 +1,185 @@
+"""Carries out the plan of faults on the stand-ins and the routers."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ironrail.rehearsal.faults.plan import Planned, Step
+from ironrail.rehearsal.load.schedule import HOT_SHARE
+from ironrail.rehearsal.routers import RouterProcess
+from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.standins.archive import Archive
+from ironrail.rehearsal.standins.fleet import Fleet
+from ironrail.rehearsal.standins.front import Front
+from ironrail.rehearsal.standins.registry import Registry, Row
+from ironrail.rehearsal.standins.world import World
+
+REPLIES = (
+    FaultKind.RESET,
+    FaultKind.SLOW_CLOSE,
+    FaultKind.SPOILT,
+    FaultKind.SURPLUS,
+    FaultKind.ENDLESS,
+    FaultKind.ERRORS,
+)
+TERM_TOLD = 0.3  # seconds after SIGTERM for which the front still sends new clients: a restart is announced
+ABSURD = 40  # servers that an absurd list invents
+
+
+@dataclass(slots=True)
+class Spell:
+    """A time in which a router could not answer, by the plan."""
+
+    router: str
+    began: float
+    why: str
+    ended: float | None = None
+
+
+@dataclass(slots=True)
+class Carrier:
+    """All that faults act upon."""
+
+    world: World
+    fleet: Fleet
+    archive: Archive
+    registry: Registry
+    front: Front
+    routers: dict[str, RouterProcess]
+    start_router: Callable[[str], None]
+    spells: list[Spell] = field(default_factory=list)
+    stalls: dict[Planned, asyncio.TimerHandle] = field(default_factory=dict)
+
+    def carry_out(self, step: Step) -> None:
+        """A fault begins or ends."""
+        kind, planned = step.planned.fault.kind, step.planned
+        if kind in REPLIES:
+            self._replies(planned, kind, step.begins)
+        elif kind is FaultKind.HALL_CUT:
+            self._cut(planned, step.begins)
+        elif kind in (FaultKind.ARCHIVE_SLOW, FaultKind.ARCHIVE_DOWN):
+            if step.begins:
+                self.archive.begin(planned, kind, planned.fault.hard)
+            else:
+                self.archive.end(planned)
+        elif kind in (FaultKind.LIST_SILENT, FaultKind.LIST_EMPTY, FaultKind.LIST_ABSURD):
+            self._list(planned, kind, step.begins)
+        elif kind is FaultKind.STALL:
+            self._stall(planned, step.begins)
+        elif kind is FaultKind.HOT_ROUTER:
+            self._hot_router(planned, step.begins)
+        elif kind in (FaultKind.ROUTER_TERM, FaultKind.ROUTER_KILL, FaultKind.ROUTER_STOP):
+            for name in planned.victims:
+                self._router(name, kind, step.begins)
+        elif kind is not FaultKind.HOT_KEYS:  # those are in the schedule
+            self._caches(planned, kind, step.begins)
+
+    def _replies(self, planned: Planned, kind: FaultKind, begins: bool) -> None:
+        for name in planned.victims:
+            victim = self.archive if name == self.archive.name else self.fleet.caches[name]
+            if begins:
+                victim.begin(planned, kind, planned.fault.hard)
+            else:
+                victim.end(planned)
+
+    def _caches(self, planned: Planned, kind: FaultKind, begins: bool) -> None:
+        begin, end = {
+            FaultKind.VANISH: (self.fleet.vanish, self.fleet.back),
+            FaultKind.RESTART: (self.fleet.stop, self.fleet.back),
+            FaultKind.DRAIN: (self.fleet.drain, self.fleet.drained),
+        }[kind]
+        for name in planned.victims:
+            (begin if begins else end)(name, planned)
+
+    def _stall(self, planned: Planned, begins: bool) -> None:
+        if begins:
+            self._pause(planned, True)
+            return
+        self.stalls.pop(planned).cancel()
+        for name in planned.victims:
+            self.fleet.freeze(name, planned, False)
+
+    def _pause(self, planned: Planned, frozen: bool) -> None:
+        for name in planned.victims:
+            self.fleet.freeze(name, planned, frozen)
+        fault = planned.fault
+        delay = fault.pause if frozen else max(0.0, fault.every - fault.pause)
+        loop = asyncio.get_running_loop()
+        self.stalls[planned] = loop.call_later(delay, self._pause, planned, not frozen)
+
+    def _cut(self, planned: Planned, begins: bool) -> None:
+        """Silence both ways between this hall and the others; the archive stands in none of them."""
+        halls = self.world.halls
+        for hall in planned.victims:
+            for cache in self.fleet.caches.values():
+                for router, door in cache.doors.items():
+                    if (cache.hall == hall) is (halls[router] == hall):
+                        continue
+                    if begins:
+                        door.begin_silence((planned, hall))
+                    else:
+                        door.end_silence((planned, hall))
+
+    def _list(self, planned: Planned, kind: FaultKind, begins: bool) -> None:
+        for agent in self.registry.agents.values():
+            if kind is FaultKind.LIST_SILENT:
+                (agent.begin_silence if begins else agent.end_silence)(planned)
+            elif begins:
+                agent.begin_lost(planned, [] if kind is FaultKind.LIST_EMPTY else self._absurd(agent.router))
+            else:
+                agent.end_lost(planned)
+
+    def _absurd(self, router: str) -> list[Row]:
+        """A list of servers that never were, at addresses that are none."""
+        draws = self.world.draws("absurd")
+        return [
+            Row(f"ghost-{n}", "nowhere", "cache", addresses={router: f"127.0.0.1:{draws.choice((0, 70000))}"})
+            for n in range(ABSURD)
+        ]
+
+    def _hot_router(self, planned: Planned, begins: bool) -> None:
+        for name in planned.victims:
+            if begins:
+                self.front.hot[planned, name] = name, min(1.0, planned.fault.hard or HOT_SHARE)
+            else:
+                self.front.hot.pop((planned, name), None)
+
+    def _router(self, name: str, kind: FaultKind, begins: bool) -> None:
+        router, now = self.routers[name], self.world.now()
+        if begins:
+            number = {
+                FaultKind.ROUTER_TERM: signal.SIGTERM,
+                FaultKind.ROUTER_KILL: signal.SIGKILL,
+                FaultKind.ROUTER_STOP: signal.SIGSTOP,
+            }[kind]
+            if kind is not FaultKind.ROUTER_TERM:
+                self.spells.append(Spell(name, now, f"{name} was sent {number.name}"))
+            told = now + TERM_TOLD - self.front.notice if kind is FaultKind.ROUTER_TERM else now
+            self.front.died(name, told)
+            router.signal(number, asked=kind is not FaultKind.ROUTER_STOP)
+        elif kind is FaultKind.ROUTER_STOP:
+            router.signal(signal.SIGCONT, asked=False)
+            self.front.ready(name)
+            self.recovered(name)
+        else:
+            self.start_router(name)
+
+    def recovered(self, router: str) -> None:
+        """It can answer again."""
+        for spell in self.spells:
+            if spell.router == router and spell.ended is None:
+                spell.ended = self.world.now()
+
+    def excuse(self, router: str, began: float, ended: float) -> str:
+        """Why a router could not answer what it was sent then, or nothing."""
+        for spell in self.spells:
+            if (
+                spell.router == router
+                and spell.began <= ended
+                and (spell.ended is None or spell.ended >= began)
+            ):
+                return spell.why
+        return ""
--- /dev/null
+++ b/ironrail/rehearsal/report/table.py
@@ -0,0 +1,79 @@
+"""The report for the terminal."""
+
+from __future__ import annotations
+
+import math
+
+from rich.console import Console
+from rich.table import Table
+
+from ironrail.rehearsal.report.document import outcome_of
+from ironrail.rehearsal.run import Result
+from ironrail.rehearsal.verdicts import Verdict
+
+MOST_HISTORIES = 3
+SIZES = ("memory of a router", "log of a router")  # verdicts in bytes
+
+
+def print_report(console: Console, result: Result) -> None:
+    """Verdicts, service in parts, and the first broken rules with their histories."""
+    console.print(_verdicts(result))
+    console.print(_service(result))
+    for violation in result.broken[:MOST_HISTORIES]:
+        console.print(f"[bold red]{violation.rule}[/]: {violation.what}")
+        for line in violation.history:
+            console.print(f"    {line}", highlight=False, markup=False)
+    if len(result.broken) > MOST_HISTORIES:
+        console.print(f"and {len(result.broken) - MOST_HISTORIES} more (--json FILE has their histories)")
+    late = result.lateness.summary()
+    console.print(
+        f"seed {result.seed}, schedule {result.schedule_digest}; the kit's own lateness: "
+        f"p99 {late['p99'] * 1000:.1f} ms, most {late['most'] * 1000:.1f} ms",
+        highlight=False,
+    )
+    if result.no_verdict:
+        console.print(f"[bold yellow]no verdict[/]: the machine was too busy: {result.no_verdict}")
+    else:
+        colour = "green" if result.kept else "red"
+        console.print(f"[bold {colour}]{outcome_of(result)}[/]")
+
+
+def figure(verdict: Verdict, value: float) -> str:
+    """A bound or a measured value as people read it."""
+    if math.isinf(value):
+        return "never"
+    if verdict.name in SIZES:
+        return f"{value / 1024**2:.1f} MB"
+    return f"{value:.0f}" if value == int(value) and not verdict.at_least else f"{value:.3f}"
+
+
+def _verdicts(result: Result) -> Table:
+    table = Table(title=result.scenario.summary, title_justify="left")
+    for name in ("verdict", "", "measured", "bound", ""):
+        table.add_column(name, justify="right" if name in ("measured", "bound") else "left")
+    for verdict in result.verdicts:
+        sign = "≥" if verdict.at_least else "≤"
+        table.add_row(
+            verdict.name,
+            "[green]kept[/]" if verdict.kept else "[bold red]FAILED[/]",
+            figure(verdict, verdict.measured),
+            f"{sign} {figure(verdict, verdict.bound)}",
+            verdict.note,
+        )
+    return table
+
+
+def _service(result: Result) -> Table:
+    service = result.service
+    table = Table(title="Service: worth answered in time over worth asked for", title_justify="left")
+    for name in ("", "share", "first tries", "in time", "late", "unserved", "median", "p99", "p99.9"):
+        table.add_column(name, justify="left" if not name else "right")
+    parts = {"whole": service.whole}
+    for kind, group in (("class", service.classes), ("title", service.titles), ("hall", service.halls)):
+        parts |= {f"{kind} {name}": tally for name, tally in sorted(group.items())}
+    for name, tally in parts.items():
+        latencies = service.latencies.get(name.removeprefix("class "), {})
+        shown = [f"{latencies[q] * 1000:.0f} ms" if q in latencies else "" for q in (0.5, 0.99, 0.999)]
+        counts = [str(n) for n in (tally.first_tries, tally.in_time, tally.late, tally.unserved)]
+        table.add_row(name, f"{tally.share:.3f}", *counts, *shown)
+    return table
--- /dev/null
+++ b/ironrail/rehearsal/routers.py
@@ -0,0 +1,153 @@
+"""The routers under rehearsal: real processes, started, watched and ended from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from ironrail.rehearsal.account.record import RouterFacts
+
+READY_PATIENCE = 15.0  # seconds from its start until it answers `mn` with `MN`
+READY_PAUSE = 0.02
+KILL_PATIENCE = 5.0
+LOG_KEPT = 64 * 1024  # bytes of the end of its log
+MOST_LOG = 64 * 1024**2  # bytes after which a router is ended: it would fill the machine
+OWN_ROUTER = (sys.executable, "-B", "-m", "ironrail")
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """How a process ended."""
+
+    code: int
+    asked: bool  # it had been told to
+
+    def __str__(self) -> str:
+        return f"signal {-self.code}" if self.code < 0 else f"exit code {self.code}"
+
+
+class RouterProcess:
+    """One router, which may be started again under its name and address."""
+
+    def __init__(
+        self,
+        name: str,
+        command: tuple[str, ...],
+        config: dict[str, Any],
+        folder: Path,
+        facts: RouterFacts,
+        on_exit: Callable[[RouterProcess, Exit], None],
+    ) -> None:
+        self.name, self._command, self._config = name, command, config
+        self._folder, self.facts, self._on_exit = folder, facts, on_exit
+        host, _, port = str(config["listen"]).rpartition(":")
+        self.address = host, int(port)
+        self._process: asyncio.subprocess.Process | None = None
+        self._usage: psutil.Process | None = None
+        self._watcher: asyncio.Task[None] | None = None
+        self._asked = False
+        self.log = b""
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start it; `ready` tells when it serves."""
+        path = self._folder / f"{self.name}.json"
+        path.write_text(json.dumps(self._config))
+        environ = {
+            **os.environ,
+            "NODE_NAME": self.name,
+            "NODE_LISTEN": self._config["listen"],
+            "NODE_DISCOVERY": self._config["discovery"],
+            "NODE_CONFIG": str(path),
+        }
+        self._asked = False
+        self._process = await asyncio.create_subprocess_exec(
+            *self._command,
+            env=environ,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            start_new_session=True,  # a Ctrl-C is the kit's to handle
+        )
+        with contextlib.suppress(psutil.Error):
+            self._usage = psutil.Process(self._process.pid)
+        self._watcher = asyncio.create_task(self._watch(self._process))
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        while data := await process.stdout.read(LOG_KEPT):
+            self.facts.log_bytes += len(data)
+            self.log = (self.log + data)[-LOG_KEPT:]
+            if self.facts.log_bytes > MOST_LOG:
+                self.signal(signal.SIGKILL, asked=False)
+                break
+        code = await process.wait()
+        self._on_exit(self, Exit(code, self._asked))
+
+    async def ready(self) -> bool:
+        """Whether it answers in time that it serves."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_PATIENCE):
+                while self.running:
+                    if await self._answers():
+                        self.facts.ready = True
+                        return True
+                    await asyncio.sleep(READY_PAUSE)
+        return False
+
+    async def _answers(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return False
+        try:
+            writer.write(b"mn\r\n")
+            return await reader.readline() == b"MN\r\n"
+        except OSError:
+            return False
+        finally:
+            writer.transport.abort()
+
+    def signal(self, number: signal.Signals, asked: bool = True) -> None:
+        """Send it a signal; `asked` where its end is wanted."""
+        if self._process is not None and self._process.returncode is None:
+            self._asked = self._asked or asked
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait for the end of the process and of its log."""
+        if self._watcher is not None:
+            await asyncio.shield(self._watcher)
+
+    async def kill(self) -> None:
+        """End it for good, whatever it does."""
+        self.signal(signal.SIGKILL)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(KILL_PATIENCE):
+                await self.ended()
+
+    def sample(self) -> tuple[int, int] | None:
+        """Memory in bytes and open descriptors, kept as the most that were seen; None if it is not there."""
+        if self._usage is None or not self.running:
+            return None
+        try:
+            memory, descriptors = self._usage.memory_info().rss, self._usage.num_fds()
+        except psutil.Error:
+            return None
+        self.facts.memory = max(self.facts.memory, memory)
+        self.facts.descriptors = max(self.facts.descriptors, descriptors)
+        return memory, descriptors
--- /dev/null
+++ b/ironrail/rehearsal/run.py
@@ -0,0 +1,294 @@
+"""One rehearsal from start to end: stand-ins, routers, load and faults, and what was seen of it."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import tempfile
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ironrail.rehearsal.account.record import Record, RouterFacts, Try
+from ironrail.rehearsal.account.rules import Violation, violations
+from ironrail.rehearsal.account.service import Service, account
+from ironrail.rehearsal.faults import plan as faults
+from ironrail.rehearsal.faults.carry import Carrier
+from ironrail.rehearsal.lateness import Lateness
+from ironrail.rehearsal.load.schedule import Planned, digest, make_schedule
+from ironrail.rehearsal.routers import OWN_ROUTER, Exit, RouterProcess
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.settings import config_of
+from ironrail.rehearsal.standins.archive import Archive
+from ironrail.rehearsal.standins.clients import Clients
+from ironrail.rehearsal.standins.fleet import Fleet, make_caches, rows_of
+from ironrail.rehearsal.standins.front import Front, Seen
+from ironrail.rehearsal.standins.registry import Registry
+from ironrail.rehearsal.standins.world import World
+from ironrail.rehearsal.verdicts import Verdict, judge
+
+START = 0.2  # seconds between the last router's being ready and the first request
+SAMPLE = 0.25  # seconds between looks at the state of everything
+PORT = 11211  # of every router, each at a loopback address of its own
+END_PATIENCE = 10.0  # seconds for what is out after the last fault: every request has a deadline before that
+STOP_PATIENCE = 8.0  # seconds from SIGTERM until a router is killed
+
+Progress = Callable[[float, str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """The state of everything at one moment."""
+
+    at: float
+    waiting: int  # requests whose answer clients await
+    archive: int  # requests at the archive
+    in_caches: int  # jobs at all caches
+    connections: int  # to all caches
+    memory: int  # bytes of the largest router
+    descriptors: int
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of a run."""
+
+    scenario: Scenario
+    seed: int
+    schedule: list[Planned]
+    schedule_digest: str
+    plan: list[faults.Planned]
+    record: Record
+    service: Service
+    broken: list[Violation]
+    verdicts: list[Verdict]
+    lateness: Lateness
+    samples: list[Sample]
+    no_verdict: str = ""  # why the run tells nothing
+    logs: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def kept(self) -> bool:
+        return all(verdict.kept for verdict in self.verdicts)
+
+
+def loopback_of(number: int) -> str:
+    """An address of this process alone, so that runs beside each other never share a port."""
+    pid = os.getpid()
+    return f"127.{64 + number}.{(pid >> 8) & 255}.{max(1, pid & 255)}"
+
+
+class Rehearsal:
+    """One run."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        *,
+        command: tuple[str, ...] = OWN_ROUTER,
+        progress: Progress = lambda at, text: None,
+    ) -> None:
+        self._scenario, self._seed, self._command = scenario, seed, command
+        self._progress = progress
+        self._schedule = make_schedule(scenario, seed)
+        self._plan = faults.make_plan(scenario, seed)
+        self._record, self._lateness = Record(), Lateness()
+        self._samples: list[Sample] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ending = False
+
+    async def run(self) -> Result:
+        """Play it to its end. Whatever happens no process and no port is left."""
+        with tempfile.TemporaryDirectory(prefix="ironrail-") as folder:
+            self._build(Path(folder))
+            try:
+                why = await self._play()
+            finally:
+                await self._clear()
+        return self._result(why)
+
+    # Parts
+
+    def _build(self, folder: Path) -> None:
+        scenario, names = self._scenario, faults.router_names(self._scenario)
+        halls = {n: faults.hall_of(scenario, i) for i, n in enumerate(names)}
+        halls |= {n: faults.hall_of(scenario, i) for i, n in enumerate(faults.cache_names(scenario))}
+        self._world = World(scenario, self._seed, self._record, halls)
+        caches = make_caches(self._world, names)
+        self._archive = Archive(self._world, "archive", "", names)
+        addresses = {router: door.address for router, door in self._archive.doors.items()}
+        rows = rows_of(self._world, caches, addresses)
+        self._registry = Registry(self._world, rows, names)
+        self._fleet = Fleet(self._world, caches, self._registry)
+        self._front = Front(scenario.routers.front_notice, {n: Seen(halls[n]) for n in names})
+        self._routers = {}
+        for i, name in enumerate(names):
+            facts = self._record.routers[name] = RouterFacts()
+            listen = f"{loopback_of(i)}:{PORT}"
+            discovery = self._registry.agents[name].door.address
+            config = config_of(scenario, self._seed, i, name, listen, discovery, [r.told(name) for r in rows])
+            self._routers[name] = RouterProcess(name, self._command, config, folder, facts, self._on_exit)
+            for row in rows:
+                self._record.tell(name, row.id, row.state, self._world.now())
+        self._clients = Clients(self._world, self._front, {n: r.address for n, r in self._routers.items()})
+        self._carrier = Carrier(
+            self._world,
+            self._fleet,
+            self._archive,
+            self._registry,
+            self._front,
+            self._routers,
+            lambda name: self._spawn(self._restart(name)),
+        )
+        self._clients.excused = self._excuse
+
+    def _excuse(self, one: Try) -> str:
+        return self._carrier.excuse(one.router, one.sent_at, self._world.now())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # The run
+
+    async def _play(self) -> str:
+        """Start, load, end; answers with why the run tells nothing, if so."""
+        self._progress(0.0, "starting routers")
+        for router in self._routers.values():
+            await router.start()
+        ready = await asyncio.gather(*(router.ready() for router in self._routers.values()))
+        if not all(ready):
+            return ""  # a verdict, and nothing to send to
+        gc.collect()
+        gc.freeze()  # what is here stays: looking through it again and again would make the kit late
+        loop = asyncio.get_running_loop()
+        self._world.start = loop.time() + START + self._scenario.warm_up
+        self._spawn(self._sample())
+        self._spawn(self._carry_out())
+        await self._load()
+        await self._finish()
+        return self._lateness.too_late()
+
+    async def _load(self) -> None:
+        """Send each first try when it is due, whatever became of those before."""
+        loop = asyncio.get_running_loop()
+        for planned in self._schedule:
+            delay = self._world.start + planned.at - loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            self._lateness.add(self._world.now() - planned.at)
+            self._clients.send(planned)
+        await asyncio.sleep(max(0.0, self._scenario.length - self._world.now()))
+
+    async def _carry_out(self) -> None:
+        for step in faults.steps(self._plan):
+            await asyncio.sleep(max(0.0, step.at - self._world.now()))
+            self._progress(
+                self._world.now(), f"{'begins' if step.begins else 'ends'}: {step.planned.label()}"
+            )
+            self._carrier.carry_out(step)
+
+    async def _finish(self) -> None:
+        """Wait for what is out, and for faults that outlast the load, then stop the routers."""
+        self._progress(self._world.now(), "waiting for what is out")
+        last = max((p.ends for p in self._plan), default=0.0)
+        await asyncio.sleep(max(0.0, last - self._world.now()))
+        try:
+            async with asyncio.timeout(END_PATIENCE):
+                await self._clients.quiet()
+        except TimeoutError:  # can't be: each try has a timer
+            self._record.stray(self._world.now(), "clients", f"{self._clients.waiting()} never ended")
+        self._progress(self._world.now(), "stopping routers")
+        self._ending = True
+        await asyncio.gather(*(self._stop(router) for router in self._routers.values()))
+
+    async def _stop(self, router: RouterProcess) -> None:
+        if not router.running:
+            return
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        router.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_PATIENCE):
+                await router.ended()
+        except TimeoutError:
+            return  # a verdict; it is killed with what else is left
+        router.facts.stopped_in = loop.time() - began
+
+    async def _restart(self, name: str) -> None:
+        router = self._routers[name]
+        await router.kill()
+        if self._ending:
+            return
+        await router.start()
+        if await router.ready():
+            self._front.ready(name)
+            self._carrier.recovered(name)
+        else:
+            router.facts.ready = False
+
+    def _on_exit(self, router: RouterProcess, end: Exit) -> None:
+        facts = router.facts
+        if end.asked:
+            facts.stop_code = end.code
+            if end.code not in (0, -signal.SIGKILL):
+                facts.crashed = f"{end} on SIGTERM"
+        else:
+            facts.crashed = str(end)
+            self._front.died(router.name, self._world.now())
+
+    async def _sample(self) -> None:
+        while not self._ending:
+            usage = [u for r in self._routers.values() if (u := r.sample()) is not None]
+            caches = self._fleet.caches.values()
+            self._samples.append(
+                Sample(
+                    self._world.now(),
+                    self._clients.waiting(),
+                    self._archive.load,
+                    sum(len(cache.work) for cache in caches),
+                    sum(len(cache.connections) for cache in caches),
+                    max((memory for memory, _ in usage), default=0),
+                    max((descriptors for _, descriptors in usage), default=0),
+                )
+            )
+            self._progress(self._world.now(), "")
+            await asyncio.sleep(SAMPLE)
+
+    async def _clear(self) -> None:
+        self._ending = True
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._clients.close()
+        await asyncio.gather(*(router.kill() for router in self._routers.values()))
+        self._fleet.close()
+        self._archive.close()
+        self._registry.close()
+
+    def _result(self, why: str) -> Result:
+        scenario, record = self._scenario, self._record
+        service = account(record, scenario, self._schedule)
+        broken = violations(record, scenario)
+        counted = [s.connections for s in self._samples if s.at >= 0]
+        mean = sum(counted) / len(counted) / scenario.caches.count if counted else 0.0
+        return Result(
+            scenario,
+            self._seed,
+            self._schedule,
+            digest(self._schedule),
+            self._plan,
+            record,
+            service,
+            broken,
+            judge(scenario, service, record, broken, mean),
+            self._lateness,
+            self._samples,
+            why,
+            {name: router.log.decode(errors="replace") for name, router in self._routers.items()},
+        )
--- /dev/null
+++ b/ironrail/rehearsal/scenario/model.py
@@ -0,0 +1,267 @@
+"""The form of a scenario. What a file leaves out is as the defaults here have it: a calm, usual fleet.
+
+A file writes times and sizes with their units. Here times are seconds, sizes bytes, and work is seconds of
+one core of speed 1.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated, Self
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from ironrail.rehearsal.scenario.units import Bytes, Seconds
+
+Share = Annotated[float, Field(ge=0.0, le=1.0)]
+Positive = Annotated[float, Field(gt=0.0)]
+Count = Annotated[int, Field(ge=1, le=200)]
+
+MOST_RATE = 5000.0  # first tries a second: one core of the kit drives no more
+MOST_LENGTH = 3600.0  # seconds: every load loop is bounded
+
+
+class Table(BaseModel):
+    """A table of the file: unknown keys are mistakes, and nothing changes once read."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class Repeats(StrEnum):
+    """What repeating a request of a class may do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    NEVER = "never"
+
+
+class RequestClass(Table):
+    """A class of requests, what its clients want, and what serving it is worth."""
+
+    name: Annotated[str, Field(pattern=r"^[!-+.-<>-~-]{1,64}$")]
+    share: Positive
+    work: Seconds = 0.11  # of one core, on average
+    spread: Annotated[float, Field(ge=0.0, le=3.0)] = 0.8  # standard deviation of the work, as a share of it
+    wanted: Seconds = 0.8  # an answer after this has lost most of its worth
+    give_up: Seconds = 1.5  # no client waits longer, its own retries included
+    worth: Positive = 3.0  # of one request of usual work
+    late_worth: Share = 0.3  # of that, for an answer between the two
+    repeats: Repeats = Repeats.SAFE
+    window: Seconds = 2.5  # in which a keyed repeat is dropped
+    write: bool = False
+
+
+class Title(Table):
+    """Whose traffic it is. Beyond its share of what the fleet can do it is worth less."""
+
+    name: Annotated[str, Field(pattern=r"^[!-+.-<>-~-]{1,64}$")]
+    share: Positive
+    usage: Positive = 1.0  # of its share that it asks for
+
+
+class Load(Table):
+    """What clients ask for, whatever the routers make of it: an open loop."""
+
+    rate: Annotated[float, Field(gt=0.0, le=MOST_RATE)] = 240.0  # first tries a second, all halls together
+    shape: Annotated[str, Field(pattern="^(steady|bursty|ramp)$")] = "steady"
+    swing: Share = 0.25  # of the rate, up and down, where the shape is not steady
+    keys: Annotated[int, Field(ge=1, le=1_000_000)] = 600
+    popularity: Annotated[float, Field(ge=0.0, le=3.0)] = 1.0  # the exponent of Zipf's law
+    value: Bytes = 600  # of a usual value
+    over_share_worth: Share = 0.2
+
+
+class Clients(Table):
+    """How clients behave."""
+
+    retries: Annotated[int, Field(ge=0, le=10)] = 3
+    try_share: Annotated[float, Field(gt=0.0, le=1.0)] = 0.58  # of the give-up time that one try waits
+    wait: Seconds = 0.1  # before a retry
+    honour: Share = 0.5  # of refusals that name a time are followed
+    new_connections: Share = 0.02  # of tries come on a connection of their own, which then stays unused
+
+
+class Halls(Table):
+    """Where things stand, and how far apart."""
+
+    names: list[Annotated[str, Field(pattern="^[a-z0-9-]{1,32}$")]] = ["hall-a", "hall-b", "hall-c"]
+    between: Seconds = 0.002  # one way
+    skew: Share = 0.15  # of the traffic that moves from the last hall to the first
+
+
+class Routers(Table):
+    """The routers under rehearsal: real processes."""
+
+    count: Annotated[int, Field(ge=1, le=16)] = 3
+    descriptors: Annotated[int, Field(ge=128, le=4096)] = 384
+    memory: Bytes = 96 * 1024**2
+    front_notice: Seconds = 1.5  # for which the front goes on sending clients to a dead one
+
+
+class Caches(Table):
+    """The grid caches' stand-ins."""
+
+    count: Count = 8
+    cores: Count = 6
+    speed: Positive = 1.0
+    uneven: Share = 0.4  # the fastest is so much faster than usual, the slowest so much slower
+    slots: Count = 60  # requests in work at once
+    queue: Annotated[int, Field(ge=0, le=10_000)] = 100  # waiting beyond those
+    memory: Bytes = 400 * 1024
+    cold_share: Positive = 0.35  # of its capacity when it has just started
+    warm: Seconds = 5.0  # until it has all of it
+    fall_multiple: Positive = 2.5  # of what it can do when cold: more, for `fall_time`, and it stays down
+    fall_time: Seconds = 1.0
+    connections: Count = 95
+    handshake: Seconds = 0.03  # of its work, for a new connection
+    idle: Seconds = 60.0
+
+
+class Archive(Table):
+    """The one slow source of all grids."""
+
+    concurrency: Count = 48
+    time: Seconds = 0.12  # of a usual fetch
+    queue: Annotated[int, Field(ge=0, le=10_000)] = 120
+    fall_multiple: Annotated[float, Field(ge=0.0)] = (
+        0.0  # of its capacity, for a second: it stops; 0 is never
+    )
+    fall_for: Seconds = 3.0
+
+
+class Registry(Table):
+    """Where routers hear of the caches, seconds late."""
+
+    notice: Seconds = 1.2  # of a process that ended or drains
+    silent_notice: Seconds = 4.0  # of a machine that says nothing
+    add: Seconds = 0.6  # of one that came
+    spread: Seconds = 0.3  # between the routers, at the most
+    grace: Seconds = 1.0  # after being told, in which something new may still go out
+
+
+class FaultKind(StrEnum):
+    """What can go wrong. The operator's page describes each."""
+
+    VANISH = "vanish"
+    STALL = "stall"
+    RESET = "reset"
+    SLOW_CLOSE = "slow-close"
+    SPOILT = "spoilt"
+    SURPLUS = "surplus"
+    ENDLESS = "endless"
+    ERRORS = "errors"
+    HOT_KEYS = "hot-keys"
+    HOT_ROUTER = "hot-router"
+    HALL_CUT = "hall-cut"
+    LIST_SILENT = "list-silent"
+    LIST_EMPTY = "list-empty"
+    LIST_ABSURD = "list-absurd"
+    DRAIN = "drain"
+    RESTART = "restart"
+    ARCHIVE_SLOW = "archive-slow"
+    ARCHIVE_DOWN = "archive-down"
+    ROUTER_TERM = "router-term"
+    ROUTER_KILL = "router-kill"
+    ROUTER_STOP = "router-stop"
+
+
+class Fault(Table):
+    """One thing that goes wrong: what, whom, when, how long, how hard."""
+
+    kind: FaultKind
+    whom: str = ""  # `cache-3`, `2 caches`, `hall-b`, `router-1`, `all`; empty where the kind has one victim
+    at: Seconds
+    lasts: Seconds = 3.0
+    hard: Annotated[float, Field(gt=0.0)] | None = None  # by kind: a share, a factor or a number
+    pause: Seconds = 0.35  # of a stall
+    every: Seconds = 1.5  # between two of them
+
+
+class Bounds(Table):
+    """What a run must keep. What is left out is not judged, broken rules always are."""
+
+    service: Share | None = None  # worth answered in time over worth asked for, at the least
+    worst_window: Share | None = None  # the same in the worst 5 s
+    worst_class: Share | None = None
+    worst_title: Share | None = None
+    archive_fetches: float | None = None  # for each first try, at the most
+    connections: float | None = None  # to one cache, mean over time, at the most
+    kept_back: int = 0  # answers given up and held back all the same, at the most
+    memory: Bytes | None = None  # of the largest router, at the most; its limit where left out
+    descriptors: int | None = None  # of the router with most of them; its limit where left out
+    log: Bytes = 4 * 1024**2  # of one router, at the most
+    stop: Seconds = 4.5  # from SIGTERM to its end, at the most
+
+
+USUAL_CLASSES = [
+    RequestClass.model_validate(row)
+    for row in (
+        {"name": "grid-read", "share": 0.93},
+        {
+            "name": "prize-entry",
+            "share": 0.04,
+            "work": "200 ms",
+            "wanted": "1500 ms",
+            "give_up": "3 s",
+            "worth": 8,
+            "late_worth": 0.25,
+            "repeats": "never",
+            "write": True,
+        },
+        {
+            "name": "hint-spend",
+            "share": 0.03,
+            "work": "200 ms",
+            "wanted": "1 s",
+            "give_up": "4 s",
+            "worth": 8,
+            "late_worth": 0.2,
+            "repeats": "keyed",
+            "write": True,
+        },
+    )
+]
+USUAL_TITLES = [
+    Title(name="daily", share=0.42),
+    Title(name="weekly", share=0.3),
+    Title(name="regional", share=0.18),
+    Title(name="junior", share=0.1),
+]
+
+
+class Scenario(Table):
+    """One rehearsal."""
+
+    summary: str
+    about: str = ""
+    length: Annotated[Seconds, Field(gt=0.0, le=MOST_LENGTH)]  # of the load that counts
+    warm_up: Annotated[Seconds, Field(ge=0.0, le=60.0)] = (
+        3.0  # of load before it: the caches fill, nothing counts
+    )
+    tick: Seconds = 0.005
+    load: Load = Load()
+    classes: Annotated[list[RequestClass], Field(alias="class", min_length=1)] = USUAL_CLASSES
+    titles: Annotated[list[Title], Field(alias="title", min_length=1)] = USUAL_TITLES
+    clients: Clients = Clients()
+    halls: Halls = Halls()
+    routers: Routers = Routers()
+    caches: Caches = Caches()
+    archive: Archive = Archive()
+    registry: Registry = Registry()
+    faults: Annotated[list[Fault], Field(alias="fault")] = []
+    bounds: Bounds = Bounds()
+
+    @model_validator(mode="after")
+    def _fits(self) -> Self:
+        names = [c.name for c in self.classes]
+        if len(set(names)) < len(names):
+            raise ValueError("two classes have one name")
+        if not self.halls.names or len(set(self.halls.names)) < len(self.halls.names):
+            raise ValueError("halls.names must hold different names")
+        for number, fault in enumerate(self.faults):
+            if fault.at >= self.length:
+                raise ValueError(f"fault {number + 1} ({fault.kind}) begins after the end")
+        return self
+
+    def class_of(self, name: str) -> RequestClass:
+        return next(c for c in self.classes if c.name == name)
--- /dev/null
+++ b/ironrail/rehearsal/scenario/units.py
@@ -0,0 +1,37 @@
+"""Times and sizes as people write them: a number and its unit."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator
+
+TIMES = {"ms": 0.001, "s": 1.0, "min": 60.0}  # in seconds
+SIZES = {"B": 1, "KB": 1024, "MB": 1024**2}  # in bytes
+QUANTITY = re.compile(r"(\d+(?:\.\d+)?) ?([A-Za-z]+)")
+
+
+def _read(value: Any, units: dict[str, float] | dict[str, int], what: str, example: str) -> float:
+    """The value in the base unit; a ValueError tells what is wrong with it."""
+    if isinstance(value, (int, float)) and not isinstance(value, bool):
+        raise ValueError(f"a {what} needs its unit, like {example!r}")
+    found = QUANTITY.fullmatch(value.strip()) if isinstance(value, str) else None
+    if found is None or found[2] not in units:
+        known = ", ".join(units)
+        raise ValueError(f"must be a {what} like {example!r} (units: {known})")
+    return float(found[1]) * units[found[2]]
+
+
+def read_time(value: Any) -> float:
+    """Seconds of a time like `"250 ms"`."""
+    return _read(value, TIMES, "time", "250 ms")
+
+
+def read_size(value: Any) -> int:
+    """Bytes of a size like `"96 MB"`."""
+    return int(_read(value, SIZES, "size", "96 MB"))
+
+
+Seconds = Annotated[float, BeforeValidator(read_time)]
+Bytes = Annotated[int, BeforeValidator(read_size)]
--- /dev/null
+++ b/ironrail/rehearsal/settings.py
@@ -0,0 +1,80 @@
+"""The configuration that the platform would give each router of a scenario."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ironrail.rehearsal.draws import token
+from ironrail.rehearsal.scenario.model import Repeats, RequestClass, Scenario
+from ironrail.rehearsal.standins.fleet import KIND, ORIGIN_KIND
+
+EFFECTS = {Repeats.SAFE: "free", Repeats.KEYED: "guarded", Repeats.NEVER: "single_shot"}
+MOST_TRIES = 3
+
+
+def _class(kind: RequestClass) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "name": kind.name,
+        "aim": kind.wanted,
+        "giveUp": kind.give_up,
+        "effect": EFFECTS[kind.repeats],
+        "value": kind.worth,
+    }
+    if kind.repeats is Repeats.KEYED:
+        row |= {"group": "all", "repeatWindow": kind.window}
+    return row
+
+
+def settings_of(scenario: Scenario, number: int) -> dict[str, Any]:
+    """The settings object of one router."""
+    caches = scenario.caches
+    return {
+        "classes": [_class(kind) for kind in scenario.classes],
+        "family": "cache",
+        "familyInfo": {"mode": "aside", "originKind": 1},
+        "skus": [KIND, ORIGIN_KIND],
+        "limits": {
+            "mostTries": MOST_TRIES,
+            "mayCancel": True,
+            "secondCopies": True,
+            "dialTimeout": 0.25,
+            "connIdle": caches.idle,
+            "multiplex": 100,
+        },
+        "membershipMode": "automatic",
+        "resolution": scenario.tick,
+        "rules": {
+            "coldFrom": caches.cold_share,
+            "rampTime": caches.warm,
+            "fallMultiple": caches.fall_multiple,
+            "overloadFor": caches.fall_time,
+        },
+        "penalties": {"connection": 0.03},
+        "me": number,
+        "siblings": scenario.routers.count,
+    }
+
+
+def config_of(
+    scenario: Scenario,
+    seed: int,
+    number: int,
+    name: str,
+    listen: str,
+    discovery: str,
+    rows: list[dict[str, Any]],
+) -> dict[str, Any]:
+    """The whole configuration of one router, as the deployment page has it."""
+    return {
+        "name": name,
+        "listen": listen,
+        "discovery": discovery,
+        "seed": token(seed, f"router.{number}"),
+        "limits": {
+            "cores": 1.0,
+            "memory_mb": scenario.routers.memory // 1024**2,
+            "sockets": scenario.routers.descriptors,
+        },
+        "known": {"version": 0, "full": True, "servers": rows},
+        "settings": settings_of(scenario, number),
+    }
--- /dev/null
+++ b/ironrail/rehearsal/standins/archive.py
@@ -0,0 +1,230 @@
+"""The archive: the one slow source of all grids, over HTTP/1.1, where writes are carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from ironrail.rehearsal.account.record import Attempt, Ended
+from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.standins.door import Door
+from ironrail.rehearsal.standins.http import HttpConnection, HttpRequest
+from ironrail.rehearsal.standins.spoiling import spoil_http
+from ironrail.rehearsal.standins.world import World
+
+NOT_STARTED = ("Not-Started", "1")
+FALL_WINDOW = 1.0  # seconds over which what it is sent is measured
+WARM_UP_PACE = 8.0  # times its usual pace in the warm-up, or the caches would fill for minutes
+MOST_KEYS = 100_000  # idempotency keys remembered at once
+SLOW = 4.0  # times its usual time, where a fault does not say
+
+
+@dataclass(slots=True, eq=False)
+class Fetch:
+    """One request in hand."""
+
+    request: HttpRequest
+    connection: ArchiveConnection
+    attempt: Attempt
+    key: str
+    name: str  # the id of the client's request
+
+
+class ArchiveConnection(HttpConnection):
+    """One connection of a router."""
+
+    def __init__(self, door: Door, archive: Archive) -> None:
+        super().__init__(door)
+        self._archive = archive
+        self.fetch: Fetch | None = None
+
+    def clock(self) -> float:
+        return self._archive.world.now()
+
+    def took(self, request: HttpRequest) -> None:
+        self._archive.take(self, request)
+
+    def unreadable(self, fault: object) -> None:
+        if not self.late:
+            self._archive.world.record.stray(self.clock(), self._archive.name, f"not HTTP: {fault}")
+
+    def lost(self) -> None:
+        if self.fetch is not None:
+            self.fetch.attempt.end(Ended.LEFT, self.clock())
+
+
+class Archive:
+    """Serves so many requests at once, each for a time; the rest wait, and beyond that are turned away."""
+
+    def __init__(self, world: World, name: str, hall: str, routers: list[str]) -> None:
+        self.world, self.name, self.hall = world, name, hall
+        self._conf = world.scenario.archive
+        self._draws = world.draws("archive")
+        self._loop = asyncio.get_running_loop()
+        self.doors = {router: Door(router, lambda door: ArchiveConnection(door, self)) for router in routers}
+        self._working: set[Fetch] = set()
+        self._queue: deque[Fetch] = deque()
+        self._down: set[object] = set()
+        self._slow: dict[object, float] = {}
+        self._faults: dict[object, tuple[FaultKind, float]] = {}
+        self._sent: deque[float] = deque()
+        self._receipts: dict[str, tuple[float, bytes]] = {}  # by idempotency key: when, and the receipt
+        self._numbers = itertools.count()
+
+    @property
+    def load(self) -> int:
+        return len(self._working) + len(self._queue)
+
+    def take(self, connection: ArchiveConnection, request: HttpRequest) -> None:
+        """A whole request has come."""
+        record, now = self.world.record, request.last_at
+        name, key = request.headers.get("request-id", ""), unquote(request.target.removeprefix("/"))
+        attempt = Attempt(self.name, connection.door.router, True, request.first_at, now, request.late)
+        fetch = Fetch(request, connection, attempt, key, name)
+        connection.fetch = fetch
+        if request.target.startswith("/-/"):
+            record.stray(now, self.name, f"a probe: {request.target}")
+        one = record.attempt(name, attempt)
+        if one is not None and (
+            key != one.planned.key or not self._as_sent(request, one.planned.idempotency)
+        ):
+            record.stray(now, self.name, f"{name} was altered: {request.method} {request.target}")
+        if request.method == "GET":
+            record.archive_fetches.append(now)
+        self._overdriven(now)
+        if self._down or (len(self._working) >= self._conf.concurrency and self._full()):
+            self._turn_away(fetch)
+        elif len(self._working) < self._conf.concurrency:
+            self._start(fetch)
+        else:
+            self._queue.append(fetch)
+
+    @staticmethod
+    def _as_sent(request: HttpRequest, idempotency: str) -> bool:
+        pairs = (pair.partition("=") for pair in request.headers.get("request-info", "").split(","))
+        return {name: value for name, _, value in pairs}.get("k", "") == idempotency
+
+    def _full(self) -> bool:
+        return len(self._queue) >= self._conf.queue
+
+    def _turn_away(self, fetch: Fetch) -> None:
+        fetch.attempt.end(Ended.BUSY, self.world.now())
+        fetch.connection.respond(503, b"busy", NOT_STARTED)
+
+    def _overdriven(self, now: float) -> None:
+        """Guards nobody: an archive that is sent far more than it can do stops, as the real one does."""
+        multiple = self._conf.fall_multiple
+        if not multiple or now < 0 or "fallen" in self._down:
+            return
+        self._sent.append(now)
+        while self._sent[0] <= now - FALL_WINDOW:
+            self._sent.popleft()
+        if len(self._sent) > multiple * self._conf.concurrency / self._conf.time * FALL_WINDOW:
+            self.world.record.archive_falls.append(now)
+            self.begin_down("fallen")
+            self._loop.call_later(self._conf.fall_for, self.end_down, "fallen")
+
+    def _time(self) -> float:
+        usual = self._conf.time * self._draws.uniform(0.6, 1.4)
+        for factor in self._slow.values():
+            usual *= factor
+        return usual / (WARM_UP_PACE if self.world.now() < 0 else 1.0)
+
+    def _start(self, fetch: Fetch) -> None:
+        self._working.add(fetch)
+        delay = self._time() + self.world.apart(fetch.connection.door.router, self.hall)
+        self._loop.call_later(delay, self._done, fetch)
+
+    def _done(self, fetch: Fetch) -> None:
+        if fetch not in self._working:  # it went down meanwhile
+            return
+        self._working.discard(fetch)
+        while self._queue and len(self._working) < self._conf.concurrency:
+            self._start(self._queue.popleft())
+        if self._hits(FaultKind.ERRORS):
+            fetch.attempt.end(Ended.ERROR, self.world.now())
+            fetch.connection.respond(500, b"failed")
+        elif fetch.request.method == "PUT":
+            self._write(fetch)
+        else:
+            self._read(fetch)
+
+    def _read(self, fetch: Fetch) -> None:
+        one = self.world.record.tries.get(fetch.name)
+        size = one.planned.size if one is not None else 1
+        value = self.world.make_value(fetch.name, fetch.key, self.name, next(self._numbers), size)
+        self.world.on_miss_filled(fetch.name, fetch.key, size)
+        self._reply(fetch, value)
+
+    def _write(self, fetch: Fetch) -> None:
+        """Carry it out, unless its idempotency key was here within the window."""
+        now, one = self.world.now(), self.world.record.tries.get(fetch.name)
+        idempotency = one.planned.idempotency if one is not None else ""
+        known = self._receipts.get(idempotency) if idempotency else None
+        window = self.world.scenario.class_of(one.planned.kind).window if one is not None else 0.0
+        if known is not None and now - known[0] <= window:
+            receipt = known[1]
+        else:
+            receipt = f"r{next(self._numbers)}-{fetch.name}".encode()
+            fetch.attempt.effect_at = now
+            self._remember(idempotency, now, receipt)
+            self.world.on_write(fetch.key)
+        self.world.note_made(fetch.name, receipt)
+        self._reply(fetch, receipt)
+
+    def _reply(self, fetch: Fetch, body: bytes) -> None:
+        """Answer what has run, or fail to, as a fault has it."""
+        now = self.world.now()
+        if self._hits(FaultKind.RESET):
+            fetch.attempt.end(Ended.RESET, now)
+            fetch.connection.reset()
+        elif self._hits(FaultKind.SPOILT):
+            fetch.attempt.end(Ended.SPOILT, now)
+            fetch.connection.respond(200, b"", raw=spoil_http(self._draws))
+        else:
+            fetch.attempt.end(Ended.SERVED, now)
+            fetch.connection.respond(200, body)
+
+    def _remember(self, idempotency: str, now: float, receipt: bytes) -> None:
+        if idempotency:
+            self._receipts[idempotency] = now, receipt
+        while len(self._receipts) > MOST_KEYS:
+            del self._receipts[next(iter(self._receipts))]
+
+    # Faults
+
+    def begin(self, cause: object, kind: FaultKind, hard: float | None) -> None:
+        if kind is FaultKind.ARCHIVE_SLOW:
+            self._slow[cause] = hard or SLOW
+        elif kind is FaultKind.ARCHIVE_DOWN:
+            self.begin_down(cause)
+        else:
+            self._faults[cause] = kind, hard or 0.2
+
+    def end(self, cause: object) -> None:
+        self._slow.pop(cause, None)
+        self._faults.pop(cause, None)
+        self.end_down(cause)
+
+    def begin_down(self, cause: object) -> None:
+        """Turn everything away, and drop what is in hand: it never ran."""
+        self._down.add(cause)
+        dropped = [*self._working, *self._queue]
+        self._working.clear()
+        self._queue.clear()
+        for fetch in dropped:
+            self._turn_away(fetch)
+
+    def end_down(self, cause: object) -> None:
+        self._down.discard(cause)
+
+    def _hits(self, kind: FaultKind) -> bool:
+        return any(k is kind and self._draws.random() < share for k, share in self._faults.values())
+
+    def close(self) -> None:
+        for door in self.doors.values():
+            door.shut()
+            door.reset_all()
--- /dev/null
+++ b/ironrail/rehearsal/standins/registry.py
@@ -0,0 +1,221 @@
+"""Discovery: the list of caches as an agent beside each router tells it, late, over HTTP/1.1.
+
+The agent of a router gets each change some time after it happened. What it has it tells at once: the whole
+list when asked, changes to a watch. While the list is out of reach agents say nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from ironrail.rehearsal.standins.door import Door
+from ironrail.rehearsal.standins.http import HttpConnection, HttpRequest
+from ironrail.rehearsal.standins.world import World
+
+TOLD_AT_LAST = 6.0  # seconds after which what an agent has counts as told, whether or not a router asked
+MOST_WAIT = 60.0  # seconds of a watch
+PATH = "/api/targets"
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One server of the list."""
+
+    id: str
+    zone: str
+    kind: str
+    state: str = "in_service"
+    started_ms: int = 0
+    addresses: dict[str, str] = field(default_factory=dict)  # by router
+
+    def told(self, router: str) -> dict[str, object]:
+        return {
+            "id": self.id,
+            "addr": self.addresses[router],
+            "zone": self.zone,
+            "kind": self.kind,
+            "cell": 0,
+            "state": self.state,
+            "weight": 1.0,
+            "started_ms": self.started_ms,
+        }
+
+
+class AgentConnection(HttpConnection):
+    """A connection of a router to its agent."""
+
+    def __init__(self, door: Door, agent: Agent) -> None:
+        super().__init__(door)
+        self._agent = agent
+        self.watching_from: int | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def clock(self) -> float:
+        return self._agent.world.now()
+
+    def took(self, request: HttpRequest) -> None:
+        self._agent.take(self, request)
+
+    def lost(self) -> None:
+        self._agent.left(self)
+
+
+class Agent:
+    """What one router is told."""
+
+    def __init__(self, world: World, router: str, rows: Iterable[Row]) -> None:
+        self.world, self.router = world, router
+        self._loop = asyncio.get_running_loop()
+        self._rows = {row.id: row for row in rows}
+        self._changes: list[tuple[int, Row]] = []
+        self._version = 1
+        self._silences: set[object] = set()
+        self._lost: dict[object, list[Row]] = {}  # lists told in place of the true one
+        self._watches: set[AgentConnection] = set()
+        self._missed: list[Row] = []
+        self.door = Door(router, lambda door: AgentConnection(door, self))
+
+    # The list
+
+    def learn(self, row: Row) -> None:
+        """The agent hears of a change."""
+        if self._silences:
+            self._missed.append(row)
+            return
+        self._version += 1
+        self._rows[row.id] = row
+        if row.state == "terminated":
+            del self._rows[row.id]
+        self._changes.append((self._version, row))
+        self._loop.call_later(TOLD_AT_LAST, self._counts_as_told, row)
+        self._wake()
+
+    def _counts_as_told(self, row: Row) -> None:
+        """A router that did not ask is taken to know it all the same, unless there is later news."""
+        now = self._rows.get(row.id)
+        if (now.state if now is not None else "terminated") == row.state:
+            self.world.record.tell(self.router, row.id, row.state, self.world.now())
+
+    def begin_silence(self, cause: object) -> None:
+        self._silences.add(cause)
+        self.door.begin_silence(cause)
+
+    def end_silence(self, cause: object) -> None:
+        self._silences.discard(cause)
+        self.door.end_silence(cause)
+        if not self._silences:
+            missed, self._missed = self._missed, []
+            for row in missed:
+                self.learn(row)
+
+    def begin_lost(self, cause: object, rows: list[Row]) -> None:
+        """Tell another list from now on, as a registry does that has lost its own."""
+        self._lost[cause] = rows
+        self._version += 1
+        self._wake()
+
+    def end_lost(self, cause: object) -> None:
+        if self._lost.pop(cause, None) is not None:
+            self._version += 1
+            self._wake()
+
+    # Calls
+
+    def take(self, connection: AgentConnection, request: HttpRequest) -> None:
+        url = urlsplit(request.target)
+        query = parse_qs(url.query)
+        if url.path != PATH or request.method != "GET":
+            connection.respond(404, b"")
+        elif "index" not in query:
+            self._tell_all(connection)
+        else:
+            self._watch(connection, int(query["index"][0]), float(query.get("wait", ["0"])[0]) / 1000)
+
+    def _watch(self, connection: AgentConnection, index: int, wait: float) -> None:
+        if self._version > index:
+            self._tell_news(connection, index)
+            return
+        connection.watching_from = index
+        self._watches.add(connection)
+        connection.timer = self._loop.call_later(min(wait, MOST_WAIT), self._tell_news, connection, index)
+
+    def _wake(self) -> None:
+        for connection in list(self._watches):
+            index = connection.watching_from
+            self.left(connection)
+            self._tell_news(connection, index or 0)
+
+    def left(self, connection: AgentConnection) -> None:
+        """A watch is over."""
+        self._watches.discard(connection)
+        if connection.timer is not None:
+            connection.timer.cancel()
+            connection.timer = None
+
+    def _tell_news(self, connection: AgentConnection, index: int) -> None:
+        self.left(connection)
+        if self._lost or not self._changes or index + 1 < self._changes[0][0] or self._jumped(index):
+            if self._version > index:
+                self._tell_all(connection)
+            else:
+                self._tell(connection, [], full=False)
+            return
+        self._tell(connection, [row for version, row in self._changes if version > index], full=False)
+
+    def _jumped(self, index: int) -> bool:
+        """Whether versions that are no changes of a row lie between: a lost list, and its return."""
+        return self._version - index != sum(version > index for version, _ in self._changes)
+
+    def _tell_all(self, connection: AgentConnection) -> None:
+        rows = next(iter(self._lost.values())) if self._lost else list(self._rows.values())
+        self._tell(connection, rows, full=True)
+
+    def _tell(self, connection: AgentConnection, rows: list[Row], full: bool) -> None:
+        if connection.closed:
+            return
+        body = {"version": self._version, "full": full, "servers": [row.told(self.router) for row in rows]}
+        connection.respond(200, orjson.dumps(body), ("Content-Type", "application/json"))
+        if self._lost:  # the caches are well: whatever a router makes of such a list, it breaks no drain
+            return
+        now, record = self.world.now(), self.world.record
+        for row in rows:
+            record.tell(self.router, row.id, row.state, now)
+        if full:
+            here = {row.id for row in rows}
+            for router, server in list(record.told):
+                if router == self.router and server not in here:
+                    record.tell(router, server, "terminated", now)
+
+
+class Registry:
+    """Carries changes to all agents, each after its own delay."""
+
+    def __init__(self, world: World, rows: list[Row], routers: list[str]) -> None:
+        self._world = world
+        self._loop = asyncio.get_running_loop()
+        self._draws = world.draws("registry")
+        self._last: dict[tuple[str, str], float] = {}  # when the latest change of a row reaches an agent
+        self.rows = {row.id: row for row in rows}
+        self.agents = {router: Agent(world, router, rows) for router in routers}
+
+    def change(self, row: Row, after: float) -> None:
+        """Something changed: agents hear of it so much later, and of changes of one server in their order."""
+        if row.state == "terminated":
+            self.rows.pop(row.id, None)
+        else:
+            self.rows[row.id] = row
+        for router, agent in self.agents.items():
+            delay = after + self._draws.random() * self._world.scenario.registry.spread
+            at = max(self._loop.time() + delay, self._last.get((router, row.id), 0.0) + 1e-3)
+            self._last[router, row.id] = at
+            self._loop.call_at(at, agent.learn, row)
+
+    def close(self) -> None:
+        for agent in self.agents.values():
+            agent.door.shut()
+            agent.door.reset_all()
--- /dev/null
+++ b/ironrail/rehearsal/standins/warmth.py
@@ -0,0 +1,58 @@
+"""What a newly started server can do, and when it has been sent too much. Pure."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+SLACK = 1.05  # of the stated bound: the last bytes of a burst may come late
+
+
+@dataclass(frozen=True, slots=True)
+class Fall:
+    """A cold server that was pushed over."""
+
+    at: float
+    sent: float  # work within the window
+    allowed: float
+
+
+class Warmth:
+    """Capacity rises evenly from the cold share to all of it; sent too much before that, it falls for good.
+
+    The bound is a budget: all that is sent within any window of the stated length must stay under
+    `multiple` times what the server can do at the window's end, times its length.
+    """
+
+    def __init__(self, capacity: float, cold: float, ramp: float, multiple: float, window: float) -> None:
+        self._capacity, self._cold, self._ramp = capacity, cold, ramp
+        self._multiple, self._window = multiple, window
+        self._started: float | None = None  # None: long ago
+        self._sent: deque[tuple[float, float]] = deque()
+        self._sum = 0.0
+
+    def start(self, now: float) -> None:
+        """A new process: cold, with nothing sent to it."""
+        self._started = now
+        self._sent.clear()
+        self._sum = 0.0
+
+    def share(self, now: float) -> float:
+        """Of its capacity, what it has now."""
+        if self._started is None or now >= self._started + self._ramp:
+            return 1.0
+        return self._cold + (1.0 - self._cold) * max(0.0, now - self._started) / self._ramp
+
+    def sent(self, now: float, work: float) -> Fall | None:
+        """It is sent work; answers with the fall that this brings about, if any."""
+        share = self.share(now)
+        if share >= 1.0:
+            return None
+        self._sent.append((now, work))
+        self._sum += work
+        while self._sent[0][0] <= now - self._window:
+            self._sum -= self._sent.popleft()[1]
+        allowed = self._multiple * self._capacity * share * self._window
+        if len(self._sent) > 1 and self._sum > SLACK * allowed + work:
+            return Fall(now, self._sum, allowed)
+        return None
--- /dev/null
+++ b/tests/mutants/answers_late.py
@@ -0,0 +1,29 @@
+"""Holds some answers until well after their time."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from ironrail.net.host import Answer, Host
+from ironrail.net.memcache import Command
+
+RULE = "rule one-answer"
+count = itertools.count(1)
+
+
+def break_it() -> None:
+    take = Host.take
+
+    def slow(self: Host, command: Command, answer: Answer) -> str | None:
+        if next(count) % 40:
+            return take(self, command, answer)
+        wait = float(command.fields["d"]) / 1000 + 0.5
+        loop = asyncio.get_running_loop()
+
+        def later(data: bytes) -> None:
+            loop.call_later(wait, answer, data)
+
+        return take(self, command, later)
+
+    Host.take = slow  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/mutants/holds_back.py
@@ -0,0 +1,29 @@
+"""Keeps what it has given up until the client's time is nearly over, so that it does not ask again."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from ironrail.net.host import Held, Host
+
+RULE = "answers kept back"
+
+
+def break_it() -> None:
+    finish = Host._finish
+
+    def sly(self: Host, held: Held, answer: bytes) -> None:
+        if not answer.startswith(b"SERVER_ERROR"):
+            finish(self, held, answer)
+            return
+        given, loop = held.answer, asyncio.get_running_loop()
+        wait = max(0.0, held.deadline - time.monotonic() - 0.01)
+
+        def later(data: bytes) -> None:
+            loop.call_later(wait, given, data)
+
+        held.answer = later
+        finish(self, held, answer)
+
+    Host._finish = sly  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/mutants/ignores_list.py
@@ -0,0 +1,16 @@
+"""Watches the list, and keeps to the one that it had at its start."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ironrail.net.discovery import Discovery
+
+RULE = "rule drains"
+
+
+def break_it() -> None:
+    def deaf(self: Discovery, message: Any) -> int:
+        return int(message["version"])
+
+    Discovery._take = deaf  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/mutants/sends_after_answer.py
@@ -0,0 +1,29 @@
+"""Goes on asking for a request that has its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+from ironrail.net.host import Held, Host
+from ironrail.net.pool import Attempt
+
+RULE = "rule one-answer"
+count = itertools.count(1)
+
+
+def break_it() -> None:
+    finish = Host._finish
+
+    def again(self: Host, held: Held) -> None:
+        now = time.monotonic()
+        attempt = Attempt(held.request, 9, held.command, now, now + 1.0, lambda *_: None)
+        next(pool for pool in self._pools.values() if pool.ready and pool.streams > 1).send(attempt)
+
+    def restless(self: Host, held: Held, answer: bytes) -> None:
+        finish(self, held, answer)
+        if not held.command.write and next(count) % 20 == 0:
+            asyncio.get_running_loop().call_later(0.4, again, self, held)
+
+    Host._finish = restless  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/rehearsal/test_mutants.py
@@ -0,0 +1,78 @@
+"""Each deliberately broken router fails the kit for its reason, and the true router passes."""
+
+from __future__ import annotations
+
+import importlib
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent
+FOLDER = ROOT / "tests" / "mutants"
+MUTANTS = sorted(path.stem for path in FOLDER.glob("*.py") if not path.stem.startswith("__"))
+AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))  # each run keeps about a core busy
+TRIES = 4  # of a run on a machine that was too busy for a verdict
+PATIENCE = 120.0  # seconds of one run: the kit bounds itself well within
+
+
+@dataclass
+class Run:
+    """What the command said."""
+
+    code: int
+    report: dict[str, Any]
+
+    def failed(self) -> set[str]:
+        return {v["name"] for v in self.report["verdicts"] if not v["kept"]}
+
+
+def rehearse(name: str, scenario: str, folder: Path) -> Run:
+    path = folder / f"{name}-{scenario}.json"
+    command = [sys.executable, "-m", "ironrail.cli", "rehearse", str(FOLDER / scenario), "--seed", "1"]
+    command += ["--json", str(path), "--router", f"{sys.executable} -B -m tests.mutants {name}"]
+    for _ in range(TRIES):
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=PATIENCE, check=False)
+        if done.returncode != 3:
+            break
+    assert path.exists(), done.stderr.decode()
+    return Run(done.returncode, json.loads(path.read_bytes()))
+
+
+def scenario_of(name: str) -> str:
+    return str(getattr(importlib.import_module(f"tests.mutants.{name}"), "SCENARIO", "short.toml"))
+
+
+@pytest.fixture(scope="module")
+def runs(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Future[Run]]]:
+    """All runs, a few at a time, begun at once so that each test only waits for its own."""
+    folder = tmp_path_factory.mktemp("mutants")
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        begun = {f"true-{s}": pool.submit(rehearse, "true", s, folder) for s in ("short.toml", "errors.toml")}
+        begun |= {name: pool.submit(rehearse, name, scenario_of(name), folder) for name in MUTANTS}
+        yield begun
+
+
+@pytest.mark.parametrize("scenario", ["short.toml", "errors.toml"])
+def test_the_true_router_passes(scenario: str, runs: dict[str, Future[Run]]) -> None:
+    run = runs[f"true-{scenario}"].result()
+    assert (run.code, run.failed()) == (0, set())
+    assert run.report["outcome"] == "kept"
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_broken_router_fails_for_its_reason(name: str, runs: dict[str, Future[Run]]) -> None:
+    run = runs[name].result()
+    assert run.code == 1
+    assert importlib.import_module(f"tests.mutants.{name}").RULE in run.failed()
+
+
+def test_there_are_enough_of_them() -> None:
+    assert len(MUTANTS) >= 10
