--- a/ironrail/rehearsal/command.py
+++ b/ironrail/rehearsal/command.py
@@ -78,6 +78,14 @@
     make_console().print(table)
 
 
+def _check_writable(*files: str | None) -> None:
+    """Guards a run against having nowhere to go once it is over."""
+    for file in files:
+        if file and file != "-":
+            with Path(file).open("ab"):
+                pass
+
+
 def _write(result: Result, json_file: str | None, html_file: str | None) -> None:
     if json_file:
         data = orjson.dumps(document(result), option=orjson.OPT_INDENT_2) + b"\n"
@@ -121,6 +129,7 @@
         raise click.UsageError("name a SCENARIO, or --list them")
     console = make_console(stderr=json_file == "-")
     try:
+        _check_writable(json_file, html_file)
         chosen = read_scenario(scenario)
         if routers is not None:
             conf = chosen.routers.model_copy(update={"count": routers})
--- a/ironrail/rehearsal/report/plots.py
+++ b/ironrail/rehearsal/report/plots.py
@@ -55,7 +55,17 @@
         axes.set_ylim(bottom=0)
         axes.legend(loc="lower right", fontsize=8)
 
-    drawn: list[tuple[str, Callable[[Axes], None]]] = [
+    def faults(axes: Axes) -> None:
+        for i, planned in enumerate(result.plan):
+            bar = axes.barh(
+                i, planned.fault.lasts, left=planned.fault.at, color=BANDS[i % len(BANDS)], alpha=0.6
+            )
+            axes.bar_label(bar, [f" {planned.label()}"[:60]], label_type="center", fontsize=8)
+        axes.set_yticks([])
+        axes.invert_yaxis()
+
+    drawn: list[tuple[str, Callable[[Axes], None]]] = [("What went wrong", faults)] if result.plan else []
+    drawn += [
         ("Service: share of first tries answered within the wanted time", service),
         ("How tries ended, a second", outcomes),
         ("Archive", archive),
@@ -72,16 +82,7 @@
         axes = figure.add_subplot()
         draw(axes)
         for i, planned in enumerate(result.plan):
-            axes.axvspan(planned.fault.at, planned.ends, color=BANDS[i % len(BANDS)], alpha=0.13, lw=0)
-            axes.text(
-                planned.fault.at,
-                1.0 - 0.1 * (i % 4),
-                f" {planned.label()}"[:48],
-                transform=axes.get_xaxis_transform(),
-                fontsize=7,
-                va="top",
-                color=BANDS[i % len(BANDS)],
-            )
+            axes.axvspan(planned.fault.at, planned.ends, color=BANDS[i % len(BANDS)], alpha=0.1, lw=0)
         axes.set_xlim(0, result.scenario.length)
         axes.set_xlabel("seconds")
         axes.grid(alpha=0.25)
--- a/ironrail/rehearsal/routers.py
+++ b/ironrail/rehearsal/routers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -22,9 +23,16 @@
 KILL_PATIENCE = 5.0
 LOG_KEPT = 64 * 1024  # bytes of the end of its log
 MOST_LOG = 64 * 1024**2  # bytes after which a router is ended: it would fill the machine
+LIBC = ctypes.CDLL(None, use_errno=True)
+PR_SET_PDEATHSIG = 1  # prctl(2)
 OWN_ROUTER = (sys.executable, "-B", "-m", "ironrail")
 
 
+def end_with_parent() -> None:
+    """Guards against routers that outlive a kit which was killed: the system ends them with it."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 @dataclass(frozen=True, slots=True)
 class Exit:
     """How a process ended."""
@@ -81,6 +89,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
             start_new_session=True,  # a Ctrl-C is the kit's to handle
+            preexec_fn=end_with_parent,
         )
         with contextlib.suppress(psutil.Error):
             self._usage = psutil.Process(self._process.pid)
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -15,7 +15,7 @@
 
 Share = Annotated[float, Field(ge=0.0, le=1.0)]
 Positive = Annotated[float, Field(gt=0.0)]
-Count = Annotated[int, Field(ge=1, le=200)]
+Count = Annotated[int, Field(ge=1, le=2000)]
 
 MOST_RATE = 5000.0  # first tries a second: one core of the kit drives no more
 MOST_LENGTH = 3600.0  # seconds: every load loop is bounded
--- a/ironrail/rehearsal/standins/archive.py
+++ b/ironrail/rehearsal/standins/archive.py
@@ -80,9 +80,9 @@
 
     def take(self, connection: ArchiveConnection, request: HttpRequest) -> None:
         """A whole request has come."""
-        record, now = self.world.record, request.last_at
+        record, now = self.world.record, self.world.now()
         name, key = request.headers.get("request-id", ""), unquote(request.target.removeprefix("/"))
-        attempt = Attempt(self.name, connection.door.router, True, request.first_at, now, request.late)
+        attempt = Attempt(self.name, connection.door.router, True, connection.first_at, now, connection.late)
         fetch = Fetch(request, connection, attempt, key, name)
         connection.fetch = fetch
         if request.target.startswith("/-/"):
--- a/ironrail/rehearsal/standins/http.py
+++ b/ironrail/rehearsal/standins/http.py
@@ -11,17 +11,74 @@
 MOST_BODY = 128 * 1024  # bytes of a request
 
 
+class NotHttp(ValueError):
+    """Bytes that are no request."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A whole request."""
+    """A whole request; names of headers are in lower case."""
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
-    first_at: float  # on the loop's clock
-    last_at: float
-    late: bool
+    closes: bool  # the connection is to end with its response
+
+
+class RequestReader:
+    """Takes whole requests from what comes. No I/O, and nothing to do with responses."""
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(h11.SERVER)
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self.begun = False  # a part of a request has come
+
+    def add(self, data: bytes) -> None:
+        """What was read, or nothing at the end of the connection."""
+        self.begun = self.begun or bool(data)
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as e:
+            raise NotHttp(str(e)) from e
+
+    def next(self) -> HttpRequest | None:
+        """The next whole request; NotHttp if what came is none."""
+        try:
+            while True:
+                event = self._http.next_event()
+                if isinstance(event, h11.Request):
+                    self._request, self._body = event, bytearray()
+                elif isinstance(event, h11.Data):
+                    self._body += event.data
+                    if len(self._body) > MOST_BODY:
+                        raise NotHttp("body too large")
+                elif isinstance(event, h11.EndOfMessage):
+                    return self._whole()
+                else:
+                    return None
+        except h11.RemoteProtocolError as e:
+            raise NotHttp(str(e)) from e
+
+    def _whole(self) -> HttpRequest:
+        assert self._request is not None
+        request, closes = self._request, self._http.their_state is h11.MUST_CLOSE
+        behind, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.SERVER)
+        self.begun = bool(behind)
+        if behind:
+            self._http.receive_data(behind)
+        headers = {n.decode("latin-1").lower(): v.decode("latin-1") for n, v in request.headers}
+        return HttpRequest(
+            request.method.decode(), request.target.decode("latin-1"), headers, bytes(self._body), closes
+        )
+
+
+def write_response(status: int, body: bytes, *headers: tuple[str, str]) -> bytes:
+    """A whole response."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *(f"{n}: {v}" for n, v in headers)]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
 class HttpConnection(DoorConnection):
@@ -29,10 +86,9 @@
 
     def __init__(self, door: Door) -> None:
         super().__init__(door)
-        self._http = h11.Connection(h11.SERVER)
-        self._request: h11.Request | None = None
-        self._body = bytearray()
-        self._first_at: float | None = None
+        self._reader = RequestReader()
+        self._in_hand: HttpRequest | None = None
+        self.first_at = 0.0  # when the first byte of the latest request came
 
     def clock(self) -> float:
         raise NotImplementedError
@@ -45,57 +101,29 @@
         """What came is no HTTP."""
 
     def received(self, data: bytes) -> None:
-        if self._first_at is None:
-            self._first_at = self.clock()
+        if not self._reader.begun:
+            self.first_at = self.clock()
+        self._read(data)
+
+    def _read(self, data: bytes = b"") -> None:
+        """Take the next request, unless one is in hand: responses come in the order of the requests."""
         try:
-            self._http.receive_data(data)
-            self._read()
-        except (h11.RemoteProtocolError, ValueError) as e:
+            if data:
+                self._reader.add(data)
+            if self._in_hand is None and (request := self._reader.next()) is not None:
+                self._in_hand = request
+                self.took(request)
+        except NotHttp as e:
             self.unreadable(e)
             self.transport.close()
 
-    def _read(self) -> None:
-        while True:
-            event = self._http.next_event()
-            if isinstance(event, h11.Request):
-                self._request, self._body = event, bytearray()
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > MOST_BODY:
-                    raise ValueError("body too large")
-            elif isinstance(event, h11.EndOfMessage):
-                self._whole()
-            elif isinstance(event, h11.ConnectionClosed):
-                self.transport.close()
-                return
-            else:
-                return
-
-    def _whole(self) -> None:
-        assert self._request is not None
-        now = self.clock()
-        headers = {n.decode("latin-1").lower(): v.decode("latin-1") for n, v in self._request.headers}
-        first = now if self._first_at is None else self._first_at
-        self._first_at = None
-        method, target = self._request.method.decode(), self._request.target.decode("latin-1")
-        self.took(HttpRequest(method, target, headers, bytes(self._body), first, now, self.late))
-
     def respond(self, status: int, body: bytes, *headers: tuple[str, str], raw: bytes | None = None) -> None:
         """Answer the request that is in hand; `raw` in place of it, as a bad server does."""
-        if self.closed:
-            return
-        if raw is not None:
-            self.write(raw)
+        request, self._in_hand = self._in_hand, None
+        if self.closed or request is None:
             return
-        lines = [("Content-Length", str(len(body))), *headers]
-        parts = [
-            self._http.send(h11.Response(status_code=status, headers=lines)),
-            self._http.send(h11.Data(data=body)),
-            self._http.send(h11.EndOfMessage()),
-        ]
-        self.write(b"".join(part or b"" for part in parts))
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
-            self._read()  # what came meanwhile
-        else:
+        self.write(write_response(status, body, *headers) if raw is None else raw)
+        if request.closes:
             self.transport.close()
+        else:
+            self._read()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,17 +5,18 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, replace
 from typing import Any
 
-import h11
 import orjson
 import uvloop
 
 from ironrail.net.config import Config
 from ironrail.net.node import Node
 from ironrail.policy import interface as api
+from ironrail.rehearsal.standins.http import RequestReader
+from ironrail.rehearsal.standins.meta import CommandReader
 
 PATIENCE = 10.0  # seconds for a whole scenario: only a failing test comes near
 LOCAL = "127.0.0.1"
@@ -42,7 +43,7 @@
 
     head: bytes  # a command line, or an HTTP method and target
     value: bytes | None
-    headers: dict[bytes, bytes]
+    headers: dict[str, str]
     writer: asyncio.StreamWriter
 
     @property
@@ -76,29 +77,37 @@
         self.writer.transport.abort()
 
 
-async def read_command(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Message:
-    line = (await reader.readuntil(b"\r\n"))[:-2]
-    value = None
-    if line.startswith(b"ms "):
-        value = (await reader.readexactly(int(line.split(b" ")[2]) + 2))[:-2]
-    return Message(line, value, {}, writer)
+Take = Callable[[bytes], Iterator[Message]]
 
 
-async def read_http(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Message:
-    head = await reader.readuntil(b"\r\n\r\n")
-    http = h11.Connection(h11.SERVER)
-    http.receive_data(head)
-    request = http.next_event()
-    assert isinstance(request, h11.Request)
-    headers = dict(request.headers)
-    body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
-    return Message(request.method + b" " + request.target, body, headers, writer)
+def read_command(writer: asyncio.StreamWriter) -> Take:
+    """Commands of the meta protocol, as the kit's own caches read them."""
+    parser = CommandReader()
+
+    def take(data: bytes) -> Iterator[Message]:
+        parser.add(data)
+        while (command := parser.next()) is not None:
+            yield Message(command.line, command.value, {}, writer)
+
+    return take
+
+
+def read_http(writer: asyncio.StreamWriter) -> Take:
+    """Requests of HTTP/1.1, as the kit's own archive reads them."""
+    parser = RequestReader()
+
+    def take(data: bytes) -> Iterator[Message]:
+        parser.add(data)
+        while (got := parser.next()) is not None:
+            yield Message(f"{got.method} {got.target}".encode(), got.body, got.headers, writer)
+
+    return take
 
 
 class Peer:
     """A server that puts what it reads into a queue."""
 
-    def __init__(self, read: Callable[..., Awaitable[Message]] = read_command) -> None:
+    def __init__(self, read: Callable[[asyncio.StreamWriter], Take] = read_command) -> None:
         self.read = read
         self.messages: asyncio.Queue[Message] = asyncio.Queue()
         self.opened, self.ended = 0, asyncio.Semaphore(0)
@@ -111,10 +120,12 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
+        take = self.read(writer)
         try:
-            while True:
-                self.messages.put_nowait(await self.read(reader, writer))
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            while data := await reader.read(65536):
+                for message in take(data):
+                    self.messages.put_nowait(message)
+        except (asyncio.CancelledError, OSError):
             pass
         finally:
             self.ended.release()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -37,8 +37,8 @@
     got.reply(b"EN O1 h0 Z\r\n")
     fetch = await world.origin.next()
     assert fetch.head == b"GET /page:7"
-    assert fetch.headers[b"request-id"] == b"1"
-    assert fetch.headers[b"request-info"] == b"c=read,t=x,d=5000"
+    assert fetch.headers["request-id"] == "1"
+    assert fetch.headers["request-info"] == "c=read,t=x,d=5000"
     fetch.respond(b"value")
     assert await client.value("1") == b"value"
 
@@ -138,7 +138,7 @@
     got.reply(b"EN O1\r\n")
     second.reply(b"EN O2\r\n")
     fetch = await world.origin.next()
-    assert fetch.headers[b"request-id"] == b"2"  # and none for the first, which missed before it
+    assert fetch.headers["request-id"] == "2"  # and none for the first, which missed before it
     fetch.respond(b"v")
     assert await other.value("2") == b"v"
     assert world.origin.messages.empty()
