Pools: decisions about connections to servers in a pure module, the I/O carries them out

Need: how many connections, when to dial, behind whom to write, who counts as silent and what becomes of what a broken connection carried was decided among reads and writes, and could not be tested without them.

Change: connections/upstream.py is a state machine for each server: told of events, it answers with actions. net/pool.py keeps sockets and carries them out, one event after another: a send decided while the actions of another event were still being carried out put two requests on an origin connection. No decision is changed.

--- a/ironrail/net/caches.py
+++ b/ironrail/net/caches.py
@@ -4,9 +4,11 @@
 
 import time
 
+from ironrail.connections import upstream
+from ironrail.connections.upstream import Link
 from ironrail.net import memcache
 from ironrail.net.memcache import Reply, ReplyKind
-from ironrail.net.pool import Attempt, Connection, Ended, Pool
+from ironrail.net.pool import Attempt, Connection, Pool
 from ironrail.policy.interface import Status
 
 OUTCOMES = {
@@ -21,8 +23,8 @@
 class CacheConnection(Connection):
     """Speaks the meta commands; replies come in the order of the commands."""
 
-    def __init__(self, pool: Pool) -> None:
-        super().__init__(pool)
+    def __init__(self, pool: Pool, link: Link) -> None:
+        super().__init__(pool, link)
         self._parser = memcache.ReplyParser()
 
     def encode(self, attempt: Attempt) -> bytes:
@@ -30,19 +32,20 @@
         return memcache.write_command(attempt.command, wait_ms)
 
     def data_received(self, data: bytes) -> None:
-        ended, fault = [], None
+        replies: list[upstream.Reply] = []
+        fault = None
         try:
             for reply in self._parser.feed(data):
-                ended.append(self._match(reply))
+                replies.append(self._match(reply, len(replies)))
         except memcache.FramingError as e:
             fault = e
-        self.settle(ended, self._parser.begun, fault)
+        self.settle(replies, self._parser.begun, fault)
 
-    def _match(self, reply: Reply) -> Ended:
-        """The oldest attempt with its reply."""
-        if not self.attempts:
+    def _match(self, reply: Reply, before: int) -> upstream.Reply:
+        """What a reply says of the attempt that it is for: those before it in the same read are answered."""
+        if len(self.attempts) <= before:
             raise memcache.FramingError("a reply to nothing")
-        command = self.attempts[0].command
+        command = self.attempts[before].command
         # guards against answering a client with what was meant for another request
         if reply.request_id is not None and reply.request_id != command.request_id:
             raise memcache.FramingError("a reply to another request")
@@ -51,4 +54,4 @@
             bare = reply.kind is ReplyKind.STORED and not reply.body
             if reply.request_id is None or reply.kind is unfit or bare:
                 raise memcache.FramingError(f"{reply.kind.value} does not fit the command")
-        return self.attempts.popleft(), OUTCOMES[reply.kind], reply.body
+        return OUTCOMES[reply.kind], reply.body
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -123,9 +123,10 @@
             if entry.server in listed:
                 self._update_pool(entry, addresses[entry.server])
         # guards the limit on descriptors: each pool has its part of them by what it wants
-        wanted = sum(pool.wanted + pool.spare for pool in self._pools.values())
-        for pool in self._pools.values():
-            pool.most = max(1, min(pool.wanted, pool.wanted * self._most_connections // wanted))
+        links = [pool.upstream for pool in self._pools.values()]
+        wanted = sum(link.wanted + link.spare for link in links)
+        for link in links:
+            link.most = max(1, min(link.wanted, link.wanted * self._most_connections // wanted))
 
     def _update_pool(self, entry: api.ServerEntry, address: Address) -> None:
         pool = self._pools.get(entry.server)
@@ -137,7 +138,7 @@
         if pool.address != address:
             pool.move(address)
         if entry.state is api.State.READY:
-            pool.ready = True
+            pool.resume()
         else:
             pool.stop()
 
@@ -230,7 +231,7 @@
             self._feed(api.Outcome(name, 0, api.Status.MOOT, True))
             return
         until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
-        attempt = Attempt(name, len(held.attempts), held.command, now, until, self._on_outcome)
+        attempt = Attempt(name, len(held.attempts), now, until, held.command, self._on_outcome)
         held.attempts.append(attempt)
         if pool is None:
             self._feed(api.Outcome(name, attempt.number, api.Status.CONNECT_FAILED))
--- a/ironrail/net/origin.py
+++ b/ironrail/net/origin.py
@@ -7,8 +7,9 @@
 
 import h11
 
+from ironrail.connections.upstream import Link, Reply
 from ironrail.net.memcache import MAX_VALUE, Command, is_printable
-from ironrail.net.pool import Attempt, Connection, Ended, Pool
+from ironrail.net.pool import Attempt, Connection, Pool
 from ironrail.policy.interface import Status
 
 SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
@@ -18,8 +19,8 @@
 class OriginConnection(Connection):
     """Carries one request at a time."""
 
-    def __init__(self, pool: Pool) -> None:
-        super().__init__(pool)
+    def __init__(self, pool: Pool, link: Link) -> None:
+        super().__init__(pool, link)
         self._http = h11.Connection(h11.CLIENT)
         self._response: h11.Response | None = None
         self._body = bytearray()
@@ -37,7 +38,8 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        ended, fault = [], None
+        ended: list[Reply] = []
+        fault = None
         try:
             if not self.attempts:
                 raise h11.RemoteProtocolError("a response to nothing")
@@ -46,7 +48,7 @@
                 ended = [self._match()]
         except h11.RemoteProtocolError as e:
             fault = e
-        self.settle(ended, bool(self.attempts) and self._begun(), fault)
+        self.settle(ended, len(self.attempts) > len(ended) and self._begun(), fault)
         if ended and fault is None and self._closing:  # the origin will close it: not to be reused
             self.transport.close()
 
@@ -76,8 +78,8 @@
             elif not isinstance(event, h11.InformationalResponse):
                 return False  # needs more data, or the connection has ended
 
-    def _match(self) -> Ended:
-        """The attempt with its response, which carries no id: guards it against whatever else came."""
+    def _match(self) -> Reply:
+        """What the response says. It carries no id: guards the attempt against whatever else came."""
         response, body = self._response, bytes(self._body)
         if response is None:
             raise h11.RemoteProtocolError("a response to nothing")
@@ -89,9 +91,9 @@
         if not surplus and self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
         else:  # the origin will close it, or has sent more than belongs to the response
-            self.pool.lost(self)
+            self.pool.retire(self.link)
             self._closing = True
-        return self.attempts.popleft(), status, body
+        return status, body
 
 
 def _request_of(command: Command, host: str, length: int) -> h11.Request:
--- a/tests/mutants/sends_after_answer.py
+++ b/tests/mutants/sends_after_answer.py
@@ -18,8 +18,8 @@
 
     def again(self: Host, held: Held) -> None:
         now = time.monotonic()
-        attempt = Attempt(held.request, 9, held.command, now, now + 1.0, lambda *_: None)
-        next(pool for pool in self._pools.values() if pool.ready and pool.streams > 1).send(attempt)
+        attempt = Attempt(held.request, 9, now, now + 1.0, held.command, lambda *_: None)
+        next(pool for pool in self._pools.values() if pool.ready and pool.upstream.streams > 1).send(attempt)
 
     def restless(self: Host, held: Held, answer: bytes) -> None:
         finish(self, held, answer)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -10,7 +10,9 @@
 
 import pytest
 
-from ironrail.net import host, pool
+from ironrail.connections import upstream
+from ironrail.connections.upstream import SPARE, Link
+from ironrail.net import host
 from ironrail.net.caches import CacheConnection
 from ironrail.net.host import Host
 from ironrail.net.memcache import Command, read_fields
@@ -56,7 +58,7 @@
         self,
         script: Router,
         port: int,
-        kind: Callable[[Pool], Connection] = CacheConnection,
+        kind: Callable[[Pool, Link], Connection] = CacheConnection,
         *,
         most: int = 8,
         streams: int = 100,
@@ -69,7 +71,7 @@
             )
 
         self.answers: dict[str, list[bytes]] = {}
-        self.host = Host(script, make, lambda: None, most + pool.SPARE)
+        self.host = Host(script, make, lambda: None, most + SPARE)
         self.host.servers(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s"),)), {"s": (LOCAL, port)})
 
     def take(self, name: str, value: bytes | None = None, wait: int = 5000) -> None:
@@ -294,7 +296,7 @@
 @pytest.mark.parametrize("half", [b"VA 9 O1 h1\r\nhalf", b"VA 9 O1", b"x" * 100])
 async def test_a_reply_that_stops_midway_is_given_up(half: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(host, "SWEEP", 0.01)
-    monkeypatch.setattr(pool, "HALF_READ", 0.05)
+    monkeypatch.setattr(upstream, "HALF_READ", 0.05)
     peer, script = await Peer().start(), Script()
     bench = Bench(script, peer.port, most=1)
     bench.take("1")
@@ -314,8 +316,8 @@
     bench.take("1")
     first = await peer.next()
     first.reply(b"VA 9 O1 h1\r\nhalf")
-    connection = next(iter(bench.host._pools["s"]._all))
-    while connection.half_since is None:
+    connection = next(iter(bench.host._pools["s"]._connections.values()))
+    while connection.link.half_since is None:
         await asyncio.sleep(0)
     bench.take("2")
     second = await peer.next()
@@ -611,7 +613,7 @@
 
 @scenario
 async def test_pauses_after_which_connections_break_are_learned(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(pool, "LEAST_IDLE", 0.05)
+    monkeypatch.setattr(upstream, "LEAST_IDLE", 0.05)
     peer, script = await Peer().start(), Script()
     bench = Bench(script, peer.port, most=1)
     writers = []
@@ -646,4 +648,4 @@
     assert outcomes == [Status.ERROR, Status.CANCELLED]
     for name in "345":
         bench.take(name)
-    assert len({(await peer.next()).writer for _ in "345"}) == 1 + pool.SPARE
+    assert len({(await peer.next()).writer for _ in "345"}) == 1 + SPARE
