Places of clients: decided in a pure module, the I/O carries it out

Need: who is let in, who is read, who is waited for and who makes way was decided among the reads and writes of net/clients.py, and could not be tested without sockets.

Change: connections/downstream.py holds it; net/clients.py keeps sockets, parser and answers. No decision is changed. A test of crowds no longer depends on the machine's speed.

--- /dev/null
+++ b/ironrail/connections/downstream.py
@@ -0,0 +1,214 @@
+"""The places of clients' connections: who is let in, who is read, who is waited for, and who makes way.
+
+Pure: told of what happens and when, answers with what to do. A host keeps the sockets. Times are seconds on
+one clock that only advances.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+MOST_PIPELINED = 64  # commands of one connection in hand, beyond which none is parsed or read
+MOST_BAD = (
+    8  # commands in a row that were turned away, after which the connection is: they cost CPU for nothing
+)
+PATIENCE = 2.2  # seconds for a whole command: silence and halves would keep their descriptor for good
+IDLE = 30.0  # seconds between commands, after which a client has more likely gone than paused
+UNREAD = 10.0  # seconds in which a client takes no answer: what it has asked for would stay in memory
+CLIENTS_SHARE = 1 / 3  # of the configured descriptors: what all clients together open for requests at most
+KEPT_SHARE = 5 / 8  # of that third: above it, who rested longest makes room; the rest is there for a burst
+LOOKS = 8  # at the most at connections that might make room, for each that rests: no scan of a crowd
+
+
+class Next(Enum):
+    """What is due on a connection once its answers are written."""
+
+    NOTHING = "nothing"
+    PARSE = "parse"  # what was read and is not yet parsed
+    FINISH = "finish"  # its last answer is written: end it once that is read
+    CLOSE = "close"  # it has nothing out, and the router ends
+    MAKE_WAY = "make way"  # it rests now, and others may rest for too long
+
+
+class Fate(Enum):
+    """What becomes of a connection that was looked at."""
+
+    KEEP = "keep"
+    ABORT = "abort"  # it takes no answers
+    TOO_LATE = "too late"  # to be told so and ended: its command never came whole
+    CLOSE = "close"  # it has paused for too long
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """One client's connection."""
+
+    since: float  # when the command began that is still to come, or the latest was taken
+    used: bool = False  # it has sent a command of use
+    open: int = 0  # commands whose answers are not yet written
+    bad: int = 0  # commands turned away in a row
+    begun: bool = False  # a part of a command has come
+    more: bool = False  # what was read is not yet parsed to its end
+    ending: bool = False  # nothing more is taken
+    unread_since: float | None = None  # its answers are not taken
+    reading: bool = field(default=True)  # as the host was last told
+
+    def idle(self) -> bool:
+        """Whether it stands between two commands."""
+        return self.open == 0 and not self.begun
+
+    def takes_more(self) -> bool:
+        """Whether one more of its commands may be parsed now."""
+        return not self.ending and self.open < MOST_PIPELINED
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a connection that has come is let in, and whose place it takes, if anybody's."""
+
+    admitted: bool
+    evicted: Place | None = None
+
+
+class Downstream:
+    """All places of one router's clients."""
+
+    def __init__(self, most: int, kept: int) -> None:
+        self.most = most  # connections at once
+        self.kept = kept  # used ones, beyond which those that rest make way
+        self.draining = False
+        self._new: dict[Place, None] = {}  # none of their commands was of use; the oldest is first
+        self._used: dict[Place, None] = {}  # the least recently used is first
+        self._resting = OrderedDict[Place, None]()  # of the used, those with nothing out; the longest first
+        self._coming = 0  # let in, and not yet among the new ones
+        self._looks = 0  # left at those that might make way
+
+    def __iter__(self) -> Iterator[Place]:
+        return iter([*self._new, *self._used])
+
+    def __len__(self) -> int:
+        return len(self._new) + len(self._used)
+
+    # Coming and going
+
+    def arrived(self) -> Admission:
+        """Guards the limit on descriptors: who never used one loses it first, then who rested longest."""
+        if len(self) + self._coming < self.most:
+            self._coming += 1
+            return Admission(True)
+        victim = next(iter(self._new), None) or next(iter(self._resting), None)
+        if victim is None:
+            return Admission(False)
+        self.gone(victim)
+        self._coming += 1
+        return Admission(True, victim)
+
+    def opened(self, now: float) -> Place:
+        """One that was let in has come up."""
+        self._coming -= 1
+        place = Place(now)
+        self._new[place] = None
+        return place
+
+    def not_opened(self) -> None:
+        """One that was let in had ended already."""
+        self._coming -= 1
+
+    def gone(self, place: Place) -> None:
+        """It has ended, or is about to."""
+        self._new.pop(place, None)
+        self._used.pop(place, None)
+        self._resting.pop(place, None)
+
+    # Commands
+
+    def received(self, now: float, place: Place) -> None:
+        """Something has come on it."""
+        self._resting.pop(place, None)
+        if not place.begun and place.used:
+            place.since = now
+
+    def took(self, now: float, place: Place, good: bool) -> None:
+        """A whole command has come: keep apart who makes use of the router and who wears it out."""
+        place.open += 1
+        if good:
+            place.bad, place.since, place.used = 0, now, True
+            known = place in self._new or place in self._used
+            self._new.pop(place, None)
+            self._used.pop(place, None)
+            if known:
+                self._used[place] = None
+        else:
+            place.bad += 1
+            place.ending = place.ending or place.bad >= MOST_BAD
+
+    def unread(self, now: float, place: Place, unread: bool) -> None:
+        """It takes no more answers for now, or again."""
+        place.unread_since = now if unread else None
+
+    def settled(self, place: Place, written: int, begun: bool, closing: bool = False) -> Next:
+        """Answers are written, and what has come is parsed as far as may be: what is due now.
+
+        `closing`: the host has closed it already, and is not yet told of its end.
+        """
+        place.open -= written
+        place.begun = begun
+        if place.more and place.takes_more():
+            return Next.PARSE
+        if closing:
+            return Next.NOTHING
+        if place.open == 0 and place.ending:
+            return Next.FINISH
+        if place.idle() and not place.ending:
+            if self.draining:
+                return Next.CLOSE
+            if place in self._used:
+                self._resting[place] = None
+                self._looks = LOOKS
+                return Next.MAKE_WAY
+        return Next.NOTHING
+
+    def reads(self, place: Place) -> bool:
+        """Guards memory against clients that send and never read, and CPU against what is not taken."""
+        return place.takes_more() and place.unread_since is None
+
+    # Making way
+
+    def makes_way(self) -> Place | None:
+        """Guards clients' own third of the descriptors: those that ask once and stay would use it up.
+
+        Clients that find no connection free open one, as far as their third of the descriptors goes. Where
+        resting ones fill it, the others are refused beside an idle router. The one used last always stays,
+        as its client most likely comes back to it. The host closes the one named if that crosses nothing,
+        and tells `gone` or `stays`; then it asks again.
+        """
+        if len(self._used) <= self.kept or len(self._resting) <= 1 or self._looks <= 0:
+            return None
+        self._looks -= 1
+        return next(iter(self._resting))
+
+    def stays(self, place: Place) -> None:
+        """Closing it now would cross something."""
+        self._resting.move_to_end(place)
+
+    # Waiting
+
+    def fate(self, now: float, place: Place) -> Fate:
+        """Guards descriptors and memory against clients that stop midway, never start, or stay for no use."""
+        if place.ending:
+            return Fate.KEEP
+        if place.unread_since is not None:
+            return Fate.ABORT if now - place.unread_since >= UNREAD else Fate.KEEP
+        if place.begun or not place.used:
+            # while it is not read or parsed it is we who are slow
+            slow = now - place.since >= PATIENCE and not place.more and self.reads(place)
+            return Fate.TOO_LATE if slow else Fate.KEEP
+        return Fate.CLOSE if place.open == 0 and now - place.since >= IDLE else Fate.KEEP
+
+    def cut_short(self, place: Place) -> None:
+        """It is to be told that its command came too late, behind what it is still owed."""
+        place.open += 1
+        place.ending = True
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -10,8 +10,9 @@
 import time
 from dataclasses import replace
 
+from ironrail.connections.downstream import CLIENTS_SHARE, KEPT_SHARE, Downstream
 from ironrail.net.caches import CacheConnection
-from ironrail.net.clients import CLIENTS_SHARE, KEPT_SHARE, Clients
+from ironrail.net.clients import Clients
 from ironrail.net.config import Config, ConfigError, read_config
 from ironrail.net.discovery import Discovery, ListError, ListReader
 from ironrail.net.host import Host
@@ -43,7 +44,7 @@
         )  # the rest for those that come and go
         self._host = Host(router, self._pool, self._discovery.ask, to_servers)
         kept = int(config.sockets * CLIENTS_SHARE * KEPT_SHARE)
-        self._clients = Clients(self._host, self._host.can_serve, to_clients, kept)
+        self._clients = Clients(self._host, self._host.can_serve, Downstream(to_clients, kept))
         if config.known is not None:
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
--- a/ironrail/rehearsal/routers.py
+++ b/ironrail/rehearsal/routers.py
@@ -29,8 +29,9 @@
 
 
 def end_with_parent() -> None:
-    """Guards against routers that outlive a kit which was killed: the system ends them with it."""
-    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    """Guards against routers that outlive a kit which was killed: Linux ends them with it."""
+    if sys.platform == "linux":
+        LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/connections/test_downstream.py
@@ -0,0 +1,287 @@
+"""The places of clients, decided without a socket."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from ironrail.connections.downstream import (
+    IDLE,
+    LOOKS,
+    MOST_BAD,
+    MOST_PIPELINED,
+    PATIENCE,
+    UNREAD,
+    Downstream,
+    Fate,
+    Next,
+    Place,
+)
+
+
+def come(places: Downstream, now: float = 0.0) -> Place:
+    assert places.arrived().admitted
+    return places.opened(now)
+
+
+def ask(places: Downstream, place: Place, now: float = 0.0) -> None:
+    """A whole command of use has come, and its answer is still to be given."""
+    places.received(now, place)
+    places.took(now, place, True)
+    places.settled(place, 0, False)
+
+
+def rest(places: Downstream, now: float = 0.0, place: Place | None = None) -> Place:
+    """One that has asked and has its answer."""
+    place = come(places, now) if place is None else place
+    ask(places, place, now)
+    places.settled(place, 1, False)
+    return place
+
+
+def test_silent_ones_lose_their_place_before_any_that_was_used_and_those_before_busy_ones() -> None:
+    places = Downstream(most=3, kept=9)
+    resting, silent, busy = rest(places), come(places), come(places)
+    ask(places, busy)
+    assert places.arrived().evicted is silent
+    places.opened(0.0)
+    newest = places.arrived().evicted
+    assert newest not in (resting, busy, None)
+    places.not_opened()
+    assert rest(places) in places
+    assert places.arrived().evicted is resting
+
+
+def test_where_all_are_busy_nobody_is_let_in() -> None:
+    places = Downstream(most=2, kept=9)
+    for _ in "12":
+        ask(places, come(places))
+    assert not places.arrived().admitted
+
+
+def test_one_that_was_let_in_counts_before_it_has_come_up() -> None:
+    places = Downstream(most=2, kept=9)
+    assert places.arrived().admitted and places.arrived().admitted
+    assert not places.arrived().admitted
+    places.not_opened()
+    assert places.arrived().admitted
+
+
+def test_who_rested_longest_makes_way_and_never_the_one_used_last() -> None:
+    places = Downstream(most=9, kept=2)
+    first, second = rest(places), rest(places)
+    assert places.makes_way() is None
+    third = rest(places)
+    assert places.makes_way() is first
+    places.gone(first)
+    assert places.makes_way() is None
+    rest(places, place=second)
+    fourth = rest(places)
+    assert places.makes_way() is third
+    places.gone(third)
+    for place in (second, fourth):
+        ask(places, place)
+    last = rest(places)
+    assert places.makes_way() is None and last in places
+
+
+def test_who_has_begun_a_command_does_not_make_way() -> None:
+    places = Downstream(most=9, kept=1)
+    first, second = rest(places), rest(places)
+    places.received(1.0, first)
+    places.settled(first, 0, True)
+    third = rest(places)
+    assert places.makes_way() is second
+    assert third in places
+
+
+def test_of_a_crowd_that_closing_would_cross_few_are_looked_at() -> None:
+    places = Downstream(most=1000, kept=5)
+    for _ in range(500):
+        rest(places)
+    looked = 0
+    while (place := places.makes_way()) is not None:
+        places.stays(place)
+        looked += 1
+    assert looked == LOOKS
+
+
+def test_commands_beyond_the_bound_wait_for_answers() -> None:
+    places = Downstream(most=9, kept=9)
+    place = come(places)
+    for _ in range(MOST_PIPELINED):
+        assert place.takes_more() and places.reads(place)
+        places.took(0.0, place, True)
+    assert not place.takes_more() and not places.reads(place)
+    place.more = True
+    assert places.settled(place, 0, True) is Next.NOTHING
+    assert places.settled(place, 1, True) is Next.PARSE
+
+
+def test_bad_commands_in_a_row_end_it_and_good_ones_between_do_not() -> None:
+    places = Downstream(most=9, kept=9)
+    place = come(places)
+    for _ in range(3 * MOST_BAD):
+        places.took(0.0, place, False)
+        places.took(0.0, place, True)
+    assert not place.ending
+    for _ in range(MOST_BAD):
+        assert not place.ending
+        places.took(0.0, place, False)
+    assert place.ending
+    assert places.settled(place, place.open, False) is Next.FINISH
+
+
+@pytest.mark.parametrize(
+    ("used", "begun", "open_", "after", "fate"),
+    [
+        (False, False, 0, PATIENCE - 0.1, Fate.KEEP),
+        (False, False, 0, PATIENCE + 0.1, Fate.TOO_LATE),
+        (True, True, 0, PATIENCE + 0.1, Fate.TOO_LATE),
+        (True, True, 1, PATIENCE + 0.1, Fate.TOO_LATE),
+        (True, False, 0, PATIENCE + 0.1, Fate.KEEP),
+        (True, False, 0, IDLE + 0.1, Fate.CLOSE),
+        (True, False, 1, IDLE + 0.1, Fate.KEEP),  # it is we who are slow
+    ],
+)
+def test_how_long_is_waited(used: bool, begun: bool, open_: int, after: float, fate: Fate) -> None:
+    places = Downstream(most=9, kept=9)
+    place = come(places, 1.0)
+    if used:
+        places.took(1.0, place, True)
+        places.settled(place, 1 - open_, begun)
+    places.settled(place, 0, begun)
+    assert places.fate(1.0 + after, place) is fate
+
+
+@pytest.mark.parametrize(("after", "fate"), [(UNREAD - 0.1, Fate.KEEP), (UNREAD + 0.1, Fate.ABORT)])
+def test_who_takes_no_answers(after: float, fate: Fate) -> None:
+    places = Downstream(most=9, kept=9)
+    place = rest(places)
+    places.unread(1.0, place, True)
+    assert not places.reads(place)
+    assert places.fate(1.0 + after, place) is fate
+    places.unread(1.0, place, False)
+    assert places.fate(1.0 + after, place) is Fate.KEEP
+
+
+def test_who_is_told_that_it_is_late_has_its_other_answers_first() -> None:
+    places = Downstream(most=9, kept=9)
+    place = come(places)
+    ask(places, place)
+    places.settled(place, 0, True)
+    places.cut_short(place)
+    assert places.settled(place, 0, True) is Next.NOTHING
+    assert places.settled(place, 2, True) is Next.FINISH
+    assert places.fate(100.0, place) is Fate.KEEP
+
+
+def test_while_draining_who_has_nothing_out_is_closed() -> None:
+    places = Downstream(most=9, kept=9)
+    place = come(places)
+    ask(places, place)
+    places.draining = True
+    assert places.settled(place, 0, False) is Next.NOTHING
+    assert places.settled(place, 1, False) is Next.CLOSE
+
+
+class Life(RuleBasedStateMachine):
+    """Clients of all kinds in any order: the bounds hold, and nothing is kept of who has gone."""
+
+    MOST, KEPT = 6, 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.places = Downstream(self.MOST, self.KEPT)
+        self.there: list[Place] = []
+        self.coming = 0
+        self.now = 0.0
+
+    def pick(self, n: int) -> Place:
+        return self.there[n % len(self.there)]
+
+    @rule()
+    def arrive(self) -> None:
+        admission = self.places.arrived()
+        if admission.evicted is not None:
+            assert admission.evicted.idle() or not admission.evicted.used, (
+                "one with a request open lost its place"
+            )
+            self.there.remove(admission.evicted)
+        if admission.admitted:
+            self.coming += 1
+        else:
+            assert all(p.used and not p.idle() for p in self.there)
+
+    @precondition(lambda self: self.coming)
+    @rule(ended=st.booleans())
+    def open(self, ended: bool) -> None:
+        self.coming -= 1
+        if ended:
+            self.places.not_opened()
+        else:
+            self.there.append(self.places.opened(self.now))
+
+    @precondition(lambda self: self.there)
+    @rule(n=st.integers(0, 9), good=st.booleans(), more=st.booleans())
+    def command(self, n: int, good: bool, more: bool) -> None:
+        place = self.pick(n)
+        if place.ending or not place.takes_more():
+            return
+        self.places.received(self.now, place)
+        self.places.took(self.now, place, good)
+        self.places.settled(place, 0, more)
+        self.make_way()
+
+    @precondition(lambda self: self.there)
+    @rule(n=st.integers(0, 9), count=st.integers(1, 3))
+    def answer(self, n: int, count: int) -> None:
+        place = self.pick(n)
+        due = self.places.settled(place, min(count, place.open), place.begun)
+        if due in (Next.FINISH, Next.CLOSE):
+            self.leave(place)
+        self.make_way()
+
+    def make_way(self) -> None:
+        while (place := self.places.makes_way()) is not None:
+            assert place.used and place.idle()
+            self.leave(place)
+
+    def leave(self, place: Place) -> None:
+        self.places.gone(place)
+        self.there.remove(place)
+
+    @precondition(lambda self: self.there)
+    @rule(n=st.integers(0, 9))
+    def go(self, n: int) -> None:
+        self.leave(self.pick(n))
+
+    @rule(seconds=st.sampled_from([0.1, 3.0, 40.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        for place in self.places:
+            fate = self.places.fate(self.now, place)
+            if fate is Fate.TOO_LATE:
+                self.places.cut_short(place)
+            elif fate is not Fate.KEEP:
+                self.leave(place)
+
+    @invariant()
+    def bounds(self) -> None:
+        assert set(self.places) == set(self.there)
+        assert len(self.places) + self.coming <= self.MOST
+        resting = [p for p in self.there if p.used and p.idle() and not p.ending]
+        used = [p for p in self.there if p.used]
+        assert len(used) <= self.KEPT or len(resting) <= 1
+        assert all(p.open <= MOST_PIPELINED + 1 for p in self.there)
+
+    def teardown(self) -> None:
+        for place in list(self.there):
+            self.leave(place)
+        assert len(self.places) == 0 and not self.places._resting
+
+
+TestLife = Life.TestCase
+TestLife.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
