Operator's file for connections, a report on pipelining, and a cheaper pool

Need: what requests behind one another on a connection cost could not be compared, as depth and number of connections were constants.

`ironrail pipeline-report SCENARIO` plays a scenario at several depths with one seed: p50 to p99.9, connections, handshakes, attempts lost behind others, broken drains. The pool carries actions out by their class in place of a match.

--- a/ironrail/__main__.py
+++ b/ironrail/__main__.py
@@ -6,22 +6,40 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 
 import uvloop
 
 from ironrail.net.config import ConfigError, read_config
 from ironrail.net.node import serve
+from ironrail.operator import Operator, OperatorError, read_operator
 from ironrail.policy import interface as api
 
 
-def main() -> int:
-    """Run one router; answers with the exit code."""
+def _operator_file(arguments: Sequence[str]) -> str | None:
+    """What the command line names; imported here, as the usual start takes no arguments and stays lean."""
+    import argparse  # noqa: PLC0415
+
+    parser = argparse.ArgumentParser(
+        prog="ironrail",
+        description="Run one router; NODE_CONFIG names its configuration.",
+        epilog="Example: NODE_CONFIG=config.json python -m ironrail --operator deploy/operator.toml",
+    )
+    parser.add_argument("--operator", metavar="FILE", help="the operator's own file")
+    operator: str | None = parser.parse_args(arguments).operator
+    return operator
+
+
+def main(arguments: Sequence[str] = ()) -> int:
+    """Run one router; answers with the exit code: 0 after a signal, 1 if it could not serve, 2 bad input."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not kill
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
+    path = _operator_file(arguments) if arguments else None
     try:
+        operator = read_operator(path) if path else Operator()
         config = read_config(dict(os.environ))
-        uvloop.run(serve(config))
-    except (ConfigError, api.SettingsError) as e:
+        uvloop.run(serve(config, operator))
+    except (ConfigError, OperatorError, api.SettingsError) as e:
         print(f"ironrail: {e}", file=sys.stderr)
         return 2
     except OSError as e:  # the address to listen on is taken, say
@@ -31,4 +49,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/ironrail/cli.py
+++ b/ironrail/cli.py
@@ -12,7 +12,7 @@
 def _commands() -> click.Group:
     import click  # noqa: PLC0415
 
-    from ironrail.rehearsal.command import rehearse  # noqa: PLC0415
+    from ironrail.rehearsal.command import pipeline_report, rehearse  # noqa: PLC0415
 
     @click.group(
         context_settings={"help_option_names": ["-h", "--help"]},
@@ -23,16 +23,18 @@
         """A router in front of grid caches, and a kit to rehearse its failures."""
 
     @ironrail.command(epilog="Example: NODE_CONFIG=/run/balancer/config.json ironrail run")
-    def run() -> None:
+    @click.option("--operator", metavar="FILE", help="The operator's own file.")
+    def run(operator: str | None) -> None:
         """Run one router in the foreground, as `python -m ironrail` does.
 
         The environment variable NODE_CONFIG names its configuration, a JSON file.
         """
         from ironrail.__main__ import main as daemon  # noqa: PLC0415
 
-        sys.exit(daemon())
+        sys.exit(daemon(["--operator", operator] if operator else []))
 
     ironrail.add_command(rehearse)
+    ironrail.add_command(pipeline_report)
     return ironrail
 
 
--- a/ironrail/connections/upstream.py
+++ b/ironrail/connections/upstream.py
@@ -24,7 +24,7 @@
 IDLE_SHARE = 0.75  # of the idle limit, for a request written as the server closes ends as a reset
 
 
-@dataclass(eq=False)
+@dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt of a request; a host adds what it needs to carry it out."""
 
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -18,23 +18,25 @@
 from ironrail.net.host import Host
 from ironrail.net.origin import OriginConnection
 from ironrail.net.pool import Address, Pool
+from ironrail.operator import Operator
 from ironrail.policy import interface as api
 from ironrail.policy.balance import Router
 
-CACHE_CONNECTIONS = 2  # to one cache; more requests than that go out behind others
 ORIGIN_CONNECTIONS = 32
 OWN_DESCRIPTORS = 24  # of the process itself: log, loop, listener, two discoveries, new connections
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
 LAST_ANSWERS = 3.1  # seconds after that by which all that is held has its answer
 
+NO_FILE = Operator()  # all as usual
+
 log = logging.getLogger(__name__)
 
 
 class Node:
     """All parts of one running router."""
 
-    def __init__(self, config: Config) -> None:
-        self._config = config
+    def __init__(self, config: Config, operator: Operator = NO_FILE) -> None:
+        self._config, self._operator = config, operator
         reader = ListReader()
         router = Router(config.settings, config.seed, time.monotonic())
         self._discovery = Discovery(config.discovery, reader, config.settings.subscribe)
@@ -54,13 +56,14 @@
 
     def _pool(self, entry: api.ServerEntry, address: Address) -> Pool:
         settings = self._config.settings
+        connections = self._operator.connections
         origin = settings.aside and entry.kind == settings.origin_kind
         return Pool(
             entry.server,
             address,
             OriginConnection if origin else CacheConnection,
-            most=ORIGIN_CONNECTIONS if origin else CACHE_CONNECTIONS,
-            streams=1 if origin else self._config.streams,
+            most=ORIGIN_CONNECTIONS if origin else connections.per_cache,
+            streams=1 if origin else min(self._config.streams, connections.depth or self._config.streams),
             connect_timeout=settings.connect_timeout,
             idle=settings.connection_idle,
         )
@@ -98,13 +101,13 @@
             self._discovery.move(config.discovery)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, operator: Operator = NO_FILE) -> None:
     """Run until told to stop."""
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number_ in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number_, told.set)
-    node = Node(config)
+    node = Node(config, operator)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     node.start()
     log.info("listening on %s:%d", *config.listen)
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -22,7 +22,7 @@
 WARN_EVERY = 5.0  # seconds between warnings about one server
 
 
-@dataclass(eq=False)
+@dataclass(slots=True, eq=False)
 class Attempt(upstream.Attempt):
     """One attempt of a request, from its send to its one outcome."""
 
@@ -103,6 +103,17 @@
         self._dialling: set[asyncio.Task[None]] = set()
         self._told: deque[tuple[Callable[..., list[upstream.Action]], tuple[Any, ...]]] = deque()
         self._busy = False
+        self._acts: dict[
+            type, Callable[[Any], None]
+        ] = {  # a match of classes costs more, four times a request
+            upstream.Look: self._look,
+            upstream.Write: self._write,
+            upstream.End: self._end,
+            upstream.Dial: self._dial,
+            upstream.Close: self._close,
+            upstream.Abort: self._abort,
+            upstream.Warn: self._warn,
+        }
         self._quiet_until, self._untold = 0.0, 0  # of warnings
 
     @property
@@ -163,31 +174,35 @@
         try:
             while self._told:
                 event, what = self._told.popleft()
-                for action in event(time.monotonic(), *what):
-                    self._act(action)
+                self._carry_out(event(time.monotonic(), *what))
         finally:
             self._busy = False
 
-    def _act(self, action: upstream.Action) -> None:
-        match action:
-            case upstream.Look(link):
-                # what it brings about comes before what is left; no deeper than there are idle connections
-                quiet = self._connections[link].quiet()
-                for then in self.upstream.looked(time.monotonic(), action, quiet):
-                    self._act(then)
-            case upstream.Write(link, attempt):
-                connection = self._connections[link]
-                connection.transport.write(connection.encode(cast(Attempt, attempt)))
-            case upstream.End(attempt, status, body):
-                cast(Attempt, attempt).end(status, body)
-            case upstream.Dial(link):
-                self._dialling.add(self._loop.create_task(self._open(link)))
-            case upstream.Close(link):
-                self._connections[link].transport.close()
-            case upstream.Abort(link):
-                self._connections[link].transport.abort()
-            case upstream.Warn(fault):
-                self._warn(fault)
+    def _carry_out(self, actions: list[upstream.Action]) -> None:
+        for action in actions:
+            self._acts[type(action)](action)
+
+    def _look(self, look: upstream.Look) -> None:
+        """Answer at once: what it brings about comes before what is left, as deep as there are idle ones."""
+        quiet = self._connections[look.link].quiet()
+        self._carry_out(self.upstream.looked(time.monotonic(), look, quiet))
+
+    def _write(self, write: upstream.Write) -> None:
+        connection = self._connections[write.link]
+        connection.transport.write(connection.encode(cast(Attempt, write.attempt)))
+
+    @staticmethod
+    def _end(end: upstream.End) -> None:
+        cast(Attempt, end.attempt).end(end.status, end.body)
+
+    def _dial(self, dial: upstream.Dial) -> None:
+        self._dialling.add(self._loop.create_task(self._open(dial.link)))
+
+    def _close(self, close: upstream.Close) -> None:
+        self._connections[close.link].transport.close()
+
+    def _abort(self, abort: upstream.Abort) -> None:
+        self._connections[abort.link].transport.abort()
 
     async def _open(self, link: Link) -> None:
         task = asyncio.current_task()
@@ -209,12 +224,12 @@
             if closing:  # its end may have been told before it was known
                 self._connections.pop(link, None)
 
-    def _warn(self, fault: object) -> None:
+    def _warn(self, warn: upstream.Warn) -> None:
         """Guards the log against a server whose every reply is spoilt."""
         now = time.monotonic()
         if now >= self._quiet_until:
             self._quiet_until = now + WARN_EVERY
-            log.warning("closing a connection to %s: %s (%d not told)", self.name, fault, self._untold)
+            log.warning("closing a connection to %s: %s (%d not told)", self.name, warn.fault, self._untold)
             self._untold = 0
         else:
             self._untold += 1
--- a/ironrail/rehearsal/account/record.py
+++ b/ironrail/rehearsal/account/record.py
@@ -52,6 +52,7 @@
     first_at: float
     last_at: float
     late: bool  # written during a silence, nobody knows when
+    behind: bool = False  # others were in hand on its connection when it came
     ended: Ended = Ended.OPEN
     ended_at: float | None = None
     effect_at: float | None = None  # of a write that was carried out
--- a/ironrail/rehearsal/command.py
+++ b/ironrail/rehearsal/command.py
@@ -8,6 +8,7 @@
 import shlex
 import signal
 import sys
+from dataclasses import asdict
 from pathlib import Path
 
 import click
@@ -17,9 +18,10 @@
 from rich.table import Table
 
 from ironrail.rehearsal.faults.plan import PlanError
+from ironrail.rehearsal.pipelines import Depth, compare
 from ironrail.rehearsal.report.document import document
 from ironrail.rehearsal.report.page import write_page
-from ironrail.rehearsal.report.table import print_report
+from ironrail.rehearsal.report.table import depth_table, print_report
 from ironrail.rehearsal.routers import OWN_ROUTER
 from ironrail.rehearsal.run import Rehearsal, Result
 from ironrail.rehearsal.scenario import Scenario, ScenarioError, read_scenario, shipped
@@ -97,6 +99,58 @@
         Path(html_file).write_text(write_page(result))
 
 
+def _depths(text: str) -> list[Depth]:
+    try:
+        found = [Depth(None if part == "as-is" else int(part)) for part in text.split(",")]
+    except ValueError as e:
+        raise click.UsageError(f"--depths takes numbers and as-is, like 1,2,as-is, not {text!r}") from e
+    if any(d.requests is not None and not 1 <= d.requests <= 1000 for d in found):
+        raise click.UsageError("--depths: a depth is from 1 to 1000")
+    return found
+
+
+@click.command(
+    epilog="Example: ironrail pipeline-report bad-replies --depths 1,4,as-is --json depths.json\n\n"
+    "Exit codes: 0 no rule broken at any depth, 1 one was, 2 unusable input, 3 the machine was too busy."
+)
+@click.argument("scenario")
+@click.option("--depths", default="1,2,4,8,as-is", show_default=True, help="Requests on one connection.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="What is drawn at random.")
+@click.option("--json", "json_file", metavar="FILE", help="Write the lines for programs.")
+def pipeline_report(scenario: str, depths: str, seed: int, json_file: str | None) -> None:
+    """Compare how many requests go behind one another on a connection to a cache.
+
+    Plays SCENARIO once for each depth with the same seed, and shows the tail of latency, connections,
+    handshakes and what was lost behind others.
+    """
+    console = make_console()
+    wanted = _depths(depths)
+    try:
+        _check_writable(json_file)
+        chosen = read_scenario(scenario)
+
+        def play_one(command: tuple[str, ...], name: str) -> Result:
+            console.print(f"{name}", highlight=False)
+            return play(chosen, seed, command, console)
+
+        lines = compare(wanted, play_one)
+    except (ScenarioError, PlanError, OSError) as e:
+        click.echo(f"ironrail: {e}", err=True)
+        sys.exit(UNUSABLE)
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        click.echo("ironrail: interrupted; nothing is left running", err=True)
+        sys.exit(INTERRUPTED)
+    console.print(depth_table(chosen.summary, lines))
+    if json_file:
+        rows = [
+            {**asdict(line), "latencies": {str(q): s for q, s in line.latencies.items()}} for line in lines
+        ]
+        told = {"format": "ironrail-pipelines", "version": 1, "seed": seed, "lines": rows}
+        Path(json_file).write_bytes(orjson.dumps(told, option=orjson.OPT_INDENT_2) + b"\n")
+    busy = any(line.no_verdict for line in lines)
+    sys.exit(NO_VERDICT if busy else FAILED if any(line.broken for line in lines) else KEPT)
+
+
 @click.command(
     epilog="Example: ironrail rehearse saturday --seed 7 --json report.json --html report.html\n\n"
     "Exit codes: 0 all kept, 1 a verdict failed, 2 unusable input, 3 the machine was too busy for a verdict."
--- /dev/null
+++ b/ironrail/rehearsal/pipelines.py
@@ -0,0 +1,108 @@
+"""Requests behind one another on a connection, compared: the same load and faults at several depths."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from ironrail.rehearsal.account.record import Ended, Record
+from ironrail.rehearsal.account.service import quantiles
+from ironrail.rehearsal.run import Result
+
+IN_HAND = 16  # requests that all connections of one router to one cache may carry, whatever the depth
+
+
+@dataclass(frozen=True, slots=True)
+class Depth:
+    """A depth to try; None: the router as it is."""
+
+    requests: int | None
+
+    @property
+    def connections(self) -> int:
+        """To one cache, so that as many requests find room at any depth."""
+        return 2 if self.requests is None else max(2, -(-IN_HAND // self.requests))
+
+    def __str__(self) -> str:
+        return "as it is" if self.requests is None else str(self.requests)
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """What one depth came to."""
+
+    depth: str
+    allowed: int  # connections of a router to one cache
+    connections: float  # to one cache from all routers, mean over time
+    handshakes: int
+    latencies: dict[float, float]  # of served first tries, in seconds
+    attempts: int
+    lost_behind: int  # attempts that ended with a connection, behind the one that it broke at
+    retries: int  # of clients
+    service: float
+    drained: int  # sent to a draining or gone cache once the grace was over
+    broken: int  # rules, in all
+    no_verdict: str
+
+
+def operator_file(depth: Depth) -> str:
+    """The operator's file that sets a depth."""
+    if depth.requests is None:
+        return "[connections]\n"
+    return f"[connections]\nper_cache = {depth.connections}\ndepth = {depth.requests}\n"
+
+
+def compare(depths: list[Depth], play: Callable[[tuple[str, ...], str], Result]) -> list[Line]:
+    """Play each depth; `play` is given the router's command and what to call the run."""
+    lines = []
+    with tempfile.TemporaryDirectory(prefix="ironrail-") as folder:
+        for number, depth in enumerate(depths):
+            path = Path(folder) / f"{number}.toml"
+            path.write_text(operator_file(depth))
+            command = (sys.executable, "-B", "-m", "ironrail", "--operator", str(path))
+            lines.append(line_of(depth, play(command, f"depth {depth}")))
+    return lines
+
+
+def line_of(depth: Depth, result: Result) -> Line:
+    """What one run says of its depth."""
+    counted = [s.connections for s in result.samples if s.at >= 0]
+    caches = result.scenario.caches.count
+    attempts = [a for t in result.record.tries.values() for a in t.attempts if not a.archive]
+    return Line(
+        str(depth),
+        depth.connections,
+        sum(counted) / len(counted) / caches if counted else 0.0,
+        result.record.handshakes,
+        latencies(result),
+        len(attempts),
+        lost_behind(result.record),
+        result.service.retries,
+        result.service.whole.share,
+        sum(v.rule == "drains" for v in result.broken),
+        len(result.broken),
+        result.no_verdict,
+    )
+
+
+def latencies(result: Result) -> dict[float, float]:
+    """Of all served first tries, their retries folded in, from when they were due."""
+    best: dict[int, float] = {}
+    for one in result.record.tries.values():
+        if one.planned.at >= 0 and one.outcome == "served" and one.answers:
+            took = one.answers[0].at - one.planned.at
+            best[one.planned.number] = min(took, best.get(one.planned.number, took))
+    return quantiles(list(best.values()))
+
+
+def lost_behind(record: Record) -> int:
+    """Attempts at caches that the end of a connection took along: their own reply was never due."""
+    return sum(
+        a.behind and a.ended in (Ended.LEFT, Ended.RESET)
+        for t in record.tries.values()
+        for a in t.attempts
+        if not a.archive
+    )
--- a/ironrail/rehearsal/report/table.py
+++ b/ironrail/rehearsal/report/table.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from ironrail.rehearsal.pipelines import Line
 from ironrail.rehearsal.report.document import outcome_of
 from ironrail.rehearsal.run import Result
 from ironrail.rehearsal.verdicts import Verdict
@@ -38,6 +39,21 @@
         console.print(f"[bold {colour}]{outcome_of(result)}[/]")
 
 
+def depth_table(summary: str, lines: list[Line]) -> Table:
+    """The comparison of depths."""
+    table = Table(title=f"{summary}: requests behind one another on a connection", title_justify="left")
+    names = ("depth", "allowed", "connections", "handshakes", "p50", "p90", "p99", "p99.9", "attempts")
+    for name in (*names, "lost behind", "retries", "service", "drains broken", "rules broken"):
+        table.add_column(name, justify="left" if name == "depth" else "right")
+    for line in lines:
+        times = [f"{line.latencies.get(q, 0.0) * 1000:.0f} ms" for q in (0.5, 0.9, 0.99, 0.999)]
+        counts = [str(n) for n in (line.attempts, line.lost_behind, line.retries)]
+        ends = [f"{line.service:.3f}", str(line.drained), str(line.broken)]
+        head = [line.depth, str(line.allowed), f"{line.connections:.1f}", str(line.handshakes)]
+        table.add_row(*head, *times, *counts, *ends)
+    return table
+
+
 def figure(verdict: Verdict, value: float) -> str:
     """A bound or a measured value as people read it."""
     if math.isinf(value):
--- a/ironrail/rehearsal/standins/gridcache.py
+++ b/ironrail/rehearsal/standins/gridcache.py
@@ -79,7 +79,8 @@
 
     def _take(self, command: MetaCommand, now: float) -> None:
         first_at = self._first_at if self._first_at is not None else now
-        attempt = Attempt(self._cache.name, self.door.router, False, first_at, now, self.late)
+        behind = bool(self._turns)
+        attempt = Attempt(self._cache.name, self.door.router, False, first_at, now, self.late, behind)
         self._first_at = now
         one = self._cache.world.record.attempt(command.request, attempt)
         if one is not None and (command.key != one.planned.key or command.value is not None):
--- /dev/null
+++ b/tests/rehearsal/test_pipelines.py
@@ -0,0 +1,67 @@
+"""The comparison of depths: what it counts, and the command."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from ironrail.operator import Connections, Operator, read_operator
+from ironrail.rehearsal.account.record import Ended, Record
+from ironrail.rehearsal.command import pipeline_report
+from ironrail.rehearsal.pipelines import Depth, lost_behind, operator_file
+from tests.rehearsal.facts import Story, planned
+from tests.rehearsal.test_command import TINY
+
+
+@pytest.mark.parametrize(
+    ("depth", "operator"),
+    [
+        (Depth(None), Operator()),
+        (Depth(1), Operator(Connections(16, 1))),
+        (Depth(4), Operator(Connections(4, 4))),
+        (Depth(5), Operator(Connections(4, 5))),  # room for 16 at the least
+        (Depth(100), Operator(Connections(2, 100))),
+    ],
+)
+def test_as_many_requests_find_room_at_any_depth(depth: Depth, operator: Operator, tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(operator_file(depth))
+    assert read_operator(str(path)) == operator
+
+
+def test_lost_behind_counts_what_a_connection_took_along_and_nothing_else() -> None:
+    record = Record()
+    story = Story(record, planned())
+    cases = [
+        (Ended.LEFT, True, "cache-1"),  # counts
+        (Ended.RESET, True, "cache-1"),  # counts
+        (Ended.LEFT, False, "cache-1"),  # it was the oldest itself
+        (Ended.SERVED, True, "cache-1"),
+        (Ended.LEFT, True, "archive"),
+    ]
+    for ended, behind, server in cases:
+        story.attempt(1.0, server, ended).behind = behind
+    assert lost_behind(record) == 2
+
+
+def test_the_command_plays_each_depth_and_tells_of_it(tmp_path: Path) -> None:
+    path, told = tmp_path / "tiny.toml", tmp_path / "depths.json"
+    path.write_text(TINY)
+    done = CliRunner().invoke(pipeline_report, [str(path), "--depths", "1,as-is", "--json", str(told)])
+    assert done.exit_code in (0, 3), done.output
+    report = json.loads(told.read_bytes())
+    assert (report["format"], report["version"]) == ("ironrail-pipelines", 1)
+    assert [line["depth"] for line in report["lines"]] == ["1", "as it is"]
+    assert [line["allowed"] for line in report["lines"]] == [16, 2]
+    for line in report["lines"]:
+        assert line["attempts"] > 0 and line["broken"] == 0
+        assert set(line["latencies"]) == {"0.5", "0.9", "0.99", "0.999"}
+
+
+@pytest.mark.parametrize("depths", ["x", "0", "1,,2", "5000", "-1"])
+def test_depths_that_are_none(depths: str) -> None:
+    done = CliRunner().invoke(pipeline_report, ["calm", "--depths", depths])
+    assert done.exit_code == 2 and "--depths" in done.output
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,71 @@
+"""The operator's own file: what it sets, and what is wrong with one that can't be used."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ironrail.__main__ import main
+from ironrail.net.node import Node
+from ironrail.operator import Connections, Operator, OperatorError, read_operator
+from ironrail.policy import interface as api
+from tests.peers import World, scenario
+
+ROOT = Path(__file__).parent.parent
+
+
+def written(tmp_path: Path, text: str) -> str:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_the_file_that_ships_sets_what_is_usual() -> None:
+    assert read_operator(str(ROOT / "deploy" / "operator.toml")) == Operator()
+
+
+def test_what_a_file_sets(tmp_path: Path) -> None:
+    got = read_operator(written(tmp_path, "[connections]\nper_cache = 8\ndepth = 1\n"))
+    assert got == Operator(Connections(8, 1))
+    assert read_operator(written(tmp_path, "")) == Operator()
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("[connections]\ndepth = 0\n", "connections.depth must be a whole number from 1 to 1000, not 0"),
+        ("[connections]\nper_cache = 99\n", "connections.per_cache must be a whole number from 1 to 64"),
+        ("[connections]\nper_cache = true\n", "connections.per_cache must be"),
+        ("[connections]\nper_cache = 2.0\n", "connections.per_cache must be"),
+        ("[connections]\nper_cash = 2\n", "connections.per_cash is unknown (known: depth, per_cache)"),
+        ("[conections]\n", "conections is unknown (known: connections)"),
+        ("connections = 3\n", "connections must be a table"),
+        ("[connections\n", "at line 1"),
+        ("#" * 100_000, "larger than"),
+    ],
+)
+def test_a_broken_file_has_one_clear_message(
+    text: str, message: str, tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    path = written(tmp_path, text)
+    with pytest.raises(OperatorError) as e:
+        read_operator(path)
+    assert str(e.value).startswith(path) and message in str(e.value)
+    assert main(["--operator", path]) == 2
+    err = capfd.readouterr().err
+    assert err.count("\n") == 1 and message in err
+
+
+def test_a_file_that_is_not_there(tmp_path: Path) -> None:
+    with pytest.raises(OperatorError, match="No such file"):
+        read_operator(str(tmp_path / "x.toml"))
+
+
+@scenario
+async def test_connections_and_their_depth_follow_the_file() -> None:
+    node = Node(World().config(), Operator(Connections(5, 3)))
+    cache = node._pool(api.ServerEntry("c", kind="std"), ("127.0.0.1", 1)).upstream
+    origin = node._pool(api.ServerEntry("o", kind="origin"), ("127.0.0.1", 1)).upstream
+    assert (cache.wanted, cache.streams) == (5, 3)
+    assert (origin.wanted, origin.streams) == (32, 1)  # which bears one request at a time
