Kit and connections: code that nothing called is gone, a hot router's share has one home

Change: fleet.py and upstream.py lose what was unused; carry.py calls load/schedule.py's hot_router_share. Behaviour is the same.

--- a/ironrail/connections/upstream.py
+++ b/ironrail/connections/upstream.py
@@ -273,10 +273,6 @@
                 break
         return self._take()
 
-    def held(self, link: Link, back: bool) -> None:
-        """The system takes no more bytes for now, or has taken all."""
-        link.held_back = back
-
     def read(
         self, now: float, link: Link, replies: list[Reply], part: bool, fault: object = None
     ) -> list[Action]:
--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from ironrail.rehearsal.faults.plan import Planned, Step
-from ironrail.rehearsal.load.schedule import HOT_SHARE
+from ironrail.rehearsal.load.schedule import hot_router_share
 from ironrail.rehearsal.routers import RouterProcess
 from ironrail.rehearsal.scenario.model import FaultKind
 from ironrail.rehearsal.standins.archive import Archive
@@ -143,7 +143,7 @@
     def _hot_router(self, planned: Planned, begins: bool) -> None:
         for name in planned.victims:
             if begins:
-                self.front.hot[planned, name] = name, min(1.0, planned.fault.hard or HOT_SHARE)
+                self.front.hot[planned, name] = name, hot_router_share(planned.fault)
             else:
                 self.front.hot.pop((planned, name), None)
 
--- a/ironrail/rehearsal/standins/fleet.py
+++ b/ironrail/rehearsal/standins/fleet.py
@@ -14,7 +14,6 @@
 
 KIND, ORIGIN_KIND = "cache", "origin"
 STORED_AT = 2  # of the caches that missed for a request, so many keep its answer
-STALL_STEP = 0.02  # seconds before the first pause of a stall
 
 
 class Fleet:
@@ -27,7 +26,6 @@
         self._away: dict[str, set[object]] = {name: set() for name in caches}  # why it does not run
         self._frozen: dict[str, set[object]] = {name: set() for name in caches}
         self._drains: dict[str, set[object]] = {name: set() for name in caches}
-        self._listed: dict[str, str] = dict.fromkeys(caches, "in_service")
         self._rows = {name: registry.rows[name] for name in caches}
         world.on_miss_filled = self._fill
         world.on_write = self._void
