A dial's timer ends with the dial, no longer a turn of the loop later

The timer then moved a time-out that had ended: an unhandled error in the loop. The timer is now cancelled where the dial ends.

--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -258,10 +258,12 @@
             async with asyncio.timeout(None) as patience:
                 due = self._loop.time() + self.connect_timeout
                 timer = self._loop.call_at(due, self._overdue, patience, due)
-                task.add_done_callback(lambda _: timer.cancel())
-                _, connection = await self._loop.create_connection(
-                    lambda: self._connect(self, link), host, port
-                )
+                try:
+                    _, connection = await self._loop.create_connection(
+                        lambda: self._connect(self, link), host, port
+                    )
+                finally:  # now: a timer that is due in the same turn would find the dial's time-out ended
+                    timer.cancel()
         except (OSError, TimeoutError):
             self._dialling.discard(task)
             self._tell(self.upstream.down, link)
