After standing still, a deadline is noticed as such before anything is given up

The freeze is now noticed first, and the module settles the request at once. A router that ends right after a freeze goes the same way: it refuses what it may, where it failed all.

--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -202,27 +202,30 @@
 
     def _on_deadline(self, name: str) -> None:
         """The client stops waiting: nothing may stay out for the request, and its answer is due."""
-        held = self._held[name]
+        if not self._settle(self._held[name]):
+            log.error("request %s was not answered by its deadline", name)
+
+    def _settle(self, held: Held) -> bool:
+        """The time of a request is up: answered now, by the module unless it lost sight of it."""
+        name = held.request
+        self._notice_return()  # now: noticed further on, the module would hear of nothing any more
         for attempt in held.attempts:
             self._give_up(attempt.request, attempt.number, api.Status.TIMEOUT)
         if self._catching_up:
             self._end_unseen(name)
         if name in self._held:  # it waits, and its own timer is due an instant later
             self._feed(api.TimeUp(name))
-        if name in self._held:  # guards against a request that the module has lost sight of
-            log.error("request %s was not answered by its deadline", name)
+        if name in self._held:
             self._lose(held)
+            return False
+        return True
 
     def end_all(self) -> None:
         """The router ends: all that is held gets its answer now, and nothing more is sent."""
         self._ending = True
-        for name, held in list(self._held.items()):
-            for attempt in held.attempts:
-                self._give_up(attempt.request, attempt.number, api.Status.TIMEOUT)
-            if name in self._held:
-                self._feed(api.TimeUp(name))
-            if name in self._held:
-                self._lose(held)
+        for held in list(self._held.values()):
+            if held.request in self._held:  # the end of another may have ended it
+                self._settle(held)
 
     def _end_unseen(self, name: str) -> None:
         """The module hears of nothing now: what concerns a request whose time is up it is told at once."""
