Kit: the list moves under SIGHUP, and tasks are cut short at every await

The fault list-moves takes discovery to another address and tells routers by SIGHUP, on sockets and in virtual time; the configuration file is replaced whole. A scenario's [cut] ends a task of a router at its nth await, as it begins to wait or as what it waits for has come: a dial whose time is up, the list that moves, SIGTERM. The explorer draws both from streams of their own, so that no other part of a drawn world changes.

--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import signal
+from collections.abc import Callable
 from dataclasses import replace
 
 from ironrail.connections.downstream import CLIENTS_SHARE, KEPT_SHARE, Downstream
@@ -42,11 +43,22 @@
 log = logging.getLogger(__name__)
 
 
+def configured() -> Config:
+    """The configuration that the environment names now."""
+    return read_config(dict(os.environ))
+
+
 class Node:
     """All parts of one running router."""
 
-    def __init__(self, config: Config, operator: Operator = NO_FILE, system: System = REAL) -> None:
-        self._config, self._operator, self._system = config, operator, system
+    def __init__(
+        self,
+        config: Config,
+        operator: Operator = NO_FILE,
+        system: System = REAL,
+        reread: Callable[[], Config] = configured,
+    ) -> None:
+        self._config, self._operator, self._system, self._reread = config, operator, system, reread
         reader = ListReader(system)
         router = Router(config.settings, config.seed, system.now())
         self._discovery = Discovery(config.discovery, reader, config.settings.subscribe)
@@ -169,7 +181,7 @@
     def reload(self) -> None:
         """Read the configuration again: discovery may have moved, all else holds until a restart."""
         try:
-            config = read_config(dict(os.environ))
+            config = self._reread()
         except Exception as e:  # guards the running router against whatever the file holds
             log.error("the running configuration stays: %s", e)
             return
--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -52,6 +52,7 @@
     routers: dict[str, Router]
     start_router: Callable[[str], None]
     replace_router: Callable[[str], None]
+    reconfigure: Callable[[str, str], None]  # a router, to be told of the list at another address
     spells: list[Spell] = field(default_factory=list)
     stalls: dict[Planned, asyncio.TimerHandle] = field(default_factory=dict)
 
@@ -69,6 +70,8 @@
                 self.archive.end(planned)
         elif kind in (FaultKind.LIST_SILENT, FaultKind.LIST_EMPTY, FaultKind.LIST_ABSURD):
             self._list(planned, kind, step.begins)
+        elif kind is FaultKind.LIST_MOVES:
+            self._move_list(step.begins)
         elif kind is FaultKind.STALL:
             self._stall(planned, step.begins)
         elif kind is FaultKind.HOT_ROUTER:
@@ -134,6 +137,13 @@
             else:
                 agent.end_lost(planned)
 
+    def _move_list(self, begins: bool) -> None:
+        """The list is told elsewhere from now on, nothing where it was, and routers are told so."""
+        if begins:  # there is no way back: it moves once more with the next such fault
+            for agent in self.registry.agents.values():
+                agent.move()
+                self.reconfigure(agent.router, agent.door.address)
+
     def _absurd(self, router: str) -> list[Row]:
         """A list of servers that never were, at addresses that are none."""
         draws = self.world.draws("absurd")
--- a/ironrail/rehearsal/faults/plan.py
+++ b/ironrail/rehearsal/faults/plan.py
@@ -26,6 +26,7 @@
     FaultKind.LIST_SILENT: LIST,
     FaultKind.LIST_EMPTY: LIST,
     FaultKind.LIST_ABSURD: LIST,
+    FaultKind.LIST_MOVES: LIST,
     FaultKind.HOT_KEYS: LOAD,
     FaultKind.HOT_ROUTER: ROUTERS,
     FaultKind.ARCHIVE_SLOW: ARCHIVE,
--- a/ironrail/rehearsal/ground.py
+++ b/ironrail/rehearsal/ground.py
@@ -19,6 +19,7 @@
 READY_PATIENCE = 15.0  # seconds from its start until it answers `mn` with `MN`
 YES_PATIENCE = 6.0  # seconds from its start until a process that is to take over says yes
 READY_PAUSE = 0.02
+READY_CALL = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 class Router(Protocol):
@@ -27,6 +28,7 @@
     name: str
     facts: RouterFacts
     address: tuple[str, int]
+    door: tuple[str, int]  # for operators
 
     @property
     def running(self) -> bool: ...
@@ -36,6 +38,8 @@
 
     async def start(self) -> None: ...
 
+    def configure(self, **fields: str) -> None: ...
+
     def signal(self, number: signal.Signals, asked: bool = True) -> None: ...
 
     async def ended(self) -> None: ...
@@ -109,11 +113,14 @@
     return served
 
 
-async def says_yes(router: Router, door: tuple[str, int]) -> bool:
+async def says_yes(router: Router) -> bool:
     """Whether a process that is to take over says in time that it is ready."""
-    return await _says(
-        router, door, b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 200 ", YES_PATIENCE
-    )
+    return await _says(router, router.door, READY_CALL, b"HTTP/1.1 200 ", YES_PATIENCE)
+
+
+async def takes_signals(router: Router) -> bool:
+    """Whether a process that was started says anything at its door in time, be it that it isn't ready."""
+    return await _says(router, router.door, READY_CALL, b"HTTP/1.1 ", READY_PATIENCE)
 
 
 async def _says(
--- a/ironrail/rehearsal/routers.py
+++ b/ironrail/rehearsal/routers.py
@@ -16,6 +16,7 @@
 
 import psutil
 
+from ironrail.net.discovery import read_address
 from ironrail.rehearsal.account.record import RouterFacts
 
 KILL_PATIENCE = 5.0
@@ -57,8 +58,8 @@
     ) -> None:
         self.name, self._command, self._config = name, command, config
         self._folder, self.facts, self._on_exit = folder, facts, on_exit
-        host, _, port = str(config["listen"]).rpartition(":")
-        self.address = host, int(port)
+        self.address = read_address(config["listen"])
+        self.door = read_address(config["operator"])
         self._process: asyncio.subprocess.Process | None = None
         self._usage: psutil.Process | None = None
         self._watcher: asyncio.Task[None] | None = None
@@ -69,10 +70,21 @@
     def running(self) -> bool:
         return self._process is not None and self._process.returncode is None
 
+    def configure(self, **fields: str) -> None:
+        """Change fields of its configuration; a running process reads them when it is told to."""
+        self._config = self._config | fields
+        self._write_config()
+
+    def _write_config(self) -> Path:
+        path = self._folder / f"{self.name}.json"
+        half = path.with_suffix(".half")
+        half.write_text(json.dumps(self._config))
+        half.replace(path)  # whoever reads it meanwhile has the old one, whole
+        return path
+
     async def start(self) -> None:
         """Start it; `ready` tells when it serves."""
-        path = self._folder / f"{self.name}.json"
-        path.write_text(json.dumps(self._config))
+        path = self._write_config()
         environ = {
             **os.environ,
             "NODE_NAME": self.name,
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -152,6 +152,23 @@
     destroys: Share = 0.5  # of resets take along what was not yet read
 
 
+class CutKind(StrEnum):
+    """How a task of a router is cut short."""
+
+    MOVES = "moves"  # of `Discovery._run`: the list is to be asked for elsewhere
+    TIME_UP = "time-up"  # of `Pool._open`: a dial's time is over
+    TERM = "term"  # of any: the router is told to end
+
+
+class Cut(Table):
+    """A task of a router that is cut short at one of its awaits; it counts in virtual time only."""
+
+    task: str  # its name, as Python qualifies it
+    nth: Annotated[int, Field(ge=0)]  # await of all tasks of that name, from 1; 0 is none
+    how: CutKind
+    woken: bool = False  # when what it waited for has come, rather than as it begins to wait
+
+
 class FaultKind(StrEnum):
     """What can go wrong. The operator's page describes each."""
 
@@ -169,6 +186,7 @@
     LIST_SILENT = "list-silent"
     LIST_EMPTY = "list-empty"
     LIST_ABSURD = "list-absurd"
+    LIST_MOVES = "list-moves"
     DRAIN = "drain"
     RESTART = "restart"
     ARCHIVE_SLOW = "archive-slow"
@@ -265,6 +283,7 @@
     network: Network = Network()
     faults: Annotated[list[Fault], Field(alias="fault")] = []
     bounds: Bounds = Bounds()
+    cut: Cut | None = None
 
     @model_validator(mode="after")
     def _fits(self) -> Self:
--- a/ironrail/rehearsal/virtual/explore.py
+++ b/ironrail/rehearsal/virtual/explore.py
@@ -70,7 +70,7 @@
             yield "crash", f"{name}: {facts.crashed}"
         if not facts.ready:
             yield "ready", f"{name} never became ready"
-        if facts.ready and not facts.crashed and facts.stopped_in is None:
+        if facts.ready and not facts.crashed and facts.stop_code != 0:
             yield "stop", f"{name} did not end on SIGTERM"
     yield from _service(scenario, seed, played)
 
--- a/ironrail/rehearsal/virtual/shrink.py
+++ b/ironrail/rehearsal/virtual/shrink.py
@@ -45,6 +45,8 @@
 
 def _smaller(table: Table) -> Iterator[Table]:
     """Simpler worlds, the boldest first."""
+    if "cut" in table:
+        yield {name: part for name, part in table.items() if name != "cut"}
     yield from _fewer_faults(table)
     yield from _shorter(table)
     yield from _fewer(table)
--- a/ironrail/rehearsal/virtual/worlds.py
+++ b/ironrail/rehearsal/virtual/worlds.py
@@ -10,14 +10,18 @@
 
 from ironrail.rehearsal.draws import stream
 from ironrail.rehearsal.faults.plan import CACHES, HALLS, ROUTERS, VICTIMS
-from ironrail.rehearsal.scenario.model import FaultKind, Scenario
+from ironrail.rehearsal.scenario.model import CutKind, FaultKind, Scenario
 from ironrail.rehearsal.scenario.names import cache_names, router_names
 from ironrail.rehearsal.scenario.units import read_time, write_time
 
 MOST_FAULTS = 6
 QUIET_END = 3.0  # seconds of load without a fault, in which service has to come back
 TERM_LEAST = "2500 ms"  # from SIGTERM to the kill: the longest deadline here, and 0.7 s more
-KINDS = tuple(FaultKind)
+LATER = (FaultKind.LIST_MOVES,)  # kinds with a stream of their own, so that no world drawn before is another
+KINDS = tuple(kind for kind in FaultKind if kind not in LATER)
+CUT_SHARE = 0.2  # of worlds, in which a task of a router is cut short
+CUTS = (("Discovery._run", CutKind.MOVES, 40), ("Pool._open", CutKind.TIME_UP, 120))  # the last await, too
+MOVED_SHARE = 0.2  # of worlds, in which the list moves and routers are told by SIGHUP
 
 
 def draw_world(seed: int) -> Scenario:
@@ -69,8 +73,9 @@
     }
     scenario = Scenario.model_validate(table)
     faults = [_fault(draws, scenario, length) for _ in range(draws.randint(0, MOST_FAULTS))]
-    faults = sorted(_one_at_a_time(faults), key=lambda fault: read_time(fault["at"]))
-    return Scenario.model_validate(table | {"fault": faults})
+    faults = _one_at_a_time(faults) + _later(stream(seed, "explore.later"), length)
+    faults.sort(key=lambda fault: read_time(fault["at"]))
+    return Scenario.model_validate(table | _cut(stream(seed, "explore.cut")) | {"fault": faults})
 
 
 def _classes(draws: random.Random) -> list[dict[str, Any]]:
@@ -83,6 +88,21 @@
     ]
 
 
+def _later(draws: random.Random, length: float) -> list[dict[str, Any]]:
+    if draws.random() >= MOVED_SHARE:
+        return []
+    at = draws.uniform(0.0, max(0.3, length - QUIET_END - 0.2))
+    return [{"kind": LATER[0].value, "at": write_time(at), "lasts": "100 ms"}]
+
+
+def _cut(draws: random.Random) -> dict[str, Any]:
+    if draws.random() >= CUT_SHARE:
+        return {}
+    task, how, most = draws.choice(CUTS)
+    nth, woken = draws.randint(1, most), draws.random() < 0.5
+    return {"cut": {"task": task, "nth": nth, "how": how.value, "woken": woken}}
+
+
 def _fault(draws: random.Random, scenario: Scenario, length: float) -> dict[str, Any]:
     """A fault that is over in time for service to come back."""
     kind = draws.choice(KINDS)
