News that came while a router stood still is read before the list is asked for anew

On its return it dropped that connection unread and asked for the whole list, which was absurd or out of reach just then, and went on sending to the cache for two seconds.

The present connection is read first now, and the list asked for 50 ms later. The time limit of a call, like that of a dial, spares what came meanwhile: both use one module, net/patience.py.

Ruled out: a list that reaches the router in pieces, and a registry that tells late; the trace shows the whole answer lying unread.

--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -10,6 +10,7 @@
 import h11
 import orjson
 
+from ironrail.net.patience import READ_ON, patience
 from ironrail.net.system import REAL, Address, System
 from ironrail.policy import interface as api
 
@@ -102,7 +103,7 @@
     async def get(self, target: str, timeout: float) -> Any:
         """The JSON of a 200; OSError, ValueError or a time-out when there is none."""
         try:
-            async with asyncio.timeout(timeout):
+            async with patience(timeout):
                 return orjson.loads(await self._exchange(target))
         except h11.ProtocolError as e:
             self.close()
@@ -155,14 +156,25 @@
         self._list_patience = self._wait + PATIENCE if on_request else LIST_PATIENCE
         self._asked = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._anew: asyncio.TimerHandle | None = None  # until the list is asked for after a standstill
 
     def ask(self) -> None:
         """The module asks for the list."""
         self._asked.set()
 
     def again(self) -> None:
-        """What was told may be old: ask for the whole list at once, unless the module says when."""
-        if self._task is not None and not self._on_request:
+        """What was told may be old: ask for the whole list, unless the module says when.
+
+        Guards drained servers where the list can't be had anew: the news that came while the router stood
+        still lies unread on the present connection, and is read first.
+        """
+        if self._task is not None and not self._on_request and self._anew is None:
+            loop = asyncio.get_running_loop()
+            # behind whatever is ready then: the task may be about to take the news
+            self._anew = loop.call_later(READ_ON, loop.call_soon, self._list_anew)
+
+    def _list_anew(self) -> None:
+        if self._anew is not None:
             self.move(self._client.address)
 
     def start(self, told: Told) -> None:
@@ -171,6 +183,9 @@
         self._task = asyncio.create_task(self._run())
 
     def stop(self) -> None:
+        if self._anew is not None:
+            self._anew.cancel()
+            self._anew = None
         if self._task is not None:
             self._task.cancel()  # guards against a hung watch: its connection closes with it
 
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -12,14 +12,13 @@
 from ironrail.connections import upstream
 from ironrail.connections.upstream import Link, Reply, Upstream
 from ironrail.net.memcache import SHORT, Command
+from ironrail.net.patience import patience
 from ironrail.net.system import REAL, Address, System
 from ironrail.policy.interface import Status
 
 log = logging.getLogger(__name__)
 
 WARN_EVERY = 5.0  # seconds between warnings about one server
-STOOD_STILL = 0.01  # seconds by which a timer comes late where it was the router that stood still
-READ_ON = 0.05  # seconds, then, to take what has come meanwhile
 
 
 @dataclass(slots=True, eq=False)
@@ -255,15 +254,10 @@
         assert task is not None
         host, port = cast(Address, link.address)
         try:
-            async with asyncio.timeout(None) as patience:
-                due = self._loop.time() + self.connect_timeout
-                timer = self._loop.call_at(due, self._overdue, patience, due)
-                try:
-                    _, connection = await self._loop.create_connection(
-                        lambda: self._connect(self, link), host, port
-                    )
-                finally:  # now: a timer that is due in the same turn would find the dial's time-out ended
-                    timer.cancel()
+            async with patience(self.connect_timeout):
+                _, connection = await self._loop.create_connection(
+                    lambda: self._connect(self, link), host, port
+                )
         except (OSError, TimeoutError):
             self._dialling.discard(task)
             self._tell(self.upstream.down, link)
@@ -275,15 +269,6 @@
             if closing:  # its end may have been told before it was known
                 self._connections.pop(link, None)
 
-    def _overdue(self, patience: asyncio.Timeout, due: float) -> None:
-        """A dial has had its time. Guards healthy servers against a router that stood still meanwhile.
-
-        Timers are looked at before sockets: a connection that had long come up would count as failed.
-        """
-        now = self._loop.time()
-        if not patience.expired():
-            patience.reschedule(now + READ_ON if now - due > STOOD_STILL else now)
-
     def _warn(self, warn: upstream.Warn) -> None:
         """Guards the log against a server whose every reply is spoilt."""
         now = self._now()
--- a/ironrail/rehearsal/virtual/cuts.py
+++ b/ironrail/rehearsal/virtual/cuts.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Coroutine, Generator
 from typing import Any
 
+from ironrail.net import patience
 from ironrail.rehearsal.scenario.model import Cut, CutKind
 from ironrail.rehearsal.virtual.ground import VirtualGround, VirtualRouter
 from ironrail.rehearsal.virtual.loop import PROCESS, VirtualLoop
@@ -27,18 +28,18 @@
 class Watched(Work):
     """A coroutine that tells each time it stands still."""
 
-    def __init__(self, work: Work, still: Callable[[Work, Any], None]) -> None:
+    def __init__(self, work: Work, still: Callable[[Any], None]) -> None:
         self._work, self._still = work, still
         self.__qualname__ = name_of(work)  # a task shows it
 
     def send(self, value: Any) -> Any:
         awaited = self._work.send(value)
-        self._still(self._work, awaited)
+        self._still(awaited)
         return awaited
 
     def throw(self, *error: Any) -> Any:
         awaited = self._work.throw(*error)
-        self._still(self._work, awaited)
+        self._still(awaited)
         return awaited
 
     def close(self) -> None:
@@ -65,31 +66,34 @@
             work = Watched(work, self._still)
         return asyncio.Task(work, loop=loop, **named)
 
-    def _still(self, work: Work, awaited: Any) -> None:
+    def _still(self, awaited: Any) -> None:
         self.awaits += 1
-        router = self._router()
-        if self.awaits != self._cut.nth or router is None:
+        router, task = self._router(), asyncio.current_task(self._loop)
+        if self.awaits != self._cut.nth or router is None or task is None:
             return
         if self._cut.woken and asyncio.isfuture(awaited):
             # the task is not told yet: what it waited for has come, and it is cut in the same turn
-            awaited.add_done_callback(lambda _: self._carry_out(router, work))
+            awaited.add_done_callback(lambda _: self._carry_out(router, task))
         else:  # after what runs now, as a signal or a timer would
-            self._loop.call_soon(self._carry_out, router, work)
+            self._loop.call_soon(self._carry_out, router, task)
 
     def _router(self) -> VirtualRouter | None:
         process = PROCESS.get()
         return next((router for router in self._ground.routers if router.process is process), None)
 
-    def _carry_out(self, router: VirtualRouter, work: Work) -> None:
+    def _limits(self, task: asyncio.Task[Any]) -> list[asyncio.Timeout]:
+        """The time limits that a task stands under."""
+        due = [timer._args[1] for timer in self._loop.timers() if timer._callback is patience.overdue]
+        return [limit for limit in due if limit._task is task and not limit.expired()]
+
+    def _carry_out(self, router: VirtualRouter, task: asyncio.Task[Any]) -> None:
         self._ground.network.note("cut", f"{router.name} {self._cut.task} {self._cut.how}")
         match self._cut.how:
             case CutKind.MOVES if router.node is not None:
                 discovery = router.node._discovery
                 discovery.move(discovery._client.address)  # as at a SIGHUP
             case CutKind.TIME_UP:
-                frame: Any = getattr(work, "cr_frame", None)  # none if it has ended since
-                patience = frame.f_locals.get("patience") if frame is not None else None
-                if patience is not None and not patience.expired():
-                    patience.reschedule(self._loop.time())
+                for limit in self._limits(task):
+                    limit.reschedule(self._loop.time())
             case CutKind.TERM:
                 router.signal(signal.SIGTERM)
--- a/ironrail/rehearsal/virtual/loop.py
+++ b/ironrail/rehearsal/virtual/loop.py
@@ -136,6 +136,11 @@
         else:
             self._of_the_dead.append(handle)
 
+    def timers(self) -> list[Any]:
+        """All that is set and not cancelled, in no order."""
+        scheduled: Any = self._scheduled  # type: ignore[attr-defined]
+        return [handle for handle in scheduled if not handle._cancelled]
+
     def unwind(self) -> None:
         """The world is over: let whatever is left run to its end, also what belonged to the dead."""
         self.unwinding = True
--- a/tests/rehearsal/virtual/test_cuts.py
+++ b/tests/rehearsal/virtual/test_cuts.py
@@ -36,6 +36,7 @@
 CUTS = [
     ("Discovery._run", CutKind.MOVES, 4),
     ("Pool._open", CutKind.TIME_UP, 20),
+    ("Discovery._run", CutKind.TIME_UP, 4),
     ("Discovery._run", CutKind.TERM, 4),
     ("VirtualRouter._run", CutKind.TERM, 4),
 ]
