A cold fleet is sent one request each until the first answer

Until the first answer a cold server now has one request out from this router, which gives the first guide.

Way not taken: no request at all, as then no guide would ever come.

--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -306,7 +306,8 @@
         most = max(cost, refill * self.settings.fall_window)
         server.credit = min(most, server.credit + refill * (self.now - server.credit_at))
         server.credit_at = self.now
-        return server.credit >= cost or not self.served  # with nothing served yet there is no guide
+        # with nothing served yet there is no guide: one at a time, whose answer is the first
+        return server.credit >= cost or not self.served and not server.load
 
     def _on_request(self, request: api.Request) -> None:
         known = self.settings.classes.get(request.request_class)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -303,6 +303,14 @@
     assert d.request("r0", key="k0", finish=True) in ("a", "b")
 
 
+def test_a_fleet_all_cold_is_not_flooded_before_its_first_answer() -> None:
+    """Each cold server gets one request; the others of the first moment are refused at once."""
+    d = Driver(settings(ramp=10.0, cold_share=0.3))
+    d.list(entry("a", since=d.now), entry("b", since=d.now))
+    chosen = [d.request(f"r{n}", key=f"k{n}") for n in range(40)]
+    assert sorted(name for name in chosen if name is not None) == ["a", "b"]
+
+
 def test_warm_server_gets_all_its_arcs_again() -> None:
     d = Driver(settings(ramp=10.0, cold_share=0.3))
     d.list(entry("a"), entry("b", since=d.now))
