--- a/ironrail/rehearsal/standins/fleet.py
+++ b/ironrail/rehearsal/standins/fleet.py
@@ -68,12 +68,15 @@
         """A cause has ended; with the last one a new process starts, cold and empty."""
         cache = self.caches[name]
         self._away[name].discard(cause)
-        if self._away[name]:
-            return
-        cache.die()
+        back = not self._away[name]
+        if back:
+            cache.die()
         for door in cache.doors.values():
-            door.end_silence(cause)
-            door.open()
+            door.end_silence(cause)  # each its own, or the one that ended first would last for good
+            if back:
+                door.open()
+        if not back:
+            return
         cache.come_back()
         self._rows[name] = replace(self._rows[name], started_ms=int(self._world.wall() * 1000))
         cache.started_ms = self._rows[name].started_ms
--- a/tests/rehearsal/test_standins.py
+++ b/tests/rehearsal/test_standins.py
@@ -221,6 +221,22 @@
         assert s.caches["cache-1"].doors[R].silent
 
 
+@scenario
+async def test_silences_that_overlap_end_in_any_order() -> None:
+    """One that ended first once lasted for good: the cache was listed, and never answered again."""
+    async with stage() as s:
+        s.fleet.vanish("cache-1", "a")
+        s.fleet.stop("cache-1", "b")
+        s.fleet.vanish("cache-1", "c")
+        for cause in "cab":
+            assert s.caches["cache-1"].doors[R].silent or cause == "b"
+            s.fleet.back("cache-1", cause)
+        assert not s.caches["cache-1"].doors[R].silent
+        cache = await wire(s.caches["cache-1"].doors[R].address)
+        cache.read(s.asked(0))
+        assert await cache.reader.readline()
+
+
 @scenario
 async def test_a_drain_is_listed_first_and_a_new_process_follows() -> None:
     async with stage() as s:
