Kit: each lost request is laid to one cause, with the parts adding up to the loss

Need: service said how much was lost, never of what, so that changes of the policy were guessed.

In virtual time a tap between host and module notes what was decided and why nothing was sent; with what the stand-ins saw, the time of each lost request is cut into moments, and the cause of the largest part has the loss. A table, a plot over time and `losses` in the JSON report show it. Ways not taken: the last or the first thing that went wrong, shares of one request for several causes (docs/losses/design.md).

--- a/ironrail/rehearsal/account/service.py
+++ b/ironrail/rehearsal/account/service.py
@@ -40,6 +40,14 @@
         return self.answered / self.asked if self.asked > 0 else 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """A first try that was not answered in time, and the worth that this cost."""
+
+    planned: Planned
+    worth: float
+
+
 @dataclass(slots=True)
 class Service:
     """One run's service, whole and in parts."""
@@ -51,6 +59,7 @@
     windows: dict[int, Tally] = field(default_factory=dict)
     latencies: dict[str, dict[float, float]] = field(default_factory=dict)  # seconds, by class and quantile
     outcomes: dict[str, int] = field(default_factory=dict)  # of tries
+    losses: list[Loss] = field(default_factory=list)
     retries: int = 0
     kept_back: int = 0
 
@@ -134,6 +143,8 @@
         service.halls.setdefault(planned.hall, Tally()),
         service.windows.setdefault(int(planned.at // WINDOW), Tally()),
     )
+    if gained < worth:
+        service.losses.append(Loss(planned, worth - gained))
     for tally in parts:
         tally.asked += worth
         tally.answered += gained
--- a/ironrail/rehearsal/report/document.py
+++ b/ironrail/rehearsal/report/document.py
@@ -7,6 +7,7 @@
 
 from ironrail.rehearsal.account.rules import Violation
 from ironrail.rehearsal.account.service import WINDOW, Service, Tally
+from ironrail.rehearsal.losses.lay import Laid
 from ironrail.rehearsal.run import Result
 from ironrail.rehearsal.verdicts import Verdict
 
@@ -33,6 +34,7 @@
         "no_verdict": result.no_verdict,
         "verdicts": [_verdict(v) for v in result.verdicts],
         "service": _service(service),
+        "losses": _losses(result.laid),
         "archive_fetches": sum(at >= 0 for at in result.record.archive_fetches),
         "handshakes": result.record.handshakes,
         "faults": [
@@ -124,6 +126,26 @@
     }
 
 
+def _losses(laid: Laid | None) -> dict[str, Any] | None:
+    if laid is None:
+        return None
+    rows = [
+        {
+            "cause": cause,
+            "worth": worth,
+            "requests": laid.requests[cause],
+            "example": laid.examples[cause],
+            "windows": [
+                {"from": n * WINDOW, "worth": causes[cause]}
+                for n, causes in sorted(laid.windows.items())
+                if cause in causes
+            ],
+        }
+        for cause, worth in laid.largest_first()
+    ]
+    return {"whole": laid.whole, "causes": rows}
+
+
 def _violation(violation: Violation) -> dict[str, Any]:
     return {
         "rule": violation.rule,
--- a/ironrail/rehearsal/report/plots.py
+++ b/ironrail/rehearsal/report/plots.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import io
+import math
 from collections.abc import Callable
 
 import matplotlib
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 
+from ironrail.rehearsal.account.service import WINDOW
 from ironrail.rehearsal.report.series import series
 from ironrail.rehearsal.run import Result
 
@@ -64,6 +66,17 @@
         axes.set_yticks([])
         axes.invert_yaxis()
 
+    def losses(axes: Axes) -> None:
+        laid = result.laid
+        assert laid is not None
+        numbers = range(math.ceil(result.scenario.length / WINDOW))
+        edges, below = [n * WINDOW for n in numbers], [0.0 for _ in numbers]
+        for cause, _ in laid.largest_first():
+            worth = [laid.windows.get(n, {}).get(cause, 0.0) for n in numbers]
+            axes.bar(edges, worth, WINDOW, below, align="edge", label=cause, edgecolor="white")
+            below = [low + high for low, high in zip(below, worth, strict=True)]
+        axes.legend(loc="upper left", fontsize=7, bbox_to_anchor=(1.0, 1.0))
+
     drawn: list[tuple[str, Callable[[Axes], None]]] = [("What went wrong", faults)] if result.plan else []
     drawn += [
         ("Service: share of first tries answered within the wanted time", service),
@@ -72,6 +85,10 @@
         ("In flight", in_flight),
         ("Routers", memory),
     ]
+    if result.laid is not None and result.laid.causes:
+        drawn.insert(
+            -4, ("Where the worth went: lost in each window, by what took most of a request's time", losses)
+        )
     return [(title, _draw(result, draw)) for title, draw in drawn]
 
 
--- a/ironrail/rehearsal/report/table.py
+++ b/ironrail/rehearsal/report/table.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from ironrail.rehearsal.losses.lay import Laid
 from ironrail.rehearsal.pipelines import Line
 from ironrail.rehearsal.report.document import outcome_of
 from ironrail.rehearsal.run import Result
@@ -20,6 +21,8 @@
     """Verdicts, service in parts, and the first broken rules with their histories."""
     console.print(_verdicts(result))
     console.print(_service(result))
+    if result.laid is not None and result.laid.causes:
+        console.print(_losses(result.laid))
     for violation in result.broken[:MOST_HISTORIES]:
         console.print(f"[bold red]{violation.rule}[/]: {violation.what}")
         for line in violation.history:
@@ -77,6 +80,16 @@
     return table
 
 
+def _losses(laid: Laid) -> Table:
+    table = Table(title=f"Where the worth went: {laid.whole:.1f} lost", title_justify="left")
+    for name in ("what took most of its time", "share", "worth", "requests", "one of them"):
+        table.add_column(name, justify="left" if name[-1] in "em" else "right")
+    for cause, worth in laid.largest_first():
+        share, count = f"{worth / laid.whole:.1%}", str(laid.requests[cause])
+        table.add_row(cause, share, f"{worth:.1f}", count, laid.examples[cause])
+    return table
+
+
 def _service(result: Result) -> Table:
     service = result.service
     table = Table(title="Service: worth answered in time over worth asked for", title_justify="left")
--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -18,6 +18,7 @@
 from ironrail.rehearsal.ground import Ground, RealGround, Router, ready, says_yes, takes_signals
 from ironrail.rehearsal.lateness import Lateness
 from ironrail.rehearsal.load.schedule import Planned, digest, make_schedule
+from ironrail.rehearsal.losses.lay import Laid
 from ironrail.rehearsal.routers import OWN_ROUTER, Exit
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, hall_of, router_names
@@ -71,6 +72,8 @@
     no_verdict: str = ""  # why the run tells nothing
     digest: str = ""  # of all events, in virtual time
     logs: dict[str, str] = field(default_factory=dict)
+    began: float = 0.0  # the load that counts, on the clock of the loop
+    laid: Laid | None = None  # what was lost by cause, in virtual time
 
     @property
     def kept(self) -> bool:
@@ -345,4 +348,5 @@
             why,
             self._ground.digest(),
             {name: router.log.decode(errors="replace") for name, router in self._routers.items()},
+            self._world.start,
         )
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -18,6 +18,7 @@
 from ironrail.rehearsal.account.record import RouterFacts
 from ironrail.rehearsal.draws import stream
 from ironrail.rehearsal.ground import OnExit
+from ironrail.rehearsal.losses.tap import Decided, Tap
 from ironrail.rehearsal.routers import Exit
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.standins.listening import BACKLOG, LOCAL, Accepted, Listen
@@ -118,6 +119,8 @@
         await asyncio.sleep(delay)
         try:
             self.node = Node(self._config(), self._ground.operator, self._ground.system, self._config)
+            host = self.node._host
+            host._router = Tap(host._router, self._ground.decided)  # type: ignore[assignment]
             await self.node.serve()
         except Exception as e:
             process.write_log(f"{type(e).__name__}: {e}\n")
@@ -195,6 +198,7 @@
         self.draws = stream(seed, "virtual.processes")
         self.wall = self.system.wall
         self.routers: list[VirtualRouter] = []
+        self.decided: dict[str, Decided] = {}  # by request
 
     @property
     def listen(self) -> Listen:
--- a/ironrail/rehearsal/virtual/play.py
+++ b/ironrail/rehearsal/virtual/play.py
@@ -11,6 +11,7 @@
 
 from ironrail.net.node import NO_FILE
 from ironrail.operator import Operator
+from ironrail.rehearsal.losses.lay import lay
 from ironrail.rehearsal.run import Progress, Rehearsal, Result
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.verdicts import Verdict
@@ -76,6 +77,7 @@
             )
             result = loop.run_until_complete(rehearsal.run())
             errors += loop.errors
+            result.laid = lay(result.service.losses, result.record, scenario, ground.decided, result.began)
         except Standstill as e:
             raise Standstill(f"seed {seed}: {e}") from e
         finally:
