Experiments: variants over the same worlds, with intervals, early stops and a store

ironrail experiment run | resume | show | diff plays variants (working tree, a commit's daemon, an operator's file, a constant) over the same worlds and seeds in virtual time, in processes of their own. Differences are paired; intervals are Student's t (scipy), the level shared among looks and comparisons; it stops once all is settled. Each run is a row of SQLite written in one transaction; a resume plays only what is missing, and refuses a tree that changed. The page shows effects by family, the worst worlds, and what was lost more and less to.

--- a/ironrail/cli.py
+++ b/ironrail/cli.py
@@ -13,6 +13,7 @@
     import click  # noqa: PLC0415
 
     from ironrail.rehearsal.command import pipeline_report, rehearse  # noqa: PLC0415
+    from ironrail.rehearsal.experiments.command import experiment  # noqa: PLC0415
     from ironrail.rehearsal.virtual.command import explore  # noqa: PLC0415
 
     @click.group(
@@ -37,6 +38,7 @@
     ironrail.add_command(rehearse)
     ironrail.add_command(pipeline_report)
     ironrail.add_command(explore)
+    ironrail.add_command(experiment)
     return ironrail
 
 
--- a/ironrail/rehearsal/scenario/reader.py
+++ b/ironrail/rehearsal/scenario/reader.py
@@ -6,14 +6,16 @@
 import tomllib
 from importlib import resources
 from pathlib import Path
+from typing import TypeVar
 
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 
 from ironrail.rehearsal.scenario.model import Scenario
 
 HEADER = re.compile(r"\s*(\[\[?)\s*([A-Za-z0-9_.-]+)\s*\]\]?")
 KEY = re.compile(r"\s*([A-Za-z0-9_-]+)\s*=")
 MOST_FILE = 1024 * 1024  # bytes: a scenario is written by hand
+Form = TypeVar("Form", bound=BaseModel)
 
 
 class ScenarioError(ValueError):
@@ -31,6 +33,11 @@
     path = shipped().get(name, Path(name))
     if path.suffix != ".toml":
         raise ScenarioError(f"{name}: no scenario of that name ({', '.join(shipped())}) and no .toml file")
+    return parse_scenario(read_text(path), str(path))
+
+
+def read_text(path: Path) -> str:
+    """The text of a file that is written by hand."""
     try:
         data = path.read_bytes()
     except OSError as e:
@@ -38,15 +45,19 @@
     if len(data) > MOST_FILE:
         raise ScenarioError(f"{path}: larger than {MOST_FILE} bytes")
     try:
-        text = data.decode()
+        return data.decode()
     except UnicodeDecodeError as e:
         line = data[: e.start].count(b"\n") + 1
         raise ScenarioError(f"{path}:{line}: not UTF-8") from e
-    return parse_scenario(text, str(path))
 
 
 def parse_scenario(text: str, file: str) -> Scenario:
     """The scenario that a file holds."""
+    return parse(Scenario, text, file)
+
+
+def parse(form: type[Form], text: str, file: str) -> Form:
+    """What a file holds, in its form."""
     try:
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as e:
@@ -54,7 +65,7 @@
         line = found[1] if found and found[1] else str(text.count("\n") + 1)
         raise ScenarioError(f"{file}:{line}: {re.sub(r' [(]at .*', '', str(e))}") from e
     try:
-        return Scenario.model_validate(table)
+        return form.model_validate(table)
     except ValidationError as e:
         first = e.errors(include_url=False)[0]
         where = tuple(first["loc"])
