--- a/ironrail/rehearsal/experiments/plan.py
+++ b/ironrail/rehearsal/experiments/plan.py
@@ -17,9 +17,11 @@
 from ironrail.rehearsal.scenario.model import Scenario, Table
 from ironrail.rehearsal.scenario.reader import ScenarioError, parse, read_scenario, read_text
 from ironrail.rehearsal.virtual.worlds import draw_world
+from ironrail.rehearsal.worlds import FAMILIES, family_world
 
 SEEDS = re.compile(r"(\d+)\.\.(\d+)")
 DRAWN = "drawn"  # the worlds that the explorer draws, in place of a scenario
+FAMILY = "family:"  # and a name: worlds of a family
 MOST_RUNS = 1_000_000
 MOST_NAMED = 200  # scenarios and variants
 
@@ -51,7 +53,7 @@
     """Worlds of one family."""
 
     name: Name
-    scenario: str = DRAWN  # a shipped one, a file, or `drawn`
+    scenario: str = DRAWN  # a shipped one, a file, `drawn`, or `family:` and its name
     seeds: str  # the first and the last one
 
     @field_validator("seeds")
@@ -62,6 +64,18 @@
             raise ValueError(f"must be a first and a last one, like 0..99, not {seeds!r}")
         return seeds
 
+    @field_validator("scenario")
+    @classmethod
+    def _there(cls, scenario: str) -> str:
+        if scenario.startswith(FAMILY) and scenario.removeprefix(FAMILY) not in FAMILIES:
+            raise ValueError(f"there is no family {scenario.removeprefix(FAMILY)!r} ({', '.join(FAMILIES)})")
+        return scenario
+
+    @property
+    def is_drawn(self) -> bool:
+        """Whether each seed has a world of its own."""
+        return self.scenario == DRAWN or self.scenario.startswith(FAMILY)
+
     def numbers(self) -> range:
         first, last = self.seeds.split("..")
         return range(int(first), int(last) + 1)
@@ -112,7 +126,7 @@
     text = read_text(Path(path))
     experiment = parse(Experiment, text, path)
     for worlds in experiment.worlds:
-        if worlds.scenario != DRAWN:
+        if not worlds.is_drawn:
             read_scenario(worlds.scenario)
     for variant in experiment.variants:
         if variant.operator and not Path(variant.operator).is_file():
@@ -122,6 +136,8 @@
 
 def world_of(worlds: Worlds, seed: int) -> Scenario:
     """The world of a seed."""
+    if worlds.scenario.startswith(FAMILY):
+        return family_world(worlds.scenario.removeprefix(FAMILY), seed)
     return draw_world(seed) if worlds.scenario == DRAWN else read_scenario(worlds.scenario)
 
 
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -114,7 +114,8 @@
     fall_time: Seconds = 1.0
     connections: Count = 95
     handshake: Seconds = 0.03  # of its work, for a new connection
-    idle: Seconds = 60.0
+    idle: Seconds = 60.0  # after which it closes a connection
+    idle_told: Seconds | None = None  # what routers are told of that; the truth where left out
 
 
 class Archive(Table):
--- a/ironrail/rehearsal/settings.py
+++ b/ironrail/rehearsal/settings.py
@@ -38,7 +38,7 @@
             "mayCancel": True,
             "secondCopies": True,
             "dialTimeout": 0.25,
-            "connIdle": caches.idle,
+            "connIdle": caches.idle if caches.idle_told is None else caches.idle_told,
             "multiplex": 100,
         },
         "membershipMode": "automatic",
