Losses: what the tap wrote down and nobody read is gone

Found on reading the change again: the end of a request and whether a server is a cache were kept for each request and each send, and no cause is laid by them.

--- a/ironrail/rehearsal/losses/tap.py
+++ b/ironrail/rehearsal/losses/tap.py
@@ -37,7 +37,6 @@
 
     at: float
     server: str
-    cache: bool
     ended: float | None = None
     status: api.Status | None = None
 
@@ -49,7 +48,6 @@
     asked: float
     sent: dict[int, Sent] = field(default_factory=dict)
     waits: list[float] = field(default_factory=list)  # when it was held for a place, or for any server
-    ended: float | None = None
     why: Why | None = None  # None where it was served or its client left
 
 
@@ -80,20 +78,15 @@
     def _end_attempt(self, event: api.Outcome, now: float) -> None:
         mine = self._decided.get(event.request)
         sent = mine.sent.get(event.attempt) if mine is not None else None
-        if mine is not None and sent is not None:
+        if sent is not None:
             sent.ended, sent.status = now, event.status
-            if event.status is api.Status.OK:
-                mine.ended = now
 
     def _note(self, action: api.Action, now: float) -> None:
         match action:
             case api.Send(name, server, _, number) if name in self._decided:
-                known = self._router.servers.get(server)
-                self._decided[name].sent[number] = Sent(now, server, known is None or known.cache)
+                self._decided[name].sent[number] = Sent(now, server)
             case api.SetTimer(_, token) if token.startswith("wait:") and token[5:] in self._decided:
                 self._decided[token[5:]].waits.append(now)
-            case api.Refuse(name) | api.Fail(name) if name in self._decided:
-                self._decided[name].ended = now
 
     def _ending(self, held: Held) -> None:
         """The module is about to give a request up, or would if nothing were out for it."""
--- a/tests/rehearsal/losses/test_lay.py
+++ b/tests/rehearsal/losses/test_lay.py
@@ -35,7 +35,7 @@
 ) -> Decided:
     """As a tap would have written it down, in seconds of the load."""
     attempts = {
-        n: Sent(START + at, server, server != "archive", None if end is None else START + end, status)
+        n: Sent(START + at, server, None if end is None else START + end, status)
         for n, (at, server, end, status) in enumerate(sent)
     }
     return Decided(START + asked, attempts, [START + at for at in waits], why=why)
