One place draws an SVG plot, and one holds the option for jobs

Found on reading the change again: the page of an experiment had a copy of how a rehearsal's plots are drawn, and two commands the same option.

--- a/ironrail/rehearsal/experiments/command.py
+++ b/ironrail/rehearsal/experiments/command.py
@@ -51,6 +51,9 @@
     """Compare variants of the router over the same worlds and seeds."""
 
 
+_jobs = click.option("--jobs", type=click.IntRange(1, 64), default=os.cpu_count() or 1, help="Runs at once.")
+
+
 def _options(command: Any) -> Any:
     for option in (
         click.option(
@@ -67,7 +70,7 @@
 )
 @click.argument("file")
 @click.option("--store", required=True, metavar="FILE", help="Where results are kept; must not be there yet.")
-@click.option("--jobs", type=click.IntRange(1, 64), default=os.cpu_count() or 1, help="Runs at once.")
+@_jobs
 @_options
 def run_command(file: str, store: str, jobs: int, json_file: str | None, html_file: str | None) -> None:
     """Play the experiment in FILE until its question is settled."""
@@ -79,7 +82,7 @@
 )
 @click.argument("file")
 @click.option("--store", required=True, metavar="FILE", help="Of the experiment that was cut off.")
-@click.option("--jobs", type=click.IntRange(1, 64), default=os.cpu_count() or 1, help="Runs at once.")
+@_jobs
 @_options
 def resume(file: str, store: str, jobs: int, json_file: str | None, html_file: str | None) -> None:
     """Go on with an experiment that was cut off. Nothing is played twice."""
--- a/ironrail/rehearsal/experiments/page.py
+++ b/ironrail/rehearsal/experiments/page.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import html
-import io
 import math
 
-import matplotlib
-from matplotlib.figure import Figure
+from matplotlib.axes import Axes
 
 from ironrail.rehearsal.experiments.compare import Compared, Interval, Word
 from ironrail.rehearsal.experiments.plan import Experiment
 from ironrail.rehearsal.experiments.run import State
+from ironrail.rehearsal.report.plots import svg_of
 
 LEAST_SHOWN = 0.00005  # of what was asked for: a smaller change would be shown as none
 ROW = 0.32  # inches of one interval
@@ -55,9 +54,8 @@
 def _plot(described: Experiment, one: Compared) -> str:
     """Each family's mean and interval, the whole on top."""
     rows: list[tuple[str, Interval]] = [("all", one.whole), *one.families.items()]
-    with matplotlib.rc_context({"svg.fonttype": "none", "svg.hashsalt": "ironrail", "font.size": 9}):
-        figure = Figure(figsize=(11.0, 0.9 + ROW * len(rows)), layout="constrained")
-        axes = figure.add_subplot()
+
+    def draw(axes: Axes) -> None:
         for y, (_, interval) in enumerate(rows):
             colour = COLOURS[interval.word(described.stop.margin)]
             axes.plot(interval.mean, y, "o", color=colour)
@@ -70,7 +68,5 @@
         axes.invert_yaxis()
         axes.set_xlabel("difference of service")
         axes.grid(alpha=0.25, axis="x")
-        out = io.StringIO()
-        figure.savefig(out, format="svg", metadata={"Date": None, "Creator": None})
-    svg = out.getvalue()
-    return svg[svg.index("<svg") :]
+
+    return svg_of(0.9 + ROW * len(rows), draw)
--- a/ironrail/rehearsal/report/plots.py
+++ b/ironrail/rehearsal/report/plots.py
@@ -93,16 +93,23 @@
 
 
 def _draw(result: Result, draw: Callable[[Axes], None]) -> str:
-    # text stays text, and the same run gives the same file
-    with matplotlib.rc_context({"svg.fonttype": "none", "svg.hashsalt": "ironrail", "font.size": 9}):
-        figure = Figure(figsize=(WIDTH, HEIGHT), layout="constrained")
-        axes = figure.add_subplot()
+    def with_faults(axes: Axes) -> None:
         draw(axes)
         for i, planned in enumerate(result.plan):
             axes.axvspan(planned.fault.at, planned.ends, color=BANDS[i % len(BANDS)], alpha=0.1, lw=0)
         axes.set_xlim(0, result.scenario.length)
         axes.set_xlabel("seconds")
         axes.grid(alpha=0.25)
+
+    return svg_of(HEIGHT, with_faults)
+
+
+def svg_of(height: float, draw: Callable[[Axes], None]) -> str:
+    """One plot as an SVG element, so many inches high."""
+    # text stays text, and the same run gives the same file
+    with matplotlib.rc_context({"svg.fonttype": "none", "svg.hashsalt": "ironrail", "font.size": 9}):
+        figure = Figure(figsize=(WIDTH, height), layout="constrained")
+        draw(figure.add_subplot())
         out = io.StringIO()
         figure.savefig(out, format="svg", metadata={"Date": None, "Creator": None})
     svg = out.getvalue()
