Recorded load: logs and HAR files become traces that a rehearsal plays

Need: invented traffic flatters whoever invented it. Nothing could be rehearsed but what a scenario draws.

Repeats of an idempotency key stay on their side of the window at every speed; a first rule let repeats 5.1 s apart come 0.5 s apart at speed 10, found by a drawn example.

--- a/ironrail/cli.py
+++ b/ironrail/cli.py
@@ -12,6 +12,7 @@
 def _commands() -> click.Group:
     import click  # noqa: PLC0415
 
+    from ironrail.recorded.command import trace  # noqa: PLC0415
     from ironrail.rehearsal.command import pipeline_report, rehearse  # noqa: PLC0415
     from ironrail.rehearsal.experiments.command import experiment  # noqa: PLC0415
     from ironrail.rehearsal.virtual.command import explore  # noqa: PLC0415
@@ -39,6 +40,7 @@
     ironrail.add_command(pipeline_report)
     ironrail.add_command(explore)
     ironrail.add_command(experiment)
+    ironrail.add_command(trace)
     return ironrail
 
 
--- a/ironrail/rehearsal/command.py
+++ b/ironrail/rehearsal/command.py
@@ -18,8 +18,11 @@
 from rich.table import Table
 
 from ironrail.operator import read_operator
+from ironrail.recorded.schedule import ReplayError, plan_of, scaled
+from ironrail.recorded.trace import Trace, TraceError
 from ironrail.rehearsal.faults.plan import PlanError
 from ironrail.rehearsal.ground import RealGround
+from ironrail.rehearsal.load.schedule import Planned
 from ironrail.rehearsal.pipelines import Depth, compare
 from ironrail.rehearsal.report.document import document
 from ironrail.rehearsal.report.page import write_page
@@ -27,6 +30,7 @@
 from ironrail.rehearsal.routers import OWN_ROUTER
 from ironrail.rehearsal.run import Rehearsal, Result
 from ironrail.rehearsal.scenario import Scenario, ScenarioError, read_scenario, shipped
+from ironrail.rehearsal.scenario.model import Repeats
 from ironrail.rehearsal.virtual.play import play_virtual
 
 KEPT, FAILED, UNUSABLE, NO_VERDICT, INTERRUPTED = 0, 1, 2, 3, 130
@@ -52,9 +56,16 @@
         self._console.print(f"{at:7.1f} s  {text}", highlight=False, markup=False)
 
 
-def play(scenario: Scenario, seed: int, command: tuple[str, ...], console: Console) -> Result:
+def play(
+    scenario: Scenario,
+    seed: int,
+    command: tuple[str, ...],
+    console: Console,
+    schedule: list[Planned] | None = None,
+) -> Result:
     """One run on a loop of its own; ends cleanly on SIGINT and SIGTERM."""
-    rehearsal = Rehearsal(scenario, seed, ground=RealGround(command), progress=Printer(console, scenario))
+    told = Printer(console, scenario)
+    rehearsal = Rehearsal(scenario, seed, ground=RealGround(command), progress=told, schedule=schedule)
 
     async def run() -> Result:
         task = asyncio.ensure_future(rehearsal.run())
@@ -68,6 +79,28 @@
         return runner.run(run())
 
 
+def _play_virtual(
+    scenario: Scenario, seed: int, console: Console, events: str | None, schedule: list[Planned] | None
+) -> Result:
+    """In virtual time, with the last events in a file of their own."""
+    kept = TRACE_LINES if events else 0
+    told = Printer(console, scenario)
+    played = play_virtual(scenario, seed, progress=told, kept_lines=kept, schedule=schedule)
+    if events:
+        Path(events).write_text("\n".join(played.lines) + "\n")
+    return played.result
+
+
+def read_load(
+    path: Path, scenario: Scenario, speed: float, rate: float, seed: int
+) -> tuple[Scenario, list[Planned]]:
+    """What a trace asks for, and the scenario with its length, rate and titles."""
+    window = max((c.window for c in scenario.classes if c.repeats is Repeats.KEYED), default=0.0)
+    with Trace(path) as trace:
+        entries = scaled(trace.entries(), speed, rate, window, seed)
+    return plan_of(entries, scenario, seed)
+
+
 def make_console(stderr: bool = False) -> Console:
     """A terminal as wide as it is, anything else wide enough for the tables."""
     console = Console(stderr=stderr)
@@ -170,7 +203,20 @@
 @click.option("--html", "html_file", metavar="FILE", help="Write a page with plots.")
 @click.option("--router", metavar="COMMAND", help="Rehearse this program in place of the router itself.")
 @click.option("--virtual", is_flag=True, help="In virtual time: one seed gives the same events each time.")
-@click.option("--trace", "trace_file", metavar="FILE", help="Write the last events; with --virtual.")
+@click.option("--events", "trace_file", metavar="FILE", help="Write the last events; with --virtual.")
+@click.option("--trace", "load_file", metavar="FILE", help="Play this trace in place of a drawn load.")
+@click.option(
+    "--speed",
+    type=click.FloatRange(0.01, 1000),
+    default=1.0,
+    help="Of the trace; repeats of one idempotency key keep their distance.",
+)
+@click.option(
+    "--rate",
+    type=click.FloatRange(0.0001, 100),
+    default=1.0,
+    help="Times as many requests, at the same speed.",
+)
 @click.option("--list", "list_them", is_flag=True, help="Tell which scenarios there are.")
 def rehearse(
     scenario: str | None,
@@ -181,6 +227,9 @@
     router: str | None,
     virtual: bool,
     trace_file: str | None,
+    load_file: str | None,
+    speed: float,
+    rate: float,
     list_them: bool,
 ) -> None:
     """Rehearse SCENARIO: a shipped one by its name, or a file.
@@ -196,7 +245,9 @@
     if virtual and router:
         raise click.UsageError("--router names a program to start; with --virtual nothing is started")
     if trace_file and not virtual:
-        raise click.UsageError("--trace goes with --virtual")
+        raise click.UsageError("--events goes with --virtual")
+    if load_file is None and (speed != 1 or rate != 1):
+        raise click.UsageError("--speed and --rate go with --trace")
     console = make_console(stderr=json_file == "-")
     try:
         _check_writable(json_file, html_file, trace_file)
@@ -204,21 +255,22 @@
         if routers is not None:
             conf = chosen.routers.model_copy(update={"count": routers})
             chosen = chosen.model_copy(update={"routers": conf})
+        schedule = None
+        if load_file is not None:
+            chosen, schedule = read_load(Path(load_file), chosen, speed, rate, seed)
         if virtual:
-            played = play_virtual(
-                chosen, seed, progress=Printer(console, chosen), kept_lines=TRACE_LINES if trace_file else 0
-            )
-            result = played.result
-            if trace_file:
-                Path(trace_file).write_text("\n".join(played.lines) + "\n")
+            result = _play_virtual(chosen, seed, console, trace_file, schedule)
         else:
-            result = play(chosen, seed, tuple(shlex.split(router)) if router else OWN_ROUTER, console)
+            command = tuple(shlex.split(router)) if router else OWN_ROUTER
+            result = play(chosen, seed, command, console, schedule)
         _write(result, json_file, html_file)
     except (ScenarioError, PlanError) as e:
         click.echo(f"ironrail: {scenario}: {e}" if isinstance(e, PlanError) else f"ironrail: {e}", err=True)
         sys.exit(UNUSABLE)
-    except OSError as e:
-        click.echo(f"ironrail: {e}", err=True)
+    except (OSError, TraceError, ReplayError) as e:
+        click.echo(
+            f"ironrail: {load_file}: {e}" if isinstance(e, ReplayError) else f"ironrail: {e}", err=True
+        )
         sys.exit(UNUSABLE)
     except (asyncio.CancelledError, KeyboardInterrupt):
         with contextlib.suppress(OSError):
--- a/ironrail/rehearsal/load/schedule.py
+++ b/ironrail/rehearsal/load/schedule.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import math
+import random
 from bisect import bisect_right
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -63,11 +64,19 @@
     return _Maker(scenario, seed).make()
 
 
-def _pick(names: Sequence[str], weights: Iterable[float], draw: float) -> str:
+def pick(names: Sequence[str], weights: Iterable[float], draw: float) -> str:
+    """The name on which a draw from [0, 1) falls."""
     sums = list(accumulate(weights))
     return names[min(bisect_right(sums, draw * sums[-1]), len(names) - 1)]
 
 
+def draw_work(kind: RequestClass, draws: random.Random) -> float:
+    """Lognormal with the mean and the spread of the class."""
+    sigma = math.sqrt(math.log(1 + kind.spread**2))
+    drawn = math.exp(draws.gauss(-(sigma**2) / 2, sigma))
+    return kind.work * max(LEAST_WORK, min(MOST_WORK, drawn))
+
+
 class _Maker:
     """Draws one schedule."""
 
@@ -89,10 +98,10 @@
         scenario, draws = self._scenario, self._draws
         kinds, titles = scenario.classes, scenario.titles
         kind = scenario.class_of(
-            _pick([c.name for c in kinds], [c.share for c in kinds], draws["kinds"].random())
+            pick([c.name for c in kinds], [c.share for c in kinds], draws["kinds"].random())
         )
-        title = _pick([t.name for t in titles], [t.share * t.usage for t in titles], draws["titles"].random())
-        work = self._work(kind)
+        title = pick([t.name for t in titles], [t.share * t.usage for t in titles], draws["titles"].random())
+        work = draw_work(kind, draws["work"])
         hint = work * math.exp(draws["hints"].gauss(0.0, HINT_SPREAD))
         size = int(scenario.load.value * math.exp(draws["sizes"].gauss(0.0, 0.5)))
         keyed = kind.repeats == "keyed"
@@ -110,12 +119,6 @@
             draws["own"].random() < scenario.clients.new_connections,
         )
 
-    def _work(self, kind: RequestClass) -> float:
-        """Lognormal with the mean and the spread of the class."""
-        sigma = math.sqrt(math.log(1 + kind.spread**2))
-        drawn = math.exp(self._draws["work"].gauss(-(sigma**2) / 2, sigma))
-        return kind.work * max(LEAST_WORK, min(MOST_WORK, drawn))
-
     def _key(self, at: float) -> str:
         key = self._popularity.key(self._draws["keys"].random())
         for fault, draws in zip(self._hot, self._hot_draws, strict=True):
@@ -130,7 +133,7 @@
         weights = [1.0] * len(names)
         if len(names) > 1:
             weights[0], weights[-1] = 1 + skew, 1 - skew
-        return _pick(names, weights, self._draws["halls"].random())
+        return pick(names, weights, self._draws["halls"].random())
 
 
 def hot_router_share(fault: Fault) -> float:
--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -91,11 +91,13 @@
         ground: Ground | None = None,
         progress: Progress = lambda at, text: None,
         at_rest: Callable[[], None] = lambda: None,
+        schedule: list[Planned] | None = None,
     ) -> None:
+        """`schedule`: what clients ask for, in place of what the scenario would have drawn."""
         self._scenario, self._seed = scenario, seed
         self._ground: Ground = ground if ground is not None else RealGround(OWN_ROUTER)
         self._progress, self._at_rest = progress, at_rest
-        self._schedule = make_schedule(scenario, seed)
+        self._schedule = make_schedule(scenario, seed) if schedule is None else schedule
         self._plan = faults.make_plan(scenario, seed)
         self._record, self._lateness = Record(), Lateness()
         self._samples: list[Sample] = []
--- a/ironrail/rehearsal/virtual/play.py
+++ b/ironrail/rehearsal/virtual/play.py
@@ -13,6 +13,7 @@
 from ironrail.logs import formatter
 from ironrail.net.node import NO_FILE
 from ironrail.operator import Operator
+from ironrail.rehearsal.load.schedule import Planned
 from ironrail.rehearsal.losses.lay import lay
 from ironrail.rehearsal.run import Progress, Rehearsal, Result
 from ironrail.rehearsal.scenario.model import Scenario
@@ -64,6 +65,7 @@
     operator: Operator = NO_FILE,
     progress: Progress = lambda at, text: None,
     kept_lines: int = 0,
+    schedule: list[Planned] | None = None,
 ) -> Virtual:
     """Play a scenario. The same scenario and seed give the same events, byte for byte."""
     loop = VirtualLoop(seed)
@@ -79,6 +81,7 @@
                 ground=ground,
                 progress=progress,
                 at_rest=lambda: faults.extend(faults_at_rest(ground.routers)),
+                schedule=schedule,
             )
             result = loop.run_until_complete(rehearsal.run())
             errors += loop.errors
--- /dev/null
+++ b/tests/recorded/test_trace.py
@@ -0,0 +1,89 @@
+"""Trace files: whole or not there, and never taken for what they are not."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pyarrow as pa
+import pyarrow.parquet as pq
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironrail.recorded import trace as form
+from ironrail.recorded.entry import Entry
+from ironrail.recorded.trace import Trace, TraceError, TraceWriter, write_trace
+from tests.recorded.samples import START, entry
+
+text = st.text(st.characters(codec="utf-8"), max_size=12)
+entries = st.lists(
+    st.builds(
+        Entry,
+        at=st.integers(0, 2**41).map(lambda us: us / 1e6),
+        kind=text,
+        title=text,
+        key=text,
+        size=st.integers(0, 2**31 - 1),
+        method=text,
+        status=st.integers(0, 999),
+        took=st.integers(0, 10**9).map(lambda us: us / 1e6),
+        client=text,
+        idempotency=text,
+        write=st.booleans(),
+        work=st.floats(0, 100),
+    ),
+    max_size=20,
+).map(lambda rows: sorted(rows, key=lambda row: row.at))
+
+
+@given(entries)
+def test_what_is_written_is_read(tmp_path_factory: pytest.TempPathFactory, rows: list[Entry]) -> None:
+    path = tmp_path_factory.mktemp("trace") / "t.trace"
+    assert write_trace(path, rows) == len(rows)
+    with Trace(path) as read:
+        assert list(read.entries()) == rows and len(read) == len(rows)
+
+
+def test_a_stretch_is_read_without_the_rest(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(form, "GROUP", 10)
+    write_trace(tmp_path / "t.trace", [entry(n) for n in range(100)])
+    damaged = bytearray((tmp_path / "t.trace").read_bytes())
+    damaged[200:260] = bytes(60)  # in the first groups
+    (tmp_path / "t.trace").write_bytes(damaged)
+    with Trace(tmp_path / "t.trace") as read:
+        assert read.span() == (START, START + 99)
+        assert [e.at - START for e in read.entries(START + 55, START + 60)] == [55, 56, 57, 58, 59]
+        with pytest.raises(TraceError, match="group 1 is damaged"):
+            list(read.entries())
+
+
+def test_every_cut_is_noticed(tmp_path: Path) -> None:
+    path = tmp_path / "t.trace"
+    write_trace(path, [entry(n, key=f"k{n}") for n in range(50)])
+    whole = path.read_bytes()
+    for length in range(0, len(whole), 37):
+        path.write_bytes(whole[:length])
+        with pytest.raises(TraceError, match="no whole trace"):
+            Trace(path)
+
+
+def test_half_a_trace_is_left_by_nobody(tmp_path: Path) -> None:
+    with pytest.raises(ValueError, match="in order of time"), TraceWriter(tmp_path / "t.trace") as writer:
+        writer.add(entry(2))
+        writer.add(entry(1))
+    assert not list(tmp_path.iterdir())
+
+
+@pytest.mark.parametrize(
+    ("metadata", "why"), [(None, "but no trace"), ({form.MARK: b"9"}, "of version 9; this program reads 1")]
+)
+def test_other_parquet_is_no_trace(tmp_path: Path, metadata: dict[bytes, bytes] | None, why: str) -> None:
+    table = pa.table({"at": [1]}).replace_schema_metadata(metadata)
+    pq.write_table(table, tmp_path / "x.parquet")
+    with pytest.raises(TraceError, match=why):
+        Trace(tmp_path / "x.parquet")
+
+
+def test_a_file_that_is_not_there_is_named(tmp_path: Path) -> None:
+    with pytest.raises(TraceError, match=r"nowhere\.trace"):
+        Trace(tmp_path / "nowhere.trace")
