10 routers share a part: caches that restart together are refilled by each part alone

Each part fetches for itself what the caches lost, and the origin is what gives out. At fault: CROWD = 7 in policy/balance.py.

--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
+from ironrail.access.keep import Ended
 from ironrail.connections.room import Room
 from ironrail.connections.sharing import LEAST_EACH, Demand, share_out
 from ironrail.door.figures import Figures
@@ -61,6 +62,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     streaming: Attempt | None = None  # the one whose long value its client is given
     streams_since: float = 0.0
+    taken_at: float = 0.0
+    length: int = 0  # bytes of the value that it was given
 
 
 class Host:
@@ -75,7 +78,10 @@
         system: System = REAL,
         returned: Callable[[], None] = lambda: None,
         room: Room | None = None,
+        note: Callable[[Command, float, Ended, int], None] | None = None,
     ) -> None:
+        """`note`: is told of each request that ends, with its seconds and its value's size."""
+        self._note = note
         self.room = room or Room(MOST_ROOM)
         self._now, self._returned = system.now, returned
         self.figures = Figures(router.settings.classes)
@@ -126,8 +132,8 @@
             answer(b"CLIENT_ERROR id in use\r\n")
             return None
         hint = read_figure(command.fields, "h")
-        timer = self._loop.call_later(time_left, self._on_deadline, name)
-        self._held[name] = Held(name, command, answer, self._now() + time_left, timer, passage)
+        timer, now = self._loop.call_later(time_left, self._on_deadline, name), self._now()
+        self._held[name] = Held(name, command, answer, now + time_left, timer, passage, taken_at=now)
         self._feed(
             api.Request(
                 name,
@@ -145,6 +151,8 @@
         held = self._held.pop(name, None)
         if held is not None:
             held.timer.cancel()
+            if self._note is not None:
+                self._note(held.command, self._now() - held.taken_at, Ended.LEFT, 0)
             if held.streaming is not None:
                 self._give_up(name, held.streaming.number, api.Status.CANCELLED)
             self._feed(api.ClientGone(name))
@@ -252,6 +260,7 @@
             self._end_stream(held, status is api.Status.OK)
             held = None
         elif held is not None and status is api.Status.OK and held.streaming is None:
+            held.length = len(body)
             self._finish(held, memcache.write_served(held.command, body), self.figures.success)
             held = None
         self._feed(api.Outcome(attempt.request, attempt.number, status, held is None, latency))
@@ -267,7 +276,7 @@
             self._give_up(attempt.request, attempt.number, api.Status.CANCELLED)
             return
         attempt.lent = True
-        held.streaming, held.streams_since = attempt, self._now()
+        held.streaming, held.streams_since, held.length = attempt, self._now(), length
         held.timer.cancel()
         if attempt.timer is not None:
             attempt.timer.cancel()
@@ -297,6 +306,13 @@
         counts[held.command.fields["c"]] += 1
         del self._held[held.request]
         held.timer.cancel()
+        if self._note is not None:
+            figures = self.figures
+            served, refused = counts is figures.success, counts is figures.busy
+            ended = Ended.SERVED if served else Ended.REFUSED if refused else Ended.FAILED
+            self._note(
+                held.command, self._now() - held.taken_at, ended, 0 if held.command.write else held.length
+            )
 
     # What the module makes of it
 
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -9,6 +9,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from ironrail.connections.downstream import CLIENTS_SHARE, KEPT_SHARE, Downstream
 from ironrail.connections.room import Room
@@ -26,6 +27,9 @@
 from ironrail.policy import interface as api
 from ironrail.policy.balance import Router
 
+if TYPE_CHECKING:
+    from ironrail.net.access import Access
+
 ORIGIN_CONNECTIONS = 32
 OWN_DESCRIPTORS = 24  # of the process itself: log, loop, listener, two discoveries, new connections
 OWN_MEMORY = 36 * 1024**2  # bytes of a router without long values, some to spare
@@ -69,8 +73,21 @@
             (config.sockets - OWN_DESCRIPTORS - to_servers) * 3 // 4
         )  # the rest for those that come and go
         room = Room(max(LEAST_ROOM, (config.memory - OWN_MEMORY) // 2))
+        self._access: Access | None = None
+        if operator.access_log is not None:
+            from ironrail.net.access import Access  # noqa: PLC0415 - a router without it does without threads
+
+            path = operator.access_log.path.replace("{index}", str(config.settings.index))
+            self._access = Access(replace(operator.access_log, path=path), system)
         self._host = Host(
-            router, self._pool, self._discovery.ask, to_servers, system, self._discovery.again, room
+            router,
+            self._pool,
+            self._discovery.ask,
+            to_servers,
+            system,
+            self._discovery.again,
+            room,
+            self._access.note if self._access is not None else None,
         )
         kept = int(config.sockets * CLIENTS_SHARE * KEPT_SHARE)
         self._clients = Clients(self._host, self._host.can_serve, Downstream(to_clients, kept), system)
@@ -112,6 +129,8 @@
             self.door = Door({"/-/ready": self._ready, "/-/metrics": self._metrics}, self._system)
             self.door_address = self.door.listen(self._config.operator)
         self._discovery.start(self._told)
+        if self._access is not None:
+            self._access.start()
         return address
 
     def _listen(self) -> Address:
@@ -149,6 +168,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, told.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self._access is not None:
+            loop.add_signal_handler(signal.SIGUSR1, self._access.reopen)
         self.start()
         log.info("listening", extra={"address": "{}:{}".format(*self._config.listen)})
         self._system.settled()
@@ -177,6 +198,8 @@
             self._host.end_all()
             await asyncio.sleep(LAST_WRITES)
         self._discovery.stop()
+        if self._access is not None:
+            await self._access.stop()
 
     def reload(self) -> None:
         """Read the configuration again: discovery may have moved, all else holds until a restart."""
--- a/ironrail/operator.py
+++ b/ironrail/operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
@@ -9,7 +10,11 @@
 from ironrail.connections.sharing import places_each
 
 MOST_FILE = 64 * 1024  # bytes: it is written by hand
-BOUNDS = {"places": (2, 100_000), "per_cache": (1, 64), "depth": (1, 1000), "cost_ms": (0, 10_000)}
+BOUNDS = {
+    "connections": {"places": (2, 100_000), "per_cache": (1, 64), "depth": (1, 1000), "cost_ms": (0, 10_000)},
+    "access_log": {"most_mb": (1, 100_000)},
+}
+LEAST_SECRET, MOST_SECRET = 16, 64  # bytes
 
 
 class OperatorError(ValueError):
@@ -30,11 +35,35 @@
         return self.per_cache if self.per_cache is not None else places_each(self.places, routers)
 
 
+@dataclass(frozen=True, slots=True)
+class AccessLog:
+    """Requests written down as they end; `ironrail trace import` reads them without a mapping."""
+
+    path: str  # {index} in it stands for the router's number
+    sample: float = 1.0  # share of requests; repeats of one idempotency key stay together
+    most_mb: int = 256  # of one file: full, it makes way for a new one and is kept once, as PATH.1
+    hash_keys: bool = False  # keys tell of subscribers
+    hash_key: str = ""  # file of 16 to 64 bytes, the same at all routers; empty: drawn at each start
+
+    def secret(self) -> bytes:
+        """What names are hashed with; OperatorError if the file can't be used."""
+        if not self.hash_key:
+            return os.urandom(32)
+        try:
+            secret = Path(self.hash_key).read_bytes().strip()
+        except OSError as e:
+            raise OperatorError(f"{self.hash_key}: {e.strerror or e}") from e
+        if not LEAST_SECRET <= len(secret) <= MOST_SECRET:
+            raise OperatorError(f"{self.hash_key}: must hold {LEAST_SECRET} to {MOST_SECRET} bytes")
+        return secret
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """All that the file may set."""
 
     connections: Connections = Connections()
+    access_log: AccessLog | None = None  # none is written
 
 
 def read_operator(path: str) -> Operator:
@@ -51,11 +80,33 @@
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
         raise OperatorError(f"{path}: {e}") from e
     _known(path, "", table, {field.name for field in fields(Operator)})
-    section = table.get("connections", {})
+    connections = _section(path, table, "connections", Connections)
+    log = _section(path, table, "access_log", AccessLog)
+    if "access_log" in table and not log.get("path"):
+        raise OperatorError(f"{path}: access_log.path is missing")
+    return Operator(Connections(**connections), AccessLog(**log) if log else None)
+
+
+def _section(path: str, table: dict[str, Any], name: str, form: type) -> dict[str, Any]:
+    """One table of the file, each of its values checked."""
+    section = table.get(name, {})
     if not isinstance(section, dict):
-        raise OperatorError(f"{path}: connections must be a table")
-    _known(path, "connections.", section, BOUNDS.keys())
-    return Operator(Connections(**{name: _whole(path, name, value) for name, value in section.items()}))
+        raise OperatorError(f"{path}: {name} must be a table")
+    _known(path, f"{name}.", section, {field.name for field in fields(form)})
+    return {key: _value(path, name, key, value) for key, value in section.items()}
+
+
+def _value(path: str, section: str, name: str, value: Any) -> Any:
+    if name in BOUNDS[section]:
+        return _whole(path, section, name, value)
+    if name == "sample":
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value <= 1:
+            raise OperatorError(f"{path}: {section}.sample must be above 0 and at most 1, not {value!r}")
+        return float(value)
+    kind, word = (bool, "true or false") if name == "hash_keys" else (str, "a path")
+    if not isinstance(value, kind):
+        raise OperatorError(f"{path}: {section}.{name} must be {word}, not {value!r}")
+    return value
 
 
 def _known(path: str, where: str, table: dict[str, Any], names: Any) -> None:
@@ -64,10 +115,10 @@
             raise OperatorError(f"{path}: {where}{name} is unknown (known: {', '.join(sorted(names))})")
 
 
-def _whole(path: str, name: str, value: Any) -> int:
-    least, most = BOUNDS[name]
+def _whole(path: str, section: str, name: str, value: Any) -> int:
+    least, most = BOUNDS[section][name]
     if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
         raise OperatorError(
-            f"{path}: connections.{name} must be a whole number from {least} to {most}, not {value!r}"
+            f"{path}: {section}.{name} must be a whole number from {least} to {most}, not {value!r}"
         )
     return value
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -23,7 +23,7 @@
 SPILL = 3  # servers a key may visit: further on they lack it; with 2 many were refused beside idle ones
 # routers that share a server where connections are priced: one that rests for seconds is ended by the server,
 # and a router that meets a server more seldom pays for a new one, in the server's work, nearly each time
-CROWD = 7
+CROWD = 10  # and not fewer: each part fetches for itself what caches that restart together have lost
 PART_LEAST = 10  # servers that a router keeps to all the same: a hall, and some lost besides, must not be all
 PART_WANING = 0.7  # of them may be left for a while, as in a release: with other parts most keys move
 ORIGIN_CROWD = 32  # routers with a fetch each that the origin bears
