A browser's own cache is no request: a HAR of headless Chromium is in the tests

Seen on a HAR that headless Chromium 156 recorded on loopback (48 entries): on the second load of the page the three grids with max-age=60 have a bodySize of -140, the wire's bytes less the head's, and no mark; those with no-cache, which were revalidated, have 0. They were imported as requests.

--- a/ironrail/recorded/sources.py
+++ b/ironrail/recorded/sources.py
@@ -123,7 +123,9 @@
 def read_har_entry(entry: Any) -> Raw | str:
     """The request of one entry, as browsers and proxies really write it; a word why it is left out."""
     request, response = _table(entry, "request"), _table(entry, "response")
-    if entry.get("_fromCache"):
+    # Chromium's recorders write the bytes on the wire less those of the head: of what never left the browser
+    # that is below -1, which means that nobody knows
+    if entry.get("_fromCache") or _number(response.get("bodySize")) < -1:
         return FROM_CACHE
     url, method = request.get("url"), request.get("method")
     if not isinstance(url, str) or not isinstance(method, str):
--- a/tests/recorded/test_import.py
+++ b/tests/recorded/test_import.py
@@ -4,6 +4,7 @@
 
 import gzip
 import json
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +15,7 @@
 
 from ironrail.recorded.entry import Entry
 from ironrail.recorded.importing import BLANK, FOLDED, Importer
-from ironrail.recorded.sources import LONGEST_LINE
+from ironrail.recorded.sources import FROM_CACHE, LONGEST_LINE
 from ironrail.rehearsal.scenario.reader import ScenarioError
 from tests.recorded.samples import RULES, START, clf, importer, log_of, mapping
 
@@ -211,3 +212,19 @@
     lines = [clf(1, "/x?k=a%20b%0A"), clf(2, "/x?k=" + "z" * 400), clf(3, "/x?k=%C3%A9")]
     keys = [e.key for e in run(importer(rules=rules), log_of(tmp_path, *lines))]
     assert keys[0] == "a%20b%0A" and keys[1].startswith("long-") and keys[2] == "%C3%A9"
+
+
+def test_a_har_of_a_real_browser() -> None:
+    """Headless Chromium 156, recorded on loopback: fetches, 304s, redirects, a cut off and a refused one.
+
+    Twice the same page: 48 entries. On the second time three grids came from the browser's own cache.
+    """
+    one = importer(rules=RULES)
+    made = run(one, Path(__file__).parent / "chromium.har.gz")
+    assert one.account.lines == 48 and not one.account.malformed
+    assert one.account.filtered == {"unmapped": 8, FROM_CACHE: 3}
+    assert Counter(e.kind for e in made) == {"grid-read": 31, "hint-spend": 6}
+    spends = Counter(e.idempotency for e in made if e.idempotency)
+    assert sorted(spends.values()) == [2, 4]  # two pages, the first key twice on each
+    assert Counter(e.status for e in made) == {200: 35, 404: 2}
+    assert "secret-token" not in repr(made) and "spend-1" not in repr(made)
