The access log keeps its old file where no new one can be had, and ends in time

Found on reading the change once more: a rotation or SIGUSR1 that failed closed the file first, so that each later write raised an error of another kind, the writer's task ended, and nothing was written any more, though the folder was back (test). At the end a cancelled task could lose the lines in hand, and a disk that hangs kept the router from ending.

Change: the new file is opened before the old one is closed, the task ends by an event, and the last lines have 0.5 s.

--- a/benchmarks/recorded_throughput.py
+++ b/benchmarks/recorded_throughput.py
@@ -25,7 +25,7 @@
 title = "{title}"
 key = "{title}:{id}"
 """
-MINUTE = 6000  # lines of one minute of the log
+MINUTE = 60_000  # lines of one minute of the log
 
 
 def write_log(path: Path, size: int) -> int:
@@ -38,7 +38,7 @@
             rows = []
             for n in range(MINUTE):
                 rows.append(
-                    f"10.0.{draws.randrange(250)}.{draws.randrange(250)} - - [{stamp}:{n // 100:02d} +0000]"
+                    f"10.0.{draws.randrange(250)}.{draws.randrange(250)} - - [{stamp}:{n // 1000:02d} +0000]"
                     f' "GET /grid/daily/{int(draws.paretovariate(0.9)) % 6000}?d=1 HTTP/1.1" 200'
                     f' {draws.randrange(100, 3000)} "https://puzzles.example/" "Mozilla/5.0 (X11; Linux)"\n'
                 )
--- a/ironrail/net/access.py
+++ b/ironrail/net/access.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 from concurrent.futures import ThreadPoolExecutor
+from io import FileIO
 from pathlib import Path
 
 from ironrail.access.keep import Ended, Keeper, Line, Room
@@ -17,6 +19,7 @@
 
 FLUSH = 0.5  # seconds between writes: what a killed process loses
 CHUNK = 500  # lines turned into text at once: longer would hold up the loop, which shares the interpreter
+LAST_FLUSH = 0.5  # seconds for what is left at the end: a disk that hangs must not keep a router from ending
 OLD = ".1"  # behind the name of the file that was full
 
 
@@ -27,31 +30,39 @@
         """Open it; OperatorError if that can't be done."""
         self._path = path
         self._room = Room(most)
+        self._file: FileIO | None = None
         try:
             self._open()
         except OSError as e:
             raise OperatorError(f"access_log.path: {path}: {e.strerror or e}") from e
 
     def _open(self) -> None:
-        self._file = self._path.open("ab", buffering=0)
+        """Guards against having no file at all: where there can be no new one the old one stays."""
+        old, self._file = self._file, self._path.open("ab", buffering=0)
+        if old is not None:
+            old.close()
         self._room.held = os.fstat(self._file.fileno()).st_size
 
     def write(self, data: bytes) -> None:
+        assert self._file is not None
+        held = self._room.held
         if not self._room.takes(len(data)):
-            held = self._room.held
-            self._file.close()
-            os.replace(self._path, self._path.with_name(self._path.name + OLD))
-            self._open()
-            self._room.held = held
+            try:
+                os.replace(self._path, self._path.with_name(self._path.name + OLD))
+                self._open()
+            except OSError:  # these lines are lost, and shorter ones may still fit
+                self._room.held = held
+                raise
+            self._room.held = len(data)
         self._file.write(data)
 
     def reopen(self) -> None:
         """Whoever rotates files has moved this one away."""
-        self._file.close()
         self._open()
 
     def close(self) -> None:
-        self._file.close()
+        if self._file is not None:
+            self._file.close()
 
 
 class Access:
@@ -63,6 +74,7 @@
         self._system = system
         self._thread = ThreadPoolExecutor(1, "access-log")
         self._task: asyncio.Task[None] | None = None
+        self._stopping = asyncio.Event()
         self._lost = 0  # lines dropped, of which the log has been told
 
     def start(self) -> None:
@@ -96,8 +108,10 @@
         self._thread.submit(self._guarded, self._writer.reopen)
 
     async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(FLUSH)
+        while not self._stopping.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FLUSH):
+                    await self._stopping.wait()
             await self._flush()
 
     async def _flush(self) -> None:
@@ -122,9 +136,12 @@
             log.warning("access_log_fails", extra={"error": str(e)})
 
     async def stop(self) -> None:
-        """Write what is left."""
+        """Write what is left, unless the disk holds it up."""
+        self._stopping.set()
         if self._task is not None:
-            self._task.cancel()
-        await self._flush()
+            done, _ = await asyncio.wait([self._task], timeout=LAST_FLUSH)
+            if not done:
+                log.warning("access_log_is_held_up")
+                return
         self._thread.shutdown()
         self._writer.close()
--- a/tests/access/test_access.py
+++ b/tests/access/test_access.py
@@ -91,6 +91,25 @@
     assert path.read_bytes() == b"four\n" and (tmp_path / "a.jsonl.1").read_bytes() == b"two\nthree\n"
 
 
+def test_where_no_new_file_can_be_had_the_old_one_goes_on(tmp_path: Path) -> None:
+    """It was closed first, and nothing was written any more, even once a new one could be had."""
+    folder = tmp_path / "logs"
+    folder.mkdir()
+    writer = Writer(folder / "a.jsonl", 8)
+    writer.write(b"one\n")
+    folder.rename(tmp_path / "moved")
+    for act in (writer.reopen, lambda: writer.write(b"too long\n")):
+        with pytest.raises(OSError, match="No such file"):
+            act()
+    writer.write(b"two\n")
+    folder.mkdir()
+    writer.reopen()
+    writer.write(b"three\n")
+    writer.close()
+    assert (tmp_path / "moved" / "a.jsonl").read_bytes() == b"one\ntwo\n"
+    assert (folder / "a.jsonl").read_bytes() == b"three\n"
+
+
 async def until(holds: Callable[[], bool]) -> None:
     while not holds():
         await asyncio.sleep(0.01)
