A refused connect means a full table only if the server answers afterwards

While more than 15% of new connections are refused at once a router lets each connection go after use, for the sake of full tables; a process that is gone refuses as quickly, so in a release that replaces six in ten caches all routers let go of all that are left, a handshake for each request. At fault: the note of "shut" in Router._learn_health.

--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -71,6 +71,7 @@
     losses: int = 0  # in a row, of attempts that no answer came to
     trial_at: float = -math.inf  # passed over until then
     used_at: float = -math.inf  # latest sign of life on a connection to it
+    refused: bool = False  # a connect to it, at once, since it last answered on a new connection
 
 
 @dataclass(slots=True, eq=False)
@@ -509,7 +510,11 @@
             server.used_at = -math.inf
         slow, idle = event.latency > self.settings.connect_timeout / 2, attempt.aim < attempt.idle < math.inf
         if attempt.idle == math.inf:
-            self._note("shut", failed and not slow)
+            # a table that was full only if it answers afterwards: a process that is gone refuses as quickly
+            server.refused |= failed and not slow
+            if answered:
+                self._note("shut", server.refused)
+                server.refused = False
             self._note("vain", failed and slow)
         self._note("idle" if idle else "other", lost)
         if lost and idle and self.signs["idle"] > self.signs["other"] + SIGN:
