Recorded load calls what was there: one hasher, one console, one way to scale and to draw

Written twice, now once: names are hashed by Hasher (ironrail/access/names.py) in the daemon's log and in imports; trace commands use make_console and the exit codes of rehearse; scaling by speed and rate stood in the command and in the schedule (scaling.scaled); halls, hints and sizes are drawn by load/schedule.py for traces too; the form of a class's name is scenario.model.NAME; a Trace is its own context. Dead: counters nobody read, a constant, a speed that Chains kept, a case that the seal had made unreachable.

--- a/ironrail/access/keep.py
+++ b/ironrail/access/keep.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 from enum import IntEnum
 from zlib import crc32
 
 import orjson
 
+from ironrail.access.names import Hasher
+
 VERSION = 1  # of a line
 MOST_WAITING = 20_000  # lines not yet written: some seconds of all that a router serves, 8 MB
 PARTS = 2**32  # what a checksum falls on
@@ -46,7 +47,7 @@
     def __init__(self, sample: float, secret: bytes, hash_keys: bool, most: int = MOST_WAITING) -> None:
         """`sample`: share of requests that are kept; those of one idempotency key stay together."""
         self._below = round(sample * PARTS)
-        self._secret, self._hash_keys, self._most = secret, hash_keys, most
+        self._hashed, self._hash_keys, self._most = Hasher(secret), hash_keys, most
         self._waiting: list[Line] = []
         self.dropped = 0
 
@@ -90,10 +91,6 @@
             option=orjson.OPT_APPEND_NEWLINE,
         )
 
-    def _hashed(self, text: str) -> str:
-        """Tells one from another, and no more."""
-        return hashlib.blake2b(text.encode(), key=self._secret, digest_size=8).hexdigest() if text else ""
-
 
 @dataclass(slots=True)
 class Room:
--- a/ironrail/operator.py
+++ b/ironrail/operator.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from ironrail.access.names import LEAST_SECRET, MOST_SECRET
 from ironrail.connections.sharing import places_each
 
 MOST_FILE = 64 * 1024  # bytes: it is written by hand
@@ -14,7 +15,6 @@
     "connections": {"places": (2, 100_000), "per_cache": (1, 64), "depth": (1, 1000), "cost_ms": (0, 10_000)},
     "access_log": {"most_mb": (1, 100_000)},
 }
-LEAST_SECRET, MOST_SECRET = 16, 64  # bytes
 
 
 class OperatorError(ValueError):
--- a/ironrail/recorded/command.py
+++ b/ironrail/recorded/command.py
@@ -4,8 +4,7 @@
 
 import os
 import sys
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import UTC, datetime
 from functools import wraps
@@ -14,24 +13,24 @@
 
 import click
 import orjson
-from rich.console import Console
 from rich.table import Table
 
+from ironrail.access.names import Hasher
 from ironrail.recorded.entry import Entry
 from ironrail.recorded.formats import KNOWN, FormatError, compile_format
 from ironrail.recorded.importing import Account, Importer
-from ironrail.recorded.mapping import Hasher, Mapper, Mapping
+from ironrail.recorded.mapping import Mapper, Mapping
 from ironrail.recorded.mix import HOT, Mix, differences, largest, mix_of
 from ironrail.recorded.page import write_page
-from ironrail.recorded.scaling import squeeze, superpose, thin
+from ironrail.recorded.scaling import scaled
 from ironrail.recorded.sources import SourceError
 from ironrail.recorded.trace import Trace, TraceError, write_trace
+from ironrail.rehearsal.command import FAILED, KEPT, UNUSABLE, make_console
 from ironrail.rehearsal.scenario.reader import ScenarioError, parse, read_text
 from ironrail.rehearsal.scenario.units import read_time
 
-KEPT, DIFFERS, UNUSABLE = 0, 1, 2
+DIFFERS = FAILED  # of two traces
 MOST_SHOWN = 20  # rows of a table
-PLAIN_WIDTH = 132  # columns where the output is no terminal
 ANY = Mapping.model_validate({"rule": [{"drop": True}]})  # of lines that need no mapping
 
 
@@ -54,11 +53,6 @@
 LENGTH = Length()
 
 
-def _console() -> Console:
-    console = Console()
-    return console if console.is_terminal else Console(width=PLAIN_WIDTH)
-
-
 def _plainly(command: Callable[..., None]) -> Callable[..., None]:
     """One clear line for what can't be used, and the exit code for it."""
 
@@ -73,12 +67,6 @@
     return guarded
 
 
-@contextmanager
-def _opened(path: Path) -> Iterator[Trace]:
-    with Trace(path) as trace:
-        yield trace
-
-
 def _new(path: Path, *sources: Path) -> Path:
     """Guards a trace against being written over while it is read."""
     if any(path.exists() and path.samefile(source) for source in sources):
@@ -162,7 +150,7 @@
 
 
 def _tell(account: Account, mapper: Mapper, mapped: bool) -> None:
-    console = _console()
+    console = make_console()
     console.print(
         f"{account.lines} lines in = {account.entries} entries + {account.malformed.total()} malformed"
         f" + {account.filtered.total()} filtered",
@@ -195,9 +183,9 @@
 @_plainly
 def stats(file: Path, json_file: Path | None) -> None:
     """Tell what a trace is made of."""
-    with _opened(file) as opened:
+    with Trace(file) as opened:
         mix = mix_of(opened.entries())
-    console = _console()
+    console = make_console()
     if not mix.entries:
         console.print("an empty trace")
     else:
@@ -237,7 +225,7 @@
 @_plainly
 def show(file: Path, html_file: Path) -> None:
     """Plot rate, mix, popularity and sizes on a page that stands alone."""
-    with _opened(file) as opened:
+    with Trace(file) as opened:
         html_file.write_text(write_page(file.name, mix_of(opened.entries())))
 
 
@@ -255,7 +243,7 @@
     file: Path, out: Path, begin: float, length: float | None, kinds: tuple[str, ...], titles: tuple[str, ...]
 ) -> None:
     """Keep a stretch of a trace, or some classes and titles of it."""
-    with _opened(file) as opened:
+    with Trace(file) as opened:
         since = opened.span()[0] + begin
         until = since + length if length is not None else float("inf")
         kept = (
@@ -278,14 +266,8 @@
 @_plainly
 def scale(file: Path, out: Path, speed: float, rate: float, keyed_window: float, seed: int) -> None:
     """Make it faster, thinner or denser. The operators' page tells what each keeps."""
-    with _opened(file) as opened:
-        entries = opened.entries()
-        if speed != 1:
-            entries = squeeze(entries, speed, keyed_window)
-        if rate < 1:
-            entries = thin(entries, rate, seed)
-        elif rate > 1:
-            entries = iter(superpose(list(entries), rate, seed))
+    with Trace(file) as opened:
+        entries = scaled(opened.entries(), speed, rate, keyed_window, seed)
         click.echo(f"{write_trace(_new(out, file), entries)} requests")
 
 
@@ -308,7 +290,7 @@
             idempotency=hasher(entry.idempotency),
         )
 
-    with _opened(file) as opened:
+    with Trace(file) as opened:
         click.echo(f"{write_trace(_new(out, file), map(renamed, opened.entries()))} requests")
 
 
@@ -322,7 +304,7 @@
 @_plainly
 def diff(before: Path, after: Path, within: float) -> None:
     """Compare the mix of two traces: classes, titles, sizes and the hottest keys."""
-    with _opened(before) as one, _opened(after) as other:
+    with Trace(before) as one, Trace(after) as other:
         mixes = mix_of(one.entries()), mix_of(other.entries())
     table = Table(box=None)
     for name in ("", "name", "before", "after", "differs by"):
@@ -330,7 +312,7 @@
     rows = sorted(differences(*mixes), key=lambda d: -d.points)
     for row in rows[:MOST_SHOWN]:
         table.add_row(row.what, row.name, f"{row.before:.2%}", f"{row.after:.2%}", f"{row.points:.2%}")
-    console = _console()
+    console = make_console()
     console.print(table)
     worst = largest(*mixes)
     console.print(
--- a/ironrail/recorded/entry.py
+++ b/ironrail/recorded/entry.py
@@ -7,7 +7,6 @@
 
 LONGEST_NAME = 64  # characters of a class or a title, as the protocol has names
 LONGEST_KEY = 250  # bytes of a key, as the meta commands have it
-MOST_SIZE = 4 * 1024**2  # bytes of a value, as the largest in service
 
 
 @dataclass(slots=True, frozen=True)
--- a/ironrail/recorded/folding.py
+++ b/ironrail/recorded/folding.py
@@ -24,7 +24,6 @@
         """`within`: seconds from the end of a failed request in which the same one is its retry."""
         self._within, self._most = within, most
         self._failed: OrderedDict[tuple[str, str, str, str], float] = OrderedDict()
-        self.folded = 0
 
     def retry(self, entry: Entry) -> bool:
         """Whether this one is a retry. Without a client or an idempotency key nothing can be told."""
@@ -32,10 +31,8 @@
             return False
         wish = (entry.client, entry.kind, entry.key, entry.idempotency)
         until = self._failed.pop(wish, None)
-        again = until is not None and entry.at <= until
         if entry.status >= FAILED_FROM or entry.status in TURNED_AWAY:
             self._failed[wish] = entry.at + entry.took + self._within
             if len(self._failed) > self._most:
                 self._failed.popitem(last=False)
-        self.folded += again
-        return again
+        return until is not None and entry.at <= until
--- a/ironrail/recorded/mapping.py
+++ b/ironrail/recorded/mapping.py
@@ -15,11 +15,12 @@
 
 from pydantic import BaseModel, ConfigDict, Field, PrivateAttr, model_validator
 
+from ironrail.access.names import Hasher
 from ironrail.recorded.entry import LONGEST_KEY, LONGEST_NAME, Entry, Malformed, Raw
 from ironrail.recorded.formats import SECRET
+from ironrail.rehearsal.scenario.model import NAME
 from ironrail.rehearsal.scenario.units import Seconds
 
-NAME = re.compile(r"[!-+.-<>-~-]{1,64}")  # a class or a title, as scenarios have them
 IN_KEY = "!$&'()*+,;:@/-._~%=?"
 SHAPES = 5000  # of unmapped paths that are kept count of
 CHANGING = re.compile(r"[0-9a-f]{8,}|\d+", re.IGNORECASE)  # parts of a path that stand for one of many
@@ -124,41 +125,20 @@
     return "long-" + hashlib.blake2b(key.encode(), digest_size=16).hexdigest()
 
 
-class Hasher:
-    """Turns what tells of a person into what tells one from another, and no more.
-
-    Without the key nobody can try out addresses until one fits. With the same key the same person has the
-    same name in two traces.
-    """
-
-    def __init__(self, key: bytes) -> None:
-        """`key`: 16 to 64 bytes that nobody else has."""
-        if not 16 <= len(key) <= 64:
-            raise ValueError("the key must have 16 to 64 bytes")
-        self._key = key
-
-    def __call__(self, text: str) -> str:
-        if not text:
-            return ""
-        return hashlib.blake2b(text.encode(), key=self._key, digest_size=8).hexdigest()
-
-
 class Mapper:
     """Applies the rules, and counts what none fits."""
 
     def __init__(self, mapping: Mapping, hasher: Hasher) -> None:
         self._rules, self._hash = mapping.rules, hasher
         self.unmapped: Counter[str] = Counter()
-        self.fitted: Counter[int] = Counter()  # by the rule's number, from 1
 
     def entry(self, raw: Raw) -> Entry | str:
         """What it is here, or why it is left out; Malformed if a rule makes a name of it that is none."""
         query = dict(parse_qsl(raw.query, keep_blank_values=True, max_num_fields=None)) if raw.query else {}
-        for number, rule in enumerate(self._rules, 1):
+        for rule in self._rules:
             groups = rule.fit(raw, query)
             if groups is None:
                 continue
-            self.fitted[number] += 1
             if rule.drop:
                 return "dropped by a rule"
             return self._made(rule, raw, groups, query)
@@ -170,7 +150,7 @@
             filled(template, raw, groups, query)
             for template in (rule.class_, rule.title, rule.key, rule.idempotency)
         )
-        if not NAME.fullmatch(kind) or not NAME.fullmatch(title):
+        if not re.fullmatch(NAME, kind) or not re.fullmatch(NAME, title):
             raise Malformed(f"a rule makes a class or title of it that is none (1 to {LONGEST_NAME} letters)")
         return Entry(
             at=raw.at,
--- a/ironrail/recorded/scaling.py
+++ b/ironrail/recorded/scaling.py
@@ -31,10 +31,10 @@
 
 
 class Chains:
-    """Places the repeats of each idempotency key, at a speed. A key is forgotten once nothing holds it."""
+    """Places the repeats of each idempotency key, at any speed. A key is forgotten once nothing holds it."""
 
-    def __init__(self, speed: float, window: float) -> None:
-        self._speed, self._window = speed, window
+    def __init__(self, window: float) -> None:
+        self._window = window
         self._last: dict[str, tuple[float, float]] = {}  # times of the latest repeat: as it was, as it is now
 
     def place(self, name: str, at: float, scaled: float) -> float:
@@ -71,7 +71,7 @@
 
     A speed below 1 needs all entries in memory, as a repeat may come before others that came before it.
     """
-    chains = Chains(speed, window)
+    chains = Chains(window)
     start: float | None = None
 
     def moved() -> Iterator[tuple[float, float, Entry]]:
@@ -114,7 +114,7 @@
     length = end - begin
     firsts: dict[str, float] = {}  # of each chain, the time of its first
     for entry in entries:
-        firsts.setdefault(entry.idempotency or "", entry.at)
+        firsts.setdefault(entry.idempotency, entry.at)
     result = list(entries)
     for copy in range(1, int(rate) + (rate % 1 > 0)):
         offset = length * _draw(seed, f"offset {copy}")
@@ -137,3 +137,14 @@
             )
     result.sort(key=attrgetter("at"))
     return result
+
+
+def scaled(entries: Iterable[Entry], speed: float, rate: float, window: float, seed: int) -> Iterator[Entry]:
+    """At this speed, and `rate` times as many: thinned below 1, laid over one another above."""
+    if speed != 1:
+        entries = squeeze(entries, speed, window)
+    if rate < 1:
+        entries = thin(entries, rate, seed)
+    elif rate > 1:
+        entries = superpose(list(entries), rate, seed)
+    yield from entries
--- a/ironrail/recorded/schedule.py
+++ b/ironrail/recorded/schedule.py
@@ -4,12 +4,17 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
 
 from ironrail.recorded.entry import Entry
-from ironrail.recorded.scaling import squeeze, superpose, thin
 from ironrail.rehearsal.draws import stream
-from ironrail.rehearsal.load.schedule import HINT_SPREAD, LARGEST_VALUE, Planned, draw_work, pick
+from ironrail.rehearsal.load.schedule import (
+    LARGEST_VALUE,
+    Planned,
+    draw_hall,
+    draw_hint,
+    draw_size,
+    draw_work,
+)
 from ironrail.rehearsal.scenario.model import MOST_LENGTH, MOST_RATE, Repeats, Scenario, Title
 
 LEAST_LENGTH = 1.0  # seconds of load that counts: less tells nothing
@@ -19,14 +24,6 @@
     """A trace that can't be played with this scenario; the message says why, and what to do."""
 
 
-def scaled(entries: Iterable[Entry], speed: float, rate: float, window: float, seed: int) -> list[Entry]:
-    """The entries at this speed and `rate` times as many, chains of repeats with the distances they had."""
-    at_speed = list(entries) if speed == 1 else list(squeeze(entries, speed, window))
-    if rate == 1:
-        return at_speed
-    return superpose(at_speed, rate, seed) if rate > 1 else list(thin(at_speed, rate, seed))
-
-
 def plan_of(entries: list[Entry], scenario: Scenario, seed: int) -> tuple[Scenario, list[Planned]]:
     """The load, and the scenario with the length, the rate and the titles of the trace.
 
@@ -81,15 +78,11 @@
 def _planned(entries: list[Entry], scenario: Scenario, seed: int) -> list[Planned]:
     names = ("work", "hints", "sizes", "halls", "own")
     draws = {name: stream(seed, f"trace.{name}") for name in names}
-    halls, skew = scenario.halls.names, scenario.halls.skew
-    weights = [1.0] * len(halls)
-    if len(halls) > 1:
-        weights[0], weights[-1] = 1 + skew, 1 - skew
     result = []
     for number, entry in enumerate(entries):
         kind = scenario.class_of(entry.kind)
         work = entry.work or draw_work(kind, draws["work"])  # drawn or not, each has a stream of its own
-        size = entry.size or int(scenario.load.value * math.exp(draws["sizes"].gauss(0.0, 0.5)))
+        size = entry.size or draw_size(scenario.load, draws["sizes"])
         keyed = kind.repeats is Repeats.KEYED
         result.append(
             Planned(
@@ -99,9 +92,9 @@
                 entry.title,
                 entry.key,
                 round(work, 6),
-                round(work * math.exp(draws["hints"].gauss(0.0, HINT_SPREAD)), 6),
+                round(draw_hint(work, draws["hints"]), 6),
                 max(1, min(size, LARGEST_VALUE)),
-                pick(halls, weights, draws["halls"].random()),
+                draw_hall(scenario.halls, draws["halls"]),
                 (entry.idempotency or f"trace-{number}") if keyed else "",
                 draws["own"].random() < scenario.clients.new_connections,
             )
--- a/ironrail/recorded/trace.py
+++ b/ironrail/recorded/trace.py
@@ -151,16 +151,14 @@
         try:
             _check_seal(path)
             self._file = pq.ParquetFile(path, page_checksum_verification=True)
-            told = (self._file.schema_arrow.metadata or {}).get(MARK)
+            told = (self._file.schema_arrow.metadata or {}).get(MARK, b"unknown")
             alike = self._file.schema_arrow.equals(SCHEMA)
             self._bounds = [self._bounds_of(n) for n in range(self._file.num_row_groups)] if alike else []
         except FileNotFoundError as e:
             raise TraceError(f"{path}: {e.strerror}") from e
         except DAMAGE as e:
             raise TraceError(f"{path}: no whole trace: {_short(e)}") from e
-        if told is None:
-            why = "Parquet, but no trace"
-        elif told != str(VERSION).encode():
+        if told != str(VERSION).encode():
             why = f"a trace of version {told.decode(errors='replace')}; this program reads {VERSION}"
         elif not alike:
             why = f"a trace with other columns than version {VERSION} has"
--- a/tests/recorded/samples.py
+++ b/tests/recorded/samples.py
@@ -5,10 +5,11 @@
 from pathlib import Path
 from typing import Any
 
+from ironrail.access.names import Hasher
 from ironrail.recorded.entry import Entry
 from ironrail.recorded.formats import compile_format
 from ironrail.recorded.importing import Importer
-from ironrail.recorded.mapping import Hasher, Mapper, Mapping
+from ironrail.recorded.mapping import Mapper, Mapping
 from ironrail.rehearsal.scenario.reader import parse
 
 START = 1_796_020_200.0  # 2026-11-30 06:30:00 UTC
