A log's header whose name ends like a time is no longer taken for the request's time

X-Request-Start, which front ends set, made each such line malformed (test, fails without). Change: the names of times are listed once, in formats.TIMES, for the check of a format and for reading.

--- a/ironrail/recorded/fields.py
+++ b/ironrail/recorded/fields.py
@@ -12,7 +12,7 @@
 import orjson
 
 from ironrail.recorded.entry import Entry, Malformed, Raw
-from ironrail.recorded.formats import SECRET, Format
+from ironrail.recorded.formats import SECRET, TIMES, Format
 
 MONTHS = {
     m: n
@@ -93,7 +93,7 @@
     """When the request began. nginx writes when it ended."""
     at = None
     for name, text in fields.items():
-        if not text or not name.endswith(("_start", "_end")):
+        if not text or name not in TIMES:
             continue
         if name.startswith("clf"):
             at = clf_time(text)
--- a/tests/recorded/test_formats.py
+++ b/tests/recorded/test_formats.py
@@ -50,6 +50,13 @@
     assert make_raw(parsed(form, '1796020200.0 "GET / HTTP/1.1" "token"')).headers == {}
 
 
+def test_a_header_whose_name_ends_like_a_time_is_none() -> None:
+    """`X-Request-Start`, which front ends set, was taken for the time: its line was malformed."""
+    line = f'"t=17" {START} "GET /a HTTP/1.1"'
+    raw = make_raw(parsed('"$http_x_request_start" $msec "$request"', line))
+    assert raw.at == START and raw.headers == {"x-request-start": "t=17"}
+
+
 def test_summer_time_and_a_leap_second() -> None:
     assert clf_time("25/Oct/2026:02:30:00 +0200") + 3600 == clf_time("25/Oct/2026:02:30:00 +0100")
     assert clf_time("31/Dec/2016:23:59:60 +0000") == clf_time("01/Jan/2017:00:00:00 +0000")
