Tests start processes from threads with an environment of their own

Checked: a child started without an environment reads the parent's own after vfork, and pytest sets and unsets PYTEST_CURRENT_TEST for each test meanwhile, which moves and frees that memory. A probe (4 threads, 4,000 starts of true beside a loop that sets and unsets variables): 340 and 355 starts fail so; with a copy of the environment none, twice. Starts from 8 threads with nothing set meanwhile: none of 6,000, so it isn't vfork or load alone.

Change: both runs of mutants start processes in one place, with the environment as it was on import (test, fails without). 47 tests of mutants pass in 91 s.

--- a/tests/rehearsal/test_mutants.py
+++ b/tests/rehearsal/test_mutants.py
@@ -21,6 +21,9 @@
 AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))  # each run keeps about a core busy
 TRIES = 4  # of a run on a machine that was too busy for a verdict
 PATIENCE = 120.0  # seconds of one run: the kit bounds itself well within
+# Threads start processes here while pytest sets and unsets a variable for each test. A child that is given no
+# environment reads this process's own as it starts and may find its memory freed: execve fails with EFAULT.
+ENVIRONMENT = dict(os.environ)
 
 
 @dataclass
@@ -34,12 +37,19 @@
         return {v["name"] for v in self.report["verdicts"] if not v["kept"]}
 
 
+def start(command: list[str]) -> subprocess.CompletedProcess[bytes]:
+    """Run a command to its end; from any thread, whatever happens to the environment meanwhile."""
+    return subprocess.run(
+        command, cwd=ROOT, env=ENVIRONMENT, capture_output=True, timeout=PATIENCE, check=False
+    )
+
+
 def rehearse(name: str, scenario: str, folder: Path) -> Run:
     path = folder / f"{name}-{scenario}.json"
     command = [sys.executable, "-m", "ironrail.cli", "rehearse", str(FOLDER / scenario), "--seed", "1"]
     command += ["--json", str(path), "--router", f"{sys.executable} -B -m tests.mutants {name}"]
     for _ in range(TRIES):
-        done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=PATIENCE, check=False)
+        done = start(command)
         if done.returncode != 3:
             break
     assert path.exists(), done.stderr.decode()
@@ -74,5 +84,13 @@
     assert importlib.import_module(f"tests.mutants.{name}").RULE in run.failed()
 
 
+def test_a_process_of_another_thread_has_the_environment_of_the_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv("IRONRAIL_SET_BY_A_TEST", "1")
+    code = "import os; print('IRONRAIL_SET_BY_A_TEST' in os.environ, 'PYTEST_CURRENT_TEST' in os.environ)"
+    assert start([sys.executable, "-c", code]).stdout.split() == [b"False", b"False"]
+
+
 def test_there_are_enough_of_them() -> None:
     assert len(MUTANTS) >= 10
--- a/tests/rehearsal/virtual/test_mutants.py
+++ b/tests/rehearsal/virtual/test_mutants.py
@@ -4,7 +4,6 @@
 
 import importlib
 import json
-import subprocess
 import sys
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -12,7 +11,7 @@
 
 import pytest
 
-from tests.rehearsal.test_mutants import AT_ONCE, FOLDER, MUTANTS, PATIENCE, ROOT, Run, scenario_of
+from tests.rehearsal.test_mutants import AT_ONCE, FOLDER, MUTANTS, Run, scenario_of, start
 
 MOST_SEEDS = 3  # that it may take to catch one
 
@@ -24,7 +23,7 @@
         path = folder / f"{name}-{scenario}-{seed}.json"
         command = [sys.executable, "-m", "tests.mutants", name, str(FOLDER / scenario)]
         command += ["--seed", str(seed), "--json", str(path)]
-        done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=PATIENCE, check=False)
+        done = start(command)
         assert path.exists() and path.stat().st_size, done.stderr.decode()
         run = Run(done.returncode, json.loads(path.read_bytes()))
         if rule in run.failed() or name == "true":
