benchmarks/fleet_cost.py: what grows with the fleet

Need: whether anything on the request path grows with the number of caches, and how long a start takes, was not known.

--- /dev/null
+++ b/benchmarks/fleet_cost.py
@@ -0,0 +1,191 @@
+"""What grows with the fleet: `python benchmarks/fleet_cost.py [--json FILE]`, ten seconds on one core.
+
+For fleets of 10, 60, 200 and 1,000 caches: CPU of a rebuild of the ring after one change, of the decisions on
+a request that is served at its first cache, the same while a tenth of the caches is cold and with 40 routers;
+how far the fullest and the emptiest cache stand from their share, and the share of keys that move when one
+cache leaves, against the ideal. And the CPU of the daemon from exec until it answers, by the list it knows.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
+
+SIZES = (10, 60, 200, 1000)
+KEYS = 20_000
+REQUESTS = 4_000
+READY_PATIENCE = 20.0  # seconds
+READ = api.RequestClass("read", aim=0.8, give_up=1.5)
+
+
+def make_router(caches: int, routers: int, cold: int = 0) -> Router:
+    settings = api.Settings(
+        {"read": READ}, aside=True, origin_kind="origin", second_copies=True, may_cancel=True, max_attempts=3,
+        routers=routers, connections_priced=routers > 1,
+    )  # fmt: skip
+    router = Router(settings, 1, 1000.0)
+    router.handle(1000.0, api.ServerList(api.ListKind.FULL, rows(caches, cold)))
+    return router
+
+
+def rows(caches: int, cold: int = 0) -> tuple[api.ServerEntry, ...]:
+    made = [
+        api.ServerEntry(f"s-{n:04x}", weight=1.0, since=999.0 if n < cold else 0.0) for n in range(caches)
+    ]
+    return (*made, api.ServerEntry("origin", kind="origin"))
+
+
+def cpu(work: Callable[[], int]) -> float:
+    """Microseconds of CPU for each unit of work, the best of three."""
+    best = float("inf")
+    for _ in range(3):
+        began = time.process_time()
+        done = work()
+        best = min(best, (time.process_time() - began) / done)
+    return best * 1e6
+
+
+def rebuild(router: Router, caches: int) -> float:
+    """Of the ring, after one cache drained or came back."""
+    one = rows(caches)[0]
+
+    def work() -> int:
+        for n in range(40):
+            state = api.State.DRAINING if n % 2 == 0 else api.State.READY
+            router.handle(1000.0, api.ServerList(api.ListKind.DELTA, (replace(one, state=state),)))
+            router._build_ring()
+        return 40
+
+    return cpu(work)
+
+
+def request(router: Router) -> float:
+    """Of a request and its outcome, both at the module."""
+    count, now = 0, 1000.0
+
+    def work() -> int:
+        nonlocal count, now
+        for _ in range(REQUESTS):
+            count, now = count + 1, now + 0.01
+            name = f"r{count}"
+            for action in router.handle(now, api.Request(name, "read", 1.0, f"grid-{count % 500}", 0.1)):
+                if isinstance(action, api.Send):
+                    router.handle(now + 0.005, api.Outcome(name, action.attempt, api.Status.OK, True, 0.005))
+        return REQUESTS
+
+    return cpu(work)
+
+
+def homes(caches: tuple[api.ServerEntry, ...], size: int) -> list[str]:
+    router = make_router(size, 1)
+    router.handle(1000.0, api.ServerList(api.ListKind.FULL, caches))
+    router._build_ring()
+    sends = []
+    for n in range(KEYS):
+        held = f"k{n}"
+        for action in router.handle(1000.0, api.Request(held, "read", 1.0, f"grid-{n}", 0.1)):
+            if isinstance(action, api.Send):
+                sends.append(action.server)
+                router.handle(1000.0, api.Outcome(held, action.attempt, api.Status.OK, True, 0.001))
+    return sends
+
+
+def placement(size: int) -> dict[str, float]:
+    """Balance and keys moved on the whole ring, no key being popular."""
+    before, after = homes(rows(size), size), homes((*rows(size)[1:],), size)
+    moved = sum(a != b for a, b in zip(before, after, strict=True)) / KEYS
+    counts = Counter(before)
+    return {
+        "fullest": max(counts.values()) * size / KEYS,
+        "emptiest": min(counts.get(entry.server, 0) for entry in rows(size)[:-1]) * size / KEYS,
+        "moved": moved,
+        "ideal": 1 / size,
+    }
+
+
+def start(caches: int) -> float:
+    """Seconds of CPU of the daemon from exec until it answers `mn`."""
+    with tempfile.TemporaryDirectory() as folder, socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+        probe.close()
+        servers = [
+            {"id": e.server, "addr": "127.0.0.1:9", "zone": "a", "kind": e.kind or "std", "cell": 0,
+             "state": "in_service", "weight": 1.0, "started_ms": 0}
+            for e in rows(caches)
+        ]  # fmt: skip
+        config: dict[str, Any] = {
+            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"version": 1, "full": True, "servers": servers},
+            "settings": {"classes": [{"name": "read", "aim": 0.8, "effect": "free"}],
+                         "skus": ["std", "origin"], "familyInfo": {"mode": "aside", "originKind": 1}},
+        }  # fmt: skip
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(config))
+        environ = {**os.environ, "NODE_CONFIG": str(path)}
+        daemon = subprocess.Popen(
+            [sys.executable, "-B", "-m", "ironrail"], env=environ, stderr=subprocess.DEVNULL
+        )
+        try:
+            until = time.monotonic() + READY_PATIENCE
+            while time.monotonic() < until:
+                try:
+                    with socket.create_connection(("127.0.0.1", port), 1.0) as client:
+                        client.sendall(b"mn\r\n")
+                        if client.recv(16) == b"MN\r\n":
+                            return sum(psutil.Process(daemon.pid).cpu_times()[:2])
+                except OSError:
+                    time.sleep(0.01)
+            raise SystemExit("the daemon never answered")
+        finally:
+            daemon.kill()
+            daemon.wait()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--json", metavar="FILE", help="write the figures for programs")
+    told = []
+    options = parser.parse_args()
+    print(
+        "caches  rebuild us  request us  a tenth cold  40 routers  fullest  emptiest  moved/ideal  start ms"
+    )
+    for size in SIZES:
+        row = {
+            "caches": size,
+            "rebuild": rebuild(make_router(size, 1), size),
+            "request": request(make_router(size, 1)),
+            "cold": request(make_router(size, 1, cold=size // 10)),
+            "parts": request(make_router(size, 40)),
+            **placement(size),
+            "start": min(start(size) for _ in range(3)) * 1e3,
+        }
+        told.append(row)
+        moved = row["moved"] / row["ideal"]
+        print(
+            f"{size:6} {row['rebuild']:11.0f} {row['request']:11.1f} {row['cold']:13.1f} {row['parts']:11.1f}"
+            f" {row['fullest']:8.2f} {row['emptiest']:9.2f} {moved:12.2f} {row['start']:9.0f}"
+        )
+    if options.json:
+        Path(options.json).write_text(json.dumps(told, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/ironrail/rehearsal/fleet/command.py
+++ b/ironrail/rehearsal/fleet/command.py
@@ -76,7 +76,7 @@
         "calls for the list": f"{_largest(counts.list_calls)}; {counts.list_peak} in the fullest second,"
         f" {counts.list_most} of one router at most; {counts.listed} routers were told",
         "cold caches": f"{counts.cold_starts} starts, {counts.cold_fallen} fell;"
-        f" at most {counts.cold_most:.2f} of what one bears from routers that knew ({counts.cold_whom or '-'})",
+        f" who knew sent at most {counts.cold_most:.2f} of what one bears ({counts.cold_whom or '-'})",
         "given up": _largest(counts.given_up),
     }
     for name, text in rows.items():
