After a spoilt list answer only servers that served since are sent to; calls go on soon

At fault: Asking.again forgot the spoilt answer with the next refusal.

Change: until a list came calls go on after 0.25 to 0.5 s and doublings; from 5 s after a spoilt answer a server is eligible only if it served or missed something that was sent to it since, as draining ones turn away what is new.

--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -67,6 +67,7 @@
     losses: int = 0  # in a row, of attempts that no answer came to
     trial_at: float = -math.inf  # passed over until then
     used_at: float = -math.inf  # latest sign of life on a connection to it
+    well_at: float = -math.inf  # when the latest attempt was sent that it served or missed
     refused: bool = False  # a connect to it, at once, since it last answered on a new connection
 
 
@@ -183,7 +184,9 @@
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind in (api.ListKind.FAILED, api.ListKind.SPOILT):
             if self.settings.subscribe:
-                pause = self.asking.again(self.random, event.kind is api.ListKind.SPOILT)
+                if event.kind is api.ListKind.SPOILT:
+                    self.asking.spoilt(self.now)
+                pause = self.asking.again(self.random)
                 self.out.append(api.SetTimer(pause, "list"))
                 self.out.append(api.Log(f"list out of reach, {self.asking.failures} in a row"))
             return
@@ -277,6 +280,9 @@
         """Whether a server may take the request now."""
         if server.load >= server.limit or any(a.server is server and not a.broken for a in held.attempts):
             return False
+        # guards drained servers whose news came in an answer that was spoilt: they turn away what is new
+        if self.asking.binds(self.now) and server.well_at < (self.asking.spoilt_at or 0.0):
+            return False
         return self._within_budget(server, held) and self._permits(held, server)
 
     def _warm_share(self, server: Server) -> float:
@@ -475,6 +481,8 @@
             self.good = self.good * fade + (not full and event.latency <= attempt.aim)
             # misses too: where most of the fleet is new, hits alone tell a small part of what it carries
             carried = event.status in (api.Status.OK, api.Status.MISS)
+            if carried:
+                server.well_at = max(server.well_at, attempt.sent_at)
             self.served = self.served * fade + (attempt.cost if carried else 0.0)
             self.latency += 0.0 if full else SMOOTHING / 4 * (event.latency - self.latency)
         calm = self.latency <= CALM * attempt.aim
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -4,6 +4,7 @@
 
 import heapq
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 import pytest
@@ -12,7 +13,7 @@
 
 from ironrail.policy import interface as api
 from ironrail.policy.asking import AFTER_FAILURE, IN_TIME, Asking
-from tests.driver import settings
+from tests.driver import Driver, entry, settings
 
 
 @dataclass
@@ -57,7 +58,7 @@
                 continue
             if not self.grows:
                 askings[n].failures = -1  # the spread stays as it was
-            heapq.heappush(due, (ends + askings[n].again(draws, spoilt=False), n))
+            heapq.heappush(due, (ends + askings[n].again(draws), n))
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -92,26 +93,59 @@
     asking, draws = Asking(conf), random.Random(seed)
     assert 0 <= asking.first(draws) <= IN_TIME * must_ask
     for one in spoilt:
-        pause = asking.again(draws, one)
+        if one:
+            asking.spoilt(1.0)
+        pause = asking.again(draws)
         assert 0 < pause <= IN_TIME * AFTER_FAILURE * must_ask
-        assert not one or pause <= max(ramp, window)
+        assert asking.spoilt_at is None or pause <= max(ramp, window)
     asking.told()
-    assert asking.failures == 0
+    assert asking.failures == 0 and not asking.binds(100.0)
 
 
-def test_after_a_spoilt_answer_the_next_call_waits_for_no_others() -> None:
+def test_after_a_spoilt_answer_calls_wait_for_no_others_until_there_is_a_list() -> None:
+    """Refused calls included: one that was refused put off the next by half a minute."""
     conf = settings(subscribe=True, routers=40, ramp=8.9, fall_window=1.0, must_ask=10.0)
     draws = random.Random(1)
     for _ in range(100):
-        assert Asking(conf).again(draws, spoilt=True) <= 0.5
-        assert Asking(conf).again(draws, spoilt=False) > 4.0
+        asking = Asking(conf)
+        assert asking.again(draws) > 4.0
+        asking.told()
+        asking.spoilt(7.0)
+        assert asking.again(draws) <= 0.5 and asking.again(draws) <= 1.0
+        assert not asking.binds(11.9) and asking.binds(12.0)
+        asking.spoilt(11.0)  # the first one counts
+        assert asking.binds(12.0)
+        asking.told()
+        assert not asking.binds(12.0) and asking.again(draws) > 4.0
+
+
+def test_once_a_spoilt_answer_binds_only_servers_that_served_since_are_sent_to() -> None:
+    """Draining ones turn away what is new to them; the news that they drain was in the spoilt answer."""
+    d = Driver(settings(subscribe=True, routers=5, must_ask=10.0, max_attempts=3))
+    d.list(*(entry(name) for name in "abcdef"))
+    d.list(kind=api.ListKind.SPOILT)
+    sent: dict[bool, Counter[str]] = {False: Counter(), True: Counter()}
+    for n in range(600):
+        d.now += 0.02
+        late = n >= 260
+        server = d.request(f"r{n}", key=f"k{n % 97}")
+        while f"r{n}" in d.open and server is not None:
+            sent[late][server] += 1
+            drains = server in "ab"
+            server = d.end(f"r{n}", api.Status.FULL if drains else api.Status.OK, latency=0.005)
+    assert sent[False]["a"] and sent[False]["b"]
+    assert not sent[True]["a"] and not sent[True]["b"]
+    assert all(sent[True][name] for name in "cdef")
+    d.list(*(entry(name) for name in "abcdef"))
+    again = {d.request(f"s{n}", key=f"k{n}") for n in range(60)}
+    assert again & {"a", "b"}  # a list clears the doubt
 
 
 def test_where_no_rule_says_when_to_ask_pauses_are_bounded_all_the_same() -> None:
     """Of a thousand routers none waits for minutes, however often it failed."""
     asking, draws = Asking(settings(subscribe=True, routers=1000, ramp=5.0)), random.Random(1)
     assert asking.first(draws) <= 5.0
-    assert all(asking.again(draws, spoilt=False) <= 4 * 5.0 for _ in range(1200))
+    assert all(asking.again(draws) <= 4 * 5.0 for _ in range(1200))
 
 
 def test_a_push_needs_no_spread() -> None:
