--- a/ironrail/rehearsal/fleet/command.py
+++ b/ironrail/rehearsal/fleet/command.py
@@ -57,7 +57,12 @@
             "most_of_a_router": counts.list_most,
             "routers_told": counts.listed,
         },
-        "cold": {"starts": counts.cold_starts, "most": round(counts.cold_most, 4), "whom": counts.cold_whom},
+        "cold": {
+            "starts": counts.cold_starts,
+            "fallen": counts.cold_fallen,
+            "most": round(counts.cold_most, 4),
+            "whom": counts.cold_whom,
+        },
         "given_up": dict(sorted(counts.given_up.items())),
     }
 
--- a/ironrail/rehearsal/standins/registry.py
+++ b/ironrail/rehearsal/standins/registry.py
@@ -83,9 +83,9 @@
         self._troubles: dict[object, tuple[FaultKind, float]] = {}  # of answers, by cause
         self._draws = world.draws(f"agent.{router}")
         self._waiting = 0  # calls at the desk
-        self._asked_at = self._loop_now()
-        self._failed = False  # the latest call
         self._loop = asyncio.get_running_loop()
+        self._asked_at = self._loop.time()
+        self._failed = False  # the latest call
         self._rows = {row.id: row for row in rows}
         self._changes: list[tuple[int, Row]] = []
         self._version = 1
@@ -96,13 +96,9 @@
         self._left: list[Door] = []  # where it was to be found before
         self.door = self._door()
 
-    @staticmethod
-    def _loop_now() -> float:
-        return asyncio.get_running_loop().time()
-
     def started(self) -> None:
         """A new process of its router: what the one before it had asked for is nothing to it."""
-        self._asked_at, self._failed = self._loop_now(), False
+        self._asked_at, self._failed = self._loop.time(), False
 
     def _door(self) -> Door:
         return Door(self.router, lambda door: AgentConnection(door, self), self.world.listen)
@@ -143,7 +139,7 @@
         """Whether news counts as told to a router that has to ask: once it has not asked for too long."""
         conf = self.world.scenario.registry
         allowed = conf.must_ask * (AFTER_FAILURE if self._failed else 1.0)
-        left = self._asked_at + allowed - self._loop_now()
+        left = self._asked_at + allowed - self._loop.time()
         if self._waiting or self._watches:  # it asks
             left = max(left, LOOK_AGAIN)
         if left > 0:
@@ -191,11 +187,11 @@
 
     def take(self, connection: AgentConnection, request: HttpRequest) -> None:
         goes_on = connection.answered_at is not None and "index=" in request.target
-        if self._desk is None or (goes_on and self._loop_now() - (connection.answered_at or 0.0) <= GOES_ON):
+        if self._desk is None or (goes_on and self._loop.time() - (connection.answered_at or 0.0) <= GOES_ON):
             connection.queued = False
             self._serve(connection, request)
             return
-        now, connection.queued = self._loop_now(), True
+        now, connection.queued = self._loop.time(), True
         ends, answered = self._desk.call(now)
         self._waiting += 1
         self._loop.call_later(ends - now, self._called, connection, request, answered)
@@ -203,7 +199,7 @@
     def _called(self, connection: AgentConnection, request: HttpRequest, answered: bool) -> None:
         """A call has had its turn at the desk, or waited in vain."""
         self._waiting -= 1
-        self._asked_at, self._failed = self._loop_now(), not answered
+        self._asked_at, self._failed = self._loop.time(), not answered
         if connection.closed:
             return
         if answered:
@@ -271,7 +267,7 @@
             return
         body = {"version": self._version, "full": full, "servers": [row.told(self.router) for row in rows]}
         data, kind = orjson.dumps(body), ("Content-Type", "application/json")
-        connection.answered_at = self._asked_at = self._loop_now()
+        connection.answered_at = self._asked_at = self._loop.time()
         self._failed = False
         if self._spoilt(connection, data, kind):
             # what it had to tell counts as told some seconds later, whether or not it arrived
--- a/ironrail/rehearsal/standins/warmth.py
+++ b/ironrail/rehearsal/standins/warmth.py
@@ -32,9 +32,8 @@
         self._sent: deque[tuple[float, float, float]] = deque()  # when, work, and that of the informed
         self._sum = 0.0
         self._knowing = 0.0
-        self.most = (
-            0.0  # of what it bears, the largest part that the informed sent within a window while cold
-        )
+        # of what it bears, the largest part that the informed sent within a window while it was cold
+        self.most = 0.0
 
     def start(self, now: float) -> None:
         """A new process: cold, with nothing sent to it."""
