--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := $(VENV)/bin
 SCENARIO ?= calm
 SEED ?= 1
+# rehearsals in real time that a machine of 8 cores holds beside each other without coming late
+AT_ONCE ?= 6
 
 rehearse: setup
 	$(BIN)/ironrail rehearse $(SCENARIO) --seed $(SEED)
@@ -11,7 +13,8 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/mypy
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto -m 'not sockets'
+	$(BIN)/python -m pytest -n $(AT_ONCE) -m sockets
 
 setup: $(VENV)/.ready
 
--- a/tests/access/test_access.py
+++ b/tests/access/test_access.py
@@ -197,6 +197,7 @@
     assert (await World().start()).node._access is None
 
 
+@pytest.mark.sockets
 def test_round_trip_rehearse_import_rehearse(tmp_path: Path) -> None:
     """Real routers write what they served; imported, it asks for the same again."""
     (tmp_path / "o.toml").write_text(f"[access_log]\npath = '{tmp_path}/router-{{index}}.jsonl'\n")
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -44,6 +44,7 @@
     return CliRunner().invoke(rehearse, arguments)
 
 
+@pytest.mark.sockets
 def test_reports_of_a_run(tiny: str, tmp_path: Path) -> None:
     told, page = tmp_path / "r.json", tmp_path / "r.html"
     done = call(tiny, "--seed", "5", "--json", str(told), "--html", str(page))
@@ -69,6 +70,7 @@
     assert "begins: stall cache-1" in done.output
 
 
+@pytest.mark.sockets
 def test_the_same_seed_gives_the_same_requests_and_verdicts(tiny: str, tmp_path: Path) -> None:
     told = []
     for n in range(2):
@@ -81,6 +83,7 @@
     assert told[0] == told[1]
 
 
+@pytest.mark.sockets
 def test_json_on_standard_output_is_nothing_else(tiny: str) -> None:
     done = subprocess.run(
         [sys.executable, "-m", "ironrail.cli", "rehearse", tiny, "--json", "-"],
@@ -90,6 +93,7 @@
     assert b"verdict" in done.stderr
 
 
+@pytest.mark.sockets
 def test_a_failed_verdict_is_exit_1(tmp_path: Path) -> None:
     path = tmp_path / "hard.toml"
     path.write_text(TINY + "[bounds]\narchive_fetches = 0.0\n")
@@ -97,6 +101,7 @@
     assert done.exit_code in (1, 3) and "FAILED" in done.output
 
 
+@pytest.mark.sockets
 def test_a_kit_that_was_late_says_so_and_gives_no_verdict(tiny: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Lateness, "too_late", lambda self: "as a test has it")
     done = call(tiny)
@@ -136,6 +141,7 @@
     assert done.output.strip() == f"ironrail: {path}: fault 1 (stall): no caches are called 'cache-9'"
 
 
+@pytest.mark.sockets
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_no_process_and_no_port(number: signal.Signals) -> None:
     kit = subprocess.Popen(
--- a/tests/rehearsal/test_mutants.py
+++ b/tests/rehearsal/test_mutants.py
@@ -7,8 +7,6 @@
 import os
 import subprocess
 import sys
-from collections.abc import Iterator
-from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -18,11 +16,10 @@
 ROOT = Path(__file__).parent.parent.parent
 FOLDER = ROOT / "tests" / "mutants"
 MUTANTS = sorted(path.stem for path in FOLDER.glob("*.py") if not path.stem.startswith("__"))
-AT_ONCE = max(1, min(4, (os.cpu_count() or 2) // 2))  # each run keeps about a core busy
 TRIES = 4  # of a run on a machine that was too busy for a verdict
 PATIENCE = 120.0  # seconds of one run: the kit bounds itself well within
-# Threads start processes here while pytest sets and unsets a variable for each test. A child that is given no
-# environment reads this process's own as it starts and may find its memory freed: execve fails with EFAULT.
+# pytest sets and unsets a variable for each test. A child that is given no environment and is started from a
+# thread reads this process's own as it starts and may find its memory freed: execve fails with EFAULT.
 ENVIRONMENT = dict(os.environ)
 
 
@@ -60,26 +57,18 @@
     return str(getattr(importlib.import_module(f"tests.mutants.{name}"), "SCENARIO", "short.toml"))
 
 
-@pytest.fixture(scope="module")
-def runs(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Future[Run]]]:
-    """All runs, a few at a time, begun at once so that each test only waits for its own."""
-    folder = tmp_path_factory.mktemp("mutants")
-    with ThreadPoolExecutor(AT_ONCE) as pool:
-        begun = {f"true-{s}": pool.submit(rehearse, "true", s, folder) for s in ("short.toml", "errors.toml")}
-        begun |= {name: pool.submit(rehearse, name, scenario_of(name), folder) for name in MUTANTS}
-        yield begun
-
-
+@pytest.mark.sockets
 @pytest.mark.parametrize("scenario", ["short.toml", "errors.toml"])
-def test_the_true_router_passes(scenario: str, runs: dict[str, Future[Run]]) -> None:
-    run = runs[f"true-{scenario}"].result()
+def test_the_true_router_passes(scenario: str, tmp_path: Path) -> None:
+    run = rehearse("true", scenario, tmp_path)
     assert (run.code, run.failed()) == (0, set())
     assert run.report["outcome"] == "kept"
 
 
+@pytest.mark.sockets
 @pytest.mark.parametrize("name", MUTANTS)
-def test_a_broken_router_fails_for_its_reason(name: str, runs: dict[str, Future[Run]]) -> None:
-    run = runs[name].result()
+def test_a_broken_router_fails_for_its_reason(name: str, tmp_path: Path) -> None:
+    run = rehearse(name, scenario_of(name), tmp_path)
     assert run.code == 1
     assert importlib.import_module(f"tests.mutants.{name}").RULE in run.failed()
 
--- a/tests/rehearsal/virtual/test_mutants.py
+++ b/tests/rehearsal/virtual/test_mutants.py
@@ -5,13 +5,11 @@
 import importlib
 import json
 import sys
-from collections.abc import Iterator
-from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 
-from tests.rehearsal.test_mutants import AT_ONCE, FOLDER, MUTANTS, Run, scenario_of, start
+from tests.rehearsal.test_mutants import FOLDER, MUTANTS, Run, scenario_of, start
 
 MOST_SEEDS = 3  # that it may take to catch one
 
@@ -31,24 +29,14 @@
     return run, seed
 
 
-@pytest.fixture(scope="module")
-def runs(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Future[tuple[Run, int]]]]:
-    folder = tmp_path_factory.mktemp("virtual-mutants")
-    with ThreadPoolExecutor(AT_ONCE) as pool:
-        begun = {name: pool.submit(rehearse, name, scenario_of(name), folder) for name in MUTANTS}
-        yield begun | {"true": pool.submit(rehearse, "true", "short.toml", folder)}
-
-
-def test_the_true_router_passes(runs: dict[str, Future[tuple[Run, int]]]) -> None:
-    run, _ = runs["true"].result()
+def test_the_true_router_passes(tmp_path: Path) -> None:
+    run, _ = rehearse("true", "short.toml", tmp_path)
     assert (run.code, run.failed()) == (0, set())
     assert run.report["digest"]
 
 
 @pytest.mark.parametrize("name", MUTANTS)
-def test_a_broken_router_is_caught_in_virtual_time(
-    name: str, runs: dict[str, Future[tuple[Run, int]]]
-) -> None:
-    run, _ = runs[name].result()
+def test_a_broken_router_is_caught_in_virtual_time(name: str, tmp_path: Path) -> None:
+    run, _ = rehearse(name, scenario_of(name), tmp_path)
     assert run.code == 1
     assert importlib.import_module(f"tests.mutants.{name}").RULE in run.failed()
