Routers told by SIGHUP that the list moved no longer ask for it all at once

Seen: the new trouble `ironrail fleet roll` (all routers restart by tenths, half of the caches are replaced, the list moves) failed its verdict on calls: 14 of 14 routers called within a second, and 16 of 20. At fault: Discovery.move set `_asked` by itself, so that the module's spread (Asking.first) was passed by. Where the list is pushed nothing changes.

Mend: the module hears that the list moved (ListKind.MOVED) and asks as after a start; a request to ask that came while a call went on no longer starts another one right behind its failure.

ironrail fleet: up to 1,000 routers before 400 caches, troubles `roll` and `split`; faults `router-restart`, `list-late`, `lost`.

--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -219,11 +219,13 @@
             self._task.cancel()  # guards against a hung watch: its connection closes with it
 
     def move(self, address: Address) -> None:
-        """Leave the present address at once and take the whole list from another."""
+        """Leave the present address at once and take the whole list from another, when the module asks."""
         self.stop()
         self._client = Client(address)
-        self._asked.set()
+        self._asked.clear()
         self._task = asyncio.create_task(self._run())
+        if self._on_request:
+            self._told(api.ServerList(api.ListKind.MOVED), {})
 
     async def _run(self) -> None:
         """List and watch, again after every failure."""
@@ -241,6 +243,7 @@
             except Exception:  # guards against routing by an old list for good
                 log.exception("list_call_broken")
             if self._on_request:
+                self._asked.clear()  # what was asked for meanwhile: the module says when the next call is due
                 self._told(api.ServerList(kind), {})
             else:
                 await asyncio.sleep(PAUSE)
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -182,6 +182,9 @@
         return len(self.servers), avoided
 
     def _on_list(self, event: api.ServerList) -> None:
+        if event.kind is api.ListKind.MOVED:  # guards whoever tells it: all routers hear of that at once
+            self._ask_first()
+            return
         if event.kind in (api.ListKind.FAILED, api.ListKind.SPOILT):
             if self.settings.subscribe:
                 if event.kind is api.ListKind.SPOILT:
@@ -206,13 +209,16 @@
         if event.kind is not api.ListKind.SAVED:
             self.asking.told()
         elif self.settings.subscribe:
-            pause = self.asking.first(self.random)
-            self.out.append(api.SetTimer(pause, "list") if pause else api.Subscribe())
+            self._ask_first()
         self.queue = []
         for held in [h for h in self.held.values() if h.waiting]:
             held.waiting = False
             self._advance(held)
 
+    def _ask_first(self) -> None:
+        pause = self.asking.first(self.random)
+        self.out.append(api.SetTimer(pause, "list") if pause else api.Subscribe())
+
     def _build_ring(self) -> None:
         """Guards against all CPU going into rings in a large deploy: on use, and only what has changed."""
         self.stale = False
--- a/ironrail/policy/interface.py
+++ b/ironrail/policy/interface.py
@@ -47,6 +47,7 @@
     SAVED = "saved"
     FAILED = "failed"  # a call got no answer, or was refused
     SPOILT = "spoilt"  # an answer began and broke off, or can't be used
+    MOVED = "moved"  # it is told elsewhere from now on, and has to be asked for there
 
 
 class Status(Enum):
--- a/ironrail/rehearsal/account/record.py
+++ b/ironrail/rehearsal/account/record.py
@@ -23,6 +23,7 @@
     ERROR = "error"
     SPOILT = "spoilt"
     RESET = "reset"
+    LOST = "lost"  # the answer never reaches the router
     LEFT = "left"  # the router closed the connection or never took the answer
     OPEN = "open"  # nothing has come of it so far
 
--- a/ironrail/rehearsal/command.py
+++ b/ironrail/rehearsal/command.py
@@ -31,7 +31,7 @@
 from ironrail.rehearsal.routers import OWN_ROUTER
 from ironrail.rehearsal.run import Rehearsal, Result
 from ironrail.rehearsal.scenario import Scenario, ScenarioError, read_scenario, shipped
-from ironrail.rehearsal.scenario.model import MOST_ROUTERS, Repeats
+from ironrail.rehearsal.scenario.model import VIRTUAL_ROUTERS, Repeats
 from ironrail.rehearsal.virtual.play import play_virtual
 
 KEPT, FAILED, UNUSABLE, NO_VERDICT, INTERRUPTED = 0, 1, 2, 3, 130
@@ -65,6 +65,8 @@
     schedule: list[Planned] | None = None,
 ) -> Result:
     """One run on a loop of its own; ends cleanly on SIGINT and SIGTERM."""
+    if beyond := scenario.beyond_sockets():
+        raise ScenarioError(f"{beyond} (in virtual time more can be had)")
     told = Printer(console, scenario)
     rehearsal = Rehearsal(scenario, seed, ground=RealGround(command), progress=told, schedule=schedule)
 
@@ -199,7 +201,9 @@
 )
 @click.argument("scenario", required=False)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="What is drawn at random.")
-@click.option("--routers", type=click.IntRange(1, MOST_ROUTERS), help="How many, in place of the scenario's.")
+@click.option(
+    "--routers", type=click.IntRange(1, VIRTUAL_ROUTERS), help="How many, in place of the scenario's."
+)
 @click.option("--json", "json_file", metavar="FILE", help="Write the report for programs; - is the output.")
 @click.option("--html", "html_file", metavar="FILE", help="Write a page with plots.")
 @click.option("--router", metavar="COMMAND", help="Rehearse this program in place of the router itself.")
--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -24,10 +24,22 @@
     FaultKind.SURPLUS,
     FaultKind.ENDLESS,
     FaultKind.ERRORS,
+    FaultKind.LOST,
 )
-LIST_ANSWERS = {FaultKind.LIST_CROWDED: 10.0, FaultKind.LIST_CUT: 0.2, FaultKind.LIST_SPOILT: 0.2}  # how hard
+LIST_ANSWERS = {  # how hard, where the fault does not say
+    FaultKind.LIST_CROWDED: 10.0,
+    FaultKind.LIST_CUT: 0.2,
+    FaultKind.LIST_SPOILT: 0.2,
+    FaultKind.LIST_LATE: 3.0,
+}
 LISTS = (FaultKind.LIST_SILENT, FaultKind.LIST_EMPTY, FaultKind.LIST_ABSURD, *LIST_ANSWERS)
-ROUTER_KINDS = (FaultKind.ROUTER_TERM, FaultKind.ROUTER_KILL, FaultKind.ROUTER_STOP, FaultKind.ROUTER_REPLACE)
+ROUTER_KINDS = (
+    FaultKind.ROUTER_TERM,
+    FaultKind.ROUTER_KILL,
+    FaultKind.ROUTER_STOP,
+    FaultKind.ROUTER_REPLACE,
+    FaultKind.ROUTER_RESTART,
+)
 TERM_TOLD = 0.3  # seconds after SIGTERM for which the front still sends new clients: a restart is announced
 ABSURD = 40  # servers that an absurd list invents
 
@@ -52,7 +64,7 @@
     registry: Registry
     front: Front
     routers: dict[str, Router]
-    start_router: Callable[[str], None]
+    start_router: Callable[[str, float], None]  # once it has ended, or is killed so many seconds later
     replace_router: Callable[[str], None]
     reconfigure: Callable[[str, str], None]  # a router, to be told of the list at another address
     spells: list[Spell] = field(default_factory=list)
@@ -80,7 +92,7 @@
             self._hot_router(planned, step.begins)
         elif kind in ROUTER_KINDS:
             for name in planned.victims:
-                self._router(name, kind, step.begins)
+                self._router(name, kind, step.begins, planned.fault.lasts)
         elif kind is not FaultKind.HOT_KEYS:  # those are in the schedule
             self._caches(planned, kind, step.begins)
 
@@ -144,7 +156,7 @@
                 agent.end_lost(planned)
 
     def _list_answers(self, planned: Planned, kind: FaultKind, begins: bool) -> None:
-        """The service that tells the list is crowded by others, or some of its answers are spoilt."""
+        """The service that tells the list is crowded by others, late, or some of its answers are spoilt."""
         if begins:
             hard = planned.fault.hard
             self.registry.trouble(planned, kind, LIST_ANSWERS[kind] if hard is None else hard)
@@ -173,7 +185,7 @@
             else:
                 self.front.hot.pop((planned, name), None)
 
-    def _router(self, name: str, kind: FaultKind, begins: bool) -> None:
+    def _router(self, name: str, kind: FaultKind, begins: bool, lasts: float) -> None:
         router, now = self.routers[name], self.world.now()
         if kind is FaultKind.ROUTER_REPLACE:  # once it has begun it goes its own way
             if begins:
@@ -181,20 +193,24 @@
         elif begins:
             number = {
                 FaultKind.ROUTER_TERM: signal.SIGTERM,
+                FaultKind.ROUTER_RESTART: signal.SIGTERM,
                 FaultKind.ROUTER_KILL: signal.SIGKILL,
                 FaultKind.ROUTER_STOP: signal.SIGSTOP,
             }[kind]
-            if kind is not FaultKind.ROUTER_TERM:
+            planned_end = number is signal.SIGTERM
+            if not planned_end:
                 self.spells.append(Spell(name, now, f"{name} was sent {number.name}"))
-            told = now + TERM_TOLD - self.front.notice if kind is FaultKind.ROUTER_TERM else now
+            told = now + TERM_TOLD - self.front.notice if planned_end else now
             self.front.died(name, told)
             router.signal(number, asked=kind is not FaultKind.ROUTER_STOP)
+            if kind is FaultKind.ROUTER_RESTART:
+                self.start_router(name, lasts)
         elif kind is FaultKind.ROUTER_STOP:
             router.signal(signal.SIGCONT, asked=False)
             self.front.ready(name)
             self.recovered(name)
-        else:
-            self.start_router(name)
+        elif kind is not FaultKind.ROUTER_RESTART:
+            self.start_router(name, 0.0)
 
     def recovered(self, router: str) -> None:
         """It can answer again."""
--- a/ironrail/rehearsal/faults/plan.py
+++ b/ironrail/rehearsal/faults/plan.py
@@ -16,6 +16,7 @@
     FaultKind.STALL: CACHES,
     FaultKind.RESET: CACHES,
     FaultKind.SLOW_CLOSE: CACHES,
+    FaultKind.LOST: CACHES,
     FaultKind.SPOILT: CACHES,
     FaultKind.SURPLUS: CACHES,
     FaultKind.ENDLESS: CACHES,
@@ -31,6 +32,7 @@
     FaultKind.LIST_CROWDED: LIST,
     FaultKind.LIST_CUT: LIST,
     FaultKind.LIST_SPOILT: LIST,
+    FaultKind.LIST_LATE: LIST,
     FaultKind.HOT_KEYS: LOAD,
     FaultKind.HOT_ROUTER: ROUTERS,
     FaultKind.ARCHIVE_SLOW: ARCHIVE,
@@ -39,6 +41,7 @@
     FaultKind.ROUTER_KILL: ROUTERS,
     FaultKind.ROUTER_STOP: ROUTERS,
     FaultKind.ROUTER_REPLACE: ROUTERS,
+    FaultKind.ROUTER_RESTART: ROUTERS,
 }
 
 
--- a/ironrail/rehearsal/fleet/command.py
+++ b/ironrail/rehearsal/fleet/command.py
@@ -18,12 +18,13 @@
 from ironrail.rehearsal.fleet.worlds import TROUBLES, fleet_world
 from ironrail.rehearsal.report.document import document
 from ironrail.rehearsal.report.table import print_report
-from ironrail.rehearsal.scenario.model import MOST_ROUTERS, Scenario
+from ironrail.rehearsal.scenario.model import VIRTUAL_ROUTERS, Scenario
 from ironrail.rehearsal.scenario.reader import ScenarioError, read_scenario
 from ironrail.rehearsal.virtual.play import Virtual, play_virtual
 
 FORMAT, VERSION = "ironrail-fleet", 1
 LEAST_LENGTH, MOST_LENGTH = 12.0, 600.0  # seconds: every trouble is over within the first
+MOST_CACHES = 400
 
 
 def play_fleet(
@@ -95,9 +96,11 @@
 )
 @click.argument("trouble")
 @click.option(
-    "--routers", type=click.IntRange(1, MOST_ROUTERS), default=40, show_default=True, help="How many."
+    "--routers", type=click.IntRange(1, VIRTUAL_ROUTERS), default=40, show_default=True, help="How many."
+)
+@click.option(
+    "--caches", type=click.IntRange(3, MOST_CACHES), default=60, show_default=True, help="How many."
 )
-@click.option("--caches", type=click.IntRange(3, 200), default=60, show_default=True, help="How many.")
 @click.option(
     "--length",
     type=click.FloatRange(LEAST_LENGTH, MOST_LENGTH),
@@ -122,7 +125,9 @@
     """Rehearse many routers before many caches, in virtual time.
 
     TROUBLE is calm, release (most routers killed at once), hall (one is lost and returns cold), replaced (six
-    in ten caches within 7 s), list (its service is crowded, answers are spoilt), all, or a scenario's file.
+    in ten caches within 7 s), list (its service is crowded, answers are spoilt), roll (routers restart by
+    tenths, half of the caches are replaced, the list moves), split (a hall is cut off, lists come late,
+    answers get lost), all, or a scenario's file.
     """
     console = make_console()
     try:
--- a/ironrail/rehearsal/fleet/worlds.py
+++ b/ironrail/rehearsal/fleet/worlds.py
@@ -24,6 +24,14 @@
 KILLED = 0.7  # of all routers, in a release
 REPLACED, REPLACED_IN = 0.6, 7.0  # of all caches, and the seconds in which they are
 STARTED_ANEW = 0.4  # of all routers, while caches are replaced
+TENTHS = 10  # steps in which all routers are restarted
+ROLLING = 5.0  # seconds from the first of them to the last
+ROUTER_PATIENCE = 4.7  # seconds from SIGTERM to SIGKILL: the longest deadline here and 0.7 s more
+STEPS = 5  # in which half of the caches are replaced meanwhile
+DRAINED = 2.4  # seconds that one drains: the news of it is 1.5 s late at most, and may take effect 1 s later
+CUT_FOR = 6.0  # seconds that a hall is cut off
+LIST_LATE = 2.0  # seconds that lists come later meanwhile
+LOST, BROKEN = 0.01, 0.02  # of the answers of some caches that get lost, or end as a reset
 BAD, FAILS = 0.2, 0.15  # of all caches, and of their answers that are errors
 SPOILT = 0.25  # of the list's answers
 
@@ -95,6 +103,40 @@
     return [*faults, _spell("router-kill", whom, QUIET + draws.uniform(1.0, 4.0), draws.uniform(0.3, 1.0))]
 
 
+def _roll(draws: random.Random, routers: int, caches: int) -> list[Table]:
+    """All routers restart a tenth at a time, half of the caches are replaced in steps, and the list moves."""
+    order = draws.sample(range(1, routers + 1), routers)
+    faults = [
+        _spell(
+            "router-restart",
+            f"router-{n}",
+            QUIET + ROLLING * (i * TENTHS // routers) / (TENTHS - 1),
+            ROUTER_PATIENCE,
+        )
+        for i, n in enumerate(order)
+    ]
+    half = draws.sample(range(1, caches + 1), caches // 2)
+    for i, n in enumerate(half):
+        at = QUIET + (ROLLING - DRAINED) * (i * STEPS // len(half)) / (STEPS - 1)
+        faults.append(_spell("drain", f"cache-{n}", at, DRAINED))
+        faults.append(_spell("replace", f"cache-{n}", at + DRAINED - 0.1, draws.uniform(0.3, 1.0)))
+    return [*faults, _spell("list-moves", "", QUIET + draws.uniform(1.0, ROLLING - 1.0), 0.1)]
+
+
+def _split(draws: random.Random, routers: int, caches: int) -> list[Table]:
+    """A hall is cut off, lists come late, and meanwhile answers get lost and connections are reset."""
+    at = QUIET + draws.uniform(0.0, 1.0)
+    bad = draws.sample(range(1, caches + 1), max(1, round(BAD * caches)))
+    gone = draws.sample(range(1, caches + 1), max(1, caches // 10))
+    return [
+        _spell("hall-cut", draws.choice(["hall-a", "hall-b", "hall-c"]), at, CUT_FOR),
+        _spell("list-late", "", at, CUT_FOR, hard=LIST_LATE),
+        *(_spell("lost", f"cache-{n}", at, CUT_FOR, hard=LOST) for n in bad),
+        *(_spell("reset", f"cache-{n}", at, CUT_FOR, hard=BROKEN) for n in bad),
+        *(_spell("replace", f"cache-{n}", at + draws.uniform(0.0, 4.0), 0.5) for n in gone),
+    ]
+
+
 def _list(draws: random.Random, routers: int, caches: int) -> list[Table]:
     """The list's service is crowded and some of its answers are spoilt, while a few caches are replaced."""
     faults = [
@@ -121,5 +163,7 @@
     "hall": _hall,
     "replaced": _replaced,
     "list": _list,
+    "roll": _roll,
+    "split": _split,
     "all": _all,
 }
--- a/ironrail/rehearsal/losses/lay.py
+++ b/ironrail/rehearsal/losses/lay.py
@@ -80,7 +80,7 @@
         spoke: defaultdict[str, list[float]] = defaultdict(list)
         for one in record.tries.values():
             for attempt in one.attempts:
-                if attempt.ended not in (Ended.LEFT, Ended.OPEN) and attempt.ended_at is not None:
+                if attempt.ended not in (Ended.LEFT, Ended.OPEN, Ended.LOST) and attempt.ended_at is not None:
                     spoke[attempt.server].append(attempt.ended_at)
         self._spoke = {server: sorted(times) for server, times in spoke.items()}
 
@@ -186,7 +186,7 @@
         if lives.spoke(seen.server, seen.last_at, over):
             return Causes.BEHIND if seen.behind else Causes.SLOW
         return Causes.SILENT
-    if seen.ended in (Ended.RESET, Ended.SPOILT, Ended.ERROR):
+    if seen.ended in (Ended.RESET, Ended.SPOILT, Ended.ERROR, Ended.LOST):
         return Causes.LOST
     return Causes.BEHIND if seen.behind else Causes.SLOW
 
--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import tempfile
 from collections.abc import Callable, Coroutine
@@ -145,7 +146,7 @@
             self._registry,
             self._front,
             self._routers,
-            lambda name: self._spawn(self._restart(name)),
+            lambda name, patience: self._spawn(self._restart(name, patience)),
             lambda name: self._spawn(self._replace(name)),
             self._reconfigure,
         )
@@ -260,8 +261,13 @@
         if await takes_signals(router) and not self._ending:
             router.signal(signal.SIGHUP, asked=False)
 
-    async def _restart(self, name: str) -> None:
+    async def _restart(self, name: str, patience: float) -> None:
+        """Start it again once it has ended; it is killed after so many seconds."""
         router = self._routers[name]
+        if patience:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(patience):
+                    await router.ended()
         await router.kill()
         if self._ending:
             return
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -18,8 +18,10 @@
 Count = Annotated[int, Field(ge=1, le=2000)]
 
 NAME = r"^[!-+.-<>-~-]{1,64}$"  # of a class or a title: the protocol puts it into a list of names and values
-MOST_RATE = 5000.0  # first tries a second: one core of the kit drives no more
-MOST_ROUTERS = 64  # each at a loopback network of its own, and in virtual time all on one core
+MOST_RATE = 5000.0  # first tries a second on real sockets: one core of the kit drives no more
+MOST_ROUTERS = 64  # the same, each at a loopback network of its own
+VIRTUAL_RATE = 50_000.0  # in virtual time, where a second takes as long as it has to
+VIRTUAL_ROUTERS = 1000  # the same: more than a few GB of memory hold beside 400 caches
 MOST_LENGTH = 3600.0  # seconds: every load loop is bounded
 
 
@@ -64,7 +66,7 @@
 class Load(Table):
     """What clients ask for, whatever the routers make of it: an open loop."""
 
-    rate: Annotated[float, Field(gt=0.0, le=MOST_RATE)] = 240.0  # first tries a second, all halls together
+    rate: Annotated[float, Field(gt=0.0, le=VIRTUAL_RATE)] = 240.0  # first tries a second, all halls together
     shape: Annotated[str, Field(pattern="^(steady|bursty|ramp)$")] = "steady"
     swing: Share = 0.25  # of the rate, up and down, where the shape is not steady
     keys: Annotated[int, Field(ge=1, le=1_000_000)] = 600
@@ -94,7 +96,7 @@
 class Routers(Table):
     """The routers under rehearsal: real processes."""
 
-    count: Annotated[int, Field(ge=1, le=MOST_ROUTERS)] = 3
+    count: Annotated[int, Field(ge=1, le=VIRTUAL_ROUTERS)] = 3
     descriptors: Annotated[int, Field(ge=128, le=4096)] = 384
     memory: Bytes = 96 * 1024**2
     front_notice: Seconds = 1.5  # for which the front goes on sending clients to a dead one
@@ -185,6 +187,7 @@
     STALL = "stall"
     RESET = "reset"
     SLOW_CLOSE = "slow-close"
+    LOST = "lost"
     SPOILT = "spoilt"
     SURPLUS = "surplus"
     ENDLESS = "endless"
@@ -199,6 +202,7 @@
     LIST_CROWDED = "list-crowded"
     LIST_CUT = "list-cut"
     LIST_SPOILT = "list-spoilt"
+    LIST_LATE = "list-late"
     DRAIN = "drain"
     RESTART = "restart"
     REPLACE = "replace"
@@ -208,6 +212,7 @@
     ROUTER_KILL = "router-kill"
     ROUTER_STOP = "router-stop"
     ROUTER_REPLACE = "router-replace"
+    ROUTER_RESTART = "router-restart"
 
 
 class Fault(Table):
@@ -310,5 +315,15 @@
                 raise ValueError(f"fault {number + 1} ({fault.kind}) begins after the end")
         return self
 
+    def beyond_sockets(self) -> str:
+        """What a rehearsal on real sockets can't hold of it, or nothing."""
+        if self.routers.count > MOST_ROUTERS:
+            return (
+                f"routers.count: {self.routers.count} are more than {MOST_ROUTERS}, the most on real sockets"
+            )
+        if self.load.rate > MOST_RATE:
+            return f"load.rate: {self.load.rate:g} are more than {MOST_RATE:g}, the most on real sockets"
+        return ""
+
     def class_of(self, name: str) -> RequestClass:
         return next(c for c in self.classes if c.name == name)
--- a/ironrail/rehearsal/standins/gridcache.py
+++ b/ironrail/rehearsal/standins/gridcache.py
@@ -28,6 +28,7 @@
     FaultKind.ENDLESS: 0.05,
     FaultKind.ERRORS: 0.2,
     FaultKind.SLOW_CLOSE: 0.1,
+    FaultKind.LOST: 0.02,
 }
 
 
@@ -219,6 +220,8 @@
             self._finish(turn, FAILED, Ended.ERROR)
         elif self._hits(FaultKind.RESET):
             self._end_connection(turn, Ended.RESET)
+        elif self._hits(FaultKind.LOST):
+            turn.attempt.end(Ended.LOST, self.world.now())  # and with it all behind it on the connection
         elif size is None:
             self._finish(turn, f"EN O{request}\r\n".encode(), Ended.MISS)
         else:
--- a/ironrail/rehearsal/standins/registry.py
+++ b/ironrail/rehearsal/standins/registry.py
@@ -320,6 +320,7 @@
         self._desk = Desk(conf.rate, conf.patience) if conf.asked else None
         self.agents = {router: Agent(world, router, rows, self._desk) for router in routers}
         self._crowds: dict[object, float] = {}
+        self._lates: dict[object, float] = {}  # seconds, by cause
 
     def change(self, row: Row, after: float) -> None:
         """Something changed: agents hear of it so much later, and of changes of one server in their order."""
@@ -327,23 +328,27 @@
             self.rows.pop(row.id, None)
         else:
             self.rows[row.id] = row
+        late = max(self._lates.values(), default=0.0)
         for router, agent in self.agents.items():
-            delay = after + self._draws.random() * self._world.scenario.registry.spread
+            delay = after + self._draws.random() * self._world.scenario.registry.spread + late
             at = max(self._loop.time() + delay, self._last.get((router, row.id), 0.0) + 1e-3)
             self._last[router, row.id] = at
             self._loop.call_at(at, agent.learn, row)
 
     def trouble(self, cause: object, kind: FaultKind, hard: float) -> None:
-        """Calls take so many times as long, or such a share of answers is spoilt."""
+        """Calls take so many times as long, news comes seconds late, or a share of answers is spoilt."""
         if kind is FaultKind.LIST_CROWDED:
             self._crowds[cause] = hard
             self._pace()
+        elif kind is FaultKind.LIST_LATE:
+            self._lates[cause] = hard
         else:
             for agent in self.agents.values():
                 agent.begin_trouble(cause, kind, hard)
 
     def well(self, cause: object) -> None:
         """A trouble is over."""
+        self._lates.pop(cause, None)
         if self._crowds.pop(cause, None) is not None:
             self._pace()
         for agent in self.agents.values():
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -205,7 +205,7 @@
         return lambda port, accepted: VirtualListening(self.network, port, accepted)
 
     def address_of(self, number: int) -> str:
-        return f"127.{64 + number}.0.1"
+        return f"127.{64 + number % 128}.{number // 128}.1"
 
     def make_router(
         self, name: str, config: dict[str, Any], folder: Path, facts: RouterFacts, on_exit: OnExit
--- a/ironrail/rehearsal/virtual/worlds.py
+++ b/ironrail/rehearsal/virtual/worlds.py
@@ -19,7 +19,15 @@
 TERM_LEAST = "2500 ms"  # from SIGTERM to the kill: the longest deadline here, and 0.7 s more
 LATER = (FaultKind.LIST_MOVES,)  # kinds with a stream of their own, so that no world drawn before is another
 # for fleets at size: a world with few routers has no crowd at the list, and these would move all draws
-NOT_DRAWN = (FaultKind.LIST_CROWDED, FaultKind.LIST_CUT, FaultKind.LIST_SPOILT, FaultKind.REPLACE)
+NOT_DRAWN = (
+    FaultKind.LIST_CROWDED,
+    FaultKind.LIST_CUT,
+    FaultKind.LIST_SPOILT,
+    FaultKind.LIST_LATE,
+    FaultKind.REPLACE,
+    FaultKind.LOST,
+    FaultKind.ROUTER_RESTART,
+)
 KINDS = tuple(kind for kind in FaultKind if kind not in LATER + NOT_DRAWN)
 CUT_SHARE = 0.2  # of worlds, in which a task of a router is cut short
 CUTS = (("Discovery._run", CutKind.MOVES, 40), ("Pool._open", CutKind.TIME_UP, 120))  # the last await, too
--- a/tests/rehearsal/fleet/test_fleet.py
+++ b/tests/rehearsal/fleet/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -66,7 +67,7 @@
 
 
 @pytest.mark.parametrize("trouble", sorted(TROUBLES))
-@pytest.mark.parametrize("size", [(1, 3), (3, 10), (40, 60), (64, 200)])
+@pytest.mark.parametrize("size", [(1, 3), (3, 10), (40, 60), (1000, 400)])
 def test_a_world_can_be_planned_at_any_size_and_is_the_same_each_time(
     trouble: str, size: tuple[int, int]
 ) -> None:
@@ -83,6 +84,16 @@
     assert max(p.fault.at for p in gone) - min(p.fault.at for p in gone) < 7.0
 
 
+def test_all_routers_restart_by_tenths_while_half_of_the_caches_drain_and_are_replaced() -> None:
+    plan = make_plan(fleet_world("roll", 2, 40, 60, 20.0), 2)
+    times = {p.victims[0]: p.fault.at for p in plan if p.fault.kind is FaultKind.ROUTER_RESTART}
+    assert len(times) == 40 and max(Counter(times.values()).values()) == 4
+    drains = {p.victims[0]: p for p in plan if p.fault.kind is FaultKind.DRAIN}
+    gone = {p.victims[0]: p for p in plan if p.fault.kind is FaultKind.REPLACE}
+    assert drains.keys() == gone.keys() and len(gone) == 30
+    assert all(gone[name].fault.at < drains[name].ends < gone[name].ends for name in gone)
+
+
 # The command
 
 
@@ -109,7 +120,7 @@
     [
         ('summary = "x"\nlength = 3', "world.toml:2: length: a time needs its unit"),
         ('summary = "x"\nlength = "5 s"\n[registry]\nrate = 0', "world.toml:4: registry.rate: "),
-        ('summary = "x"\nlength = "5 s"\n[routers]\ncount = 65', "world.toml:4: routers.count: "),
+        ('summary = "x"\nlength = "5 s"\n[routers]\ncount = 1001', "world.toml:4: routers.count: "),
         (
             'summary = "x"\nlength = "5 s"\n[[fault]]\nkind = "replace"\nwhom = "cache-99"\nat = "1 s"',
             "world.toml: fault 1 (replace): no caches are called 'cache-99'",
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -151,3 +151,23 @@
 def test_a_push_needs_no_spread() -> None:
     conf = api.Settings(settings().classes, routers=40)
     assert Asking(conf).spread == 0.0 == Asking(conf).first(random.Random(1))
+
+
+def test_routers_that_are_told_of_another_place_at_once_do_not_ask_there_at_once() -> None:
+    """SIGHUP reaches a whole fleet within a second: 14 of 14 routers called within one."""
+    pauses = []
+    for index in range(40):
+        d = Driver(settings(subscribe=True, routers=40, index=index, must_ask=10.0), seed=index)
+        d.list(entry("a"))
+        before = dict(d.router.servers)
+        actions = d.feed(api.ServerList(api.ListKind.MOVED))
+        assert d.router.servers == before
+        pauses += [a.delay for a in actions if isinstance(a, api.SetTimer) and a.token == "list"]
+    assert len(pauses) == 40
+    assert max(sum(at <= pause < at + 1 for pause in pauses) for at in pauses) <= 13
+    assert max(pauses) <= IN_TIME * 10.0
+
+
+def test_few_routers_ask_at_once_where_the_list_is_told_now() -> None:
+    d = Driver(settings(subscribe=True, routers=3))
+    assert api.Subscribe() in d.feed(api.ServerList(api.ListKind.MOVED))
