Stand-ins' doors of a fleet at size have addresses beyond one host's ports

No router could read a list with such addresses, so none was ever ready. Now a door's number gives host and port; up to 45,000 doors all is as before. Test: 400,000 distinct addresses.

--- a/ironrail/rehearsal/standins/door.py
+++ b/ironrail/rehearsal/standins/door.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from ironrail.rehearsal.standins.listening import LOCAL, Listen, Listening, SocketListening
+from ironrail.rehearsal.standins.listening import Listen, Listening, SocketListening
 
 
 class DoorConnection(asyncio.Protocol):
@@ -94,23 +94,19 @@
         self._silences: set[object] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening: Listening | None = None
-        self.port = 0
+        self.port, self.address = 0, ""
         self.open()
 
     @property
     def silent(self) -> bool:
         return bool(self._silences)
 
-    @property
-    def address(self) -> str:
-        return f"{LOCAL}:{self.port}"
-
     def open(self) -> None:
         """Listen, at the same port as before."""
         if self._listening is not None:
             return
         self._listening = self._listen(self.port, self._accepted)
-        self.port = self._listening.port
+        self.port, self.address = self._listening.port, self._listening.address
         if self.silent:
             self._listening.hang()
 
--- a/ironrail/rehearsal/standins/listening.py
+++ b/ironrail/rehearsal/standins/listening.py
@@ -17,7 +17,8 @@
 class Listening(Protocol):
     """A port that is listened on."""
 
-    port: int
+    port: int  # in virtual time a number, which may be larger than ports are
+    address: str  # as `host:port`
 
     def hang(self) -> None:
         """Connects neither come up nor fail from now on."""
@@ -42,6 +43,7 @@
         self._socket.setblocking(False)
         self._open = True
         self.port: int = self._socket.getsockname()[1]
+        self.address = f"{LOCAL}:{self.port}"
         self._fillers: list[socket.socket] = []
         self._loop.add_reader(self._socket, self._accept)
 
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -21,7 +21,7 @@
 from ironrail.rehearsal.losses.tap import Decided, Tap
 from ironrail.rehearsal.routers import Exit
 from ironrail.rehearsal.scenario.model import Scenario
-from ironrail.rehearsal.standins.listening import BACKLOG, LOCAL, Accepted, Listen
+from ironrail.rehearsal.standins.listening import BACKLOG, Accepted, Listen
 from ironrail.rehearsal.virtual.loop import PROCESS, START, VirtualLoop
 from ironrail.rehearsal.virtual.network import Network
 from ironrail.rehearsal.virtual.process import Process
@@ -59,9 +59,11 @@
     """Where a stand-in listens."""
 
     def __init__(self, network: Network, port: int, accepted: Accepted) -> None:
-        self._listener = network.listen((LOCAL, port), BACKLOG)
+        self.port: int = port or network.number()
+        place = network.place(self.port)
+        self._listener = network.listen(place, BACKLOG)
         self._loop, self._accepted = network.loop, accepted
-        self.port: int = self._listener.address[1]
+        self.address = "{}:{}".format(*place)
         self._loop.add_reader(self._listener, self._accept)
 
     def hang(self) -> None:
--- a/ironrail/rehearsal/virtual/network.py
+++ b/ironrail/rehearsal/virtual/network.py
@@ -12,12 +12,13 @@
 
 from ironrail.rehearsal.draws import stream
 from ironrail.rehearsal.scenario.model import Network as Conditions
+from ironrail.rehearsal.standins.listening import LOCAL
 from ironrail.rehearsal.virtual.loop import PROCESS, START, VirtualLoop
 from ironrail.rehearsal.virtual.socket import Listener, VirtualSocket
 from ironrail.rehearsal.virtual.trace import Trace
 from ironrail.rehearsal.virtual.transport import VirtualTransport
 
-FIRST_PORT = 20_000
+FIRST_PORT, PORTS_EACH = 20_000, 45_000  # of one host: a fleet of hundreds by hundreds has more doors
 SYN_AGAIN = (1.0, 3.0, 7.0)  # seconds after which a connect that was not answered is tried again
 HEADER = 64  # bytes that a packet has besides
 
@@ -50,15 +51,24 @@
 
     def listen(self, address: Any, backlog: int) -> Listener:
         host, port = address
-        if not port:
-            self._ports += 1
-            port = self._ports
+        port = port or self.number()
         listener = Listener(self, PROCESS.get(), (host, port), backlog)
         self._listeners.setdefault((host, port), []).append(listener)
         if listener.process is not None:
             listener.process.opened(listener)
         return listener
 
+    def number(self) -> int:
+        """The next door's."""
+        self._ports += 1
+        return self._ports
+
+    @staticmethod
+    def place(number: int) -> tuple[str, int]:
+        """Host and port of a door by its number."""
+        host, port = divmod(number - FIRST_PORT, PORTS_EACH)
+        return (f"127.0.{host}.1" if host else LOCAL), FIRST_PORT + port
+
     def unlisten(self, listener: Listener) -> None:
         sharing = self._listeners[listener.address]
         sharing.remove(listener)
--- a/tests/rehearsal/fleet/test_fleet.py
+++ b/tests/rehearsal/fleet/test_fleet.py
@@ -16,6 +16,7 @@
 from ironrail.rehearsal.fleet.command import counts_document, fleet, play_fleet
 from ironrail.rehearsal.fleet.worlds import TROUBLES, fleet_world
 from ironrail.rehearsal.scenario.model import FaultKind, Scenario
+from ironrail.rehearsal.virtual.network import FIRST_PORT, Network
 
 ROUTERS, CACHES, LENGTH = 14, 14, 12.0
 
@@ -94,6 +95,14 @@
     assert all(gone[name].fault.at < drains[name].ends < gone[name].ends for name in gone)
 
 
+def test_each_door_of_a_thousand_routers_before_four_hundred_caches_has_an_address() -> None:
+    """Ports ran out at 45,000 doors: no router could read its list, and none was ever ready."""
+    places = {Network.place(number) for number in range(FIRST_PORT + 1, FIRST_PORT + 400_001)}
+    assert len(places) == 400_000
+    assert all(0 < port < 65536 for _, port in places)
+    assert Network.place(FIRST_PORT + 1) == ("127.0.0.1", FIRST_PORT + 1)
+
+
 # The command
 
 
