A release no longer divides a fleet anew; first growth at the origin is shared

At fault: Router._divide counted caches that are only starting; FIRST_GROWTH in _learn_limit knew of no other router.

Mend: parts grow by warm caches only; what a limit at the origin grows by before its first cut is divided as its least is. Tests fail without each.

--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -223,7 +223,7 @@
         """Guards against all CPU going into rings in a large deploy: on use, and only what has changed."""
         self.stale = False
         caches = {i: s for i, s in self.servers.items() if s.cache and s.entry.state is api.State.READY}
-        self._divide(len(caches))
+        self._divide(len(caches), sum(self._warm_share(s) >= 1.0 for s in caches.values()))
         part, order = self.settings.index % self.parts, sorted(caches, key=lambda i: (self.hash(i), i))
         # by hash, so that a change moves only the borders of parts
         order = order[len(order) * part // self.parts : len(order) * (part + 1) // self.parts]
@@ -236,12 +236,15 @@
         self.ring.sort()
         self.out += [api.CloseIdle(i) for i in caches if i not in self.points]
 
-    def _divide(self, servers: int) -> None:
-        """Parts of a fleet of this size, each of servers enough; a few that come and go change nothing."""
-        wanted = max(1, servers // PART_LEAST)
-        if wanted > self.parts or servers < PART_WANING * PART_LEAST * self.parts:
-            self.parts = wanted
-        self.parts = min(self.parts, self.most_parts)
+    def _divide(self, servers: int, warm: int) -> None:
+        """Parts of a fleet of this size, each of servers enough; a few that come and go change nothing.
+
+        Nor do new ones that are there before those they replace have left, as in a release: keys would move
+        when there are fewest caches to hold them.
+        """
+        first, waning = not self.parts, servers < PART_WANING * PART_LEAST * self.parts
+        wanted = max(1, servers // PART_LEAST) if first or waning else max(self.parts, warm // PART_LEAST)
+        self.parts = min(wanted, self.most_parts)
 
     def _spread(self, key: str) -> int:
         """Guards against hot keys that no router has enough of in flight: servers that are to share a key."""
@@ -559,7 +562,10 @@
             if refused:  # what is out there now is what it bears
                 server.limit = min(server.limit, max(1.0, server.load))
         elif event.status in (api.Status.OK, api.Status.MISS) and server.load + 1 >= server.limit / 2:
-            server.limit += min(server.limit, 1 / server.limit if server.cut_at > -math.inf else FIRST_GROWTH)
+            first = (
+                FIRST_GROWTH if server.cache else FIRST_GROWTH * self.least
+            )  # there is one for all routers
+            server.limit += min(server.limit, 1 / server.limit if server.cut_at > -math.inf else first)
         if server.limit < 1.0:  # hundreds of routers with one fetch each are too many: kept by pauses
             server.rest_until = self.now + attempt.target * (1 / server.limit - 1)
             self.out.append(api.SetTimer(server.rest_until - self.now, "origin"))
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -161,6 +161,29 @@
     assert parts == [2, 2, 2, 2, 2, 2, 3, 3, 3, 2, 2, 1, 1, 2]
 
 
+def members(d: Driver) -> set[str]:
+    """Servers of this router's part."""
+    d.request(f"of-{d.now}", finish=True)
+    return set(d.router.points)
+
+
+def test_new_servers_beside_those_they_replace_do_not_divide_the_fleet_anew() -> None:
+    """A release of six in ten of 138: parts went from 13 to 17 for good, and all keys lost their places."""
+    d = Driver(settings(routers=200, connections_priced=True, ramp=8.0))
+    old = [entry(f"s{n}") for n in range(138)]
+    d.list(*old)
+    assert members(d) and d.router.parts == 13
+    d.now += 1.0
+    new = [entry(f"t{n}", since=d.now) for n in range(42)]
+    d.list(*old, *new)
+    assert members(d) and d.router.parts == 13
+    d.now += 10.0  # they are warm, and those that they replace have gone
+    d.list(*old[42:], *new)
+    assert members(d) and d.router.parts == 13
+    d.list(*old, *new)  # a fleet that has grown has more parts
+    assert members(d) and d.router.parts == 18
+
+
 def test_connections_to_other_parts_are_closed() -> None:
     d = Driver(settings(routers=2 * balance.CROWD, connections_priced=True))
     names = [f"s{n}" for n in range(2 * balance.PART_LEAST)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -525,6 +525,21 @@
     assert d.router.servers[fourth].load == 0
 
 
+def test_what_a_limit_at_the_origin_grows_by_at_first_is_shared_by_all_routers() -> None:
+    """200 routers grew from 4 fetches each to 16 before one of them cut: it turned away 413 in a second."""
+    limits = {}
+    for routers in (1, 40, 200):
+        d = Driver(settings(aside=True, origin_kind="o", routers=routers))
+        d.list(*fleet("a"), entry("o", kind="o"))
+        for n in range(12):
+            d.request(f"r{n}", request_class="once", write=True)
+        for n in range(8):
+            if f"r{n}" in d.sends:
+                d.ok(f"r{n}")
+        limits[routers] = d.router.servers["o"].limit
+    assert limits == {1: 11.0, 40: pytest.approx(10.4), 200: 6.0}
+
+
 def test_a_limit_starts_with_steps_that_a_restart_under_load_can_wait_for() -> None:
     """The limit at the origin took seconds from its start to what the load needs, and most were refused."""
     d = Driver(settings(aside=True, origin_kind="o"))
