A fleet that is lost and returns cold has its parts again at once

Where a part had lost 0.3 of its least the parts became fewer, and came back only once the new caches were warm. Now only parts beyond those that the fleet was ever large enough for wait for that. The test fails without it.

--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -137,6 +137,7 @@
         # of the fleet, each router keeping to one: guards connections, which few requests would share
         self.most_parts = math.ceil(settings.routers / CROWD) if settings.connections_priced else 1
         self.parts = 0  # 0: not known before the first list
+        self.grown = 0  # as many as the fleet was ever large enough for
         self.ring_load, self.stale, self.queued = 0, False, 0
         self.least = max(LIMIT_LEAST, min(1.0, ORIGIN_CROWD / settings.routers))  # limit at the origin
         self.points: dict[str, int] = {}  # virtual nodes of each server on the ring
@@ -243,8 +244,11 @@
         when there are fewest caches to hold them.
         """
         first, waning = not self.parts, servers < PART_WANING * PART_LEAST * self.parts
-        wanted = max(1, servers // PART_LEAST) if first or waning else max(self.parts, warm // PART_LEAST)
-        self.parts = min(wanted, self.most_parts)
+        wanted = servers // PART_LEAST
+        self.grown = max(self.grown, wanted if first else warm // PART_LEAST)
+        if not (first or waning):  # caches that are lost for a while are counted once they are back
+            wanted = max(self.parts, min(wanted, self.grown))
+        self.parts = min(max(1, wanted), self.most_parts)
 
     def _spread(self, key: str) -> int:
         """Guards against hot keys that no router has enough of in flight: servers that are to share a key."""
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -184,6 +184,18 @@
     assert members(d) and d.router.parts == 18
 
 
+def test_a_fleet_that_is_lost_and_returns_cold_has_its_parts_again_at_once() -> None:
+    d = Driver(settings(routers=200, connections_priced=True, ramp=8.0))
+    old = [entry(f"s{n}") for n in range(60)]
+    d.list(*old)
+    assert members(d) and d.router.parts == 6
+    d.list(*old[:20])
+    assert members(d) and d.router.parts == 2
+    d.now += 1.0
+    d.list(*old[:20], *(entry(f"s{n}", since=d.now) for n in range(20, 60)))
+    assert members(d) and d.router.parts == 6
+
+
 def test_connections_to_other_parts_are_closed() -> None:
     d = Driver(settings(routers=2 * balance.CROWD, connections_priced=True))
     names = [f"s{n}" for n in range(2 * balance.PART_LEAST)]
