--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -139,7 +139,7 @@
         self.parts = 0  # 0: not known before the first list
         self.grown = 0  # as many as the fleet was ever large enough for
         self.ring_load, self.stale, self.queued = 0, False, 0
-        self.least = max(LIMIT_LEAST, min(1.0, ORIGIN_CROWD / settings.routers))  # limit at the origin
+        self.least = max(LIMIT_LEAST, min(1.0, ORIGIN_CROWD / settings.routers))  # at the origin: limit, step
         self.points: dict[str, int] = {}  # virtual nodes of each server on the ring
         self.asking = Asking(settings)
         self.hash = lru_cache(2**12)(ring_hash)  # 2**16 of them took 16 MB, and a miss costs a microsecond
@@ -566,9 +566,8 @@
             if refused:  # what is out there now is what it bears
                 server.limit = min(server.limit, max(1.0, server.load))
         elif event.status in (api.Status.OK, api.Status.MISS) and server.load + 1 >= server.limit / 2:
-            first = (
-                FIRST_GROWTH if server.cache else FIRST_GROWTH * self.least
-            )  # there is one for all routers
+            # of the origin there is one for all routers
+            first = FIRST_GROWTH if server.cache else FIRST_GROWTH * self.least
             server.limit += min(server.limit, 1 / server.limit if server.cut_at > -math.inf else first)
         if server.limit < 1.0:  # hundreds of routers with one fetch each are too many: kept by pauses
             server.rest_until = self.now + attempt.target * (1 / server.limit - 1)
