--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -141,6 +141,20 @@
     assert done.output.strip() == f"ironrail: {path}: fault 1 (stall): no caches are called 'cache-9'"
 
 
+@pytest.mark.parametrize(
+    ("fields", "field"),
+    [("[routers]\ncount = 65", "routers.count: 65"), ("[load]\nrate = 5001", "load.rate: 5001")],
+)
+def test_what_only_virtual_time_can_hold_is_refused_on_real_sockets(
+    fields: str, field: str, tmp_path: Path
+) -> None:
+    path = tmp_path / "large.toml"
+    path.write_text(f'summary = "large"\nlength = "1 s"\n{fields}\n')
+    done = call(str(path))
+    assert done.exit_code == 2
+    assert done.output.startswith(f"ironrail: {field} ") and done.output.count("\n") == 1
+
+
 @pytest.mark.sockets
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_no_process_and_no_port(number: signal.Signals) -> None:
