--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -137,7 +137,7 @@
         # of the fleet, each router keeping to one: guards connections, which few requests would share
         self.most_parts = math.ceil(settings.routers / CROWD) if settings.connections_priced else 1
         self.parts = 0  # 0: not known before the first list
-        self.grown = 0  # as many as the fleet was ever large enough for
+        self.grown = 0  # as many as the fleet was ever large enough for, if for any
         self.ring_load, self.stale, self.queued = 0, False, 0
         self.least = max(LIMIT_LEAST, min(1.0, ORIGIN_CROWD / settings.routers))  # at the origin: limit, step
         self.points: dict[str, int] = {}  # virtual nodes of each server on the ring
@@ -243,7 +243,7 @@
         Nor do new ones that are there before those they replace have left, as in a release: keys would move
         when there are fewest caches to hold them.
         """
-        first, waning = not self.parts, servers < PART_WANING * PART_LEAST * self.parts
+        first, waning = not self.grown, servers < PART_WANING * PART_LEAST * self.parts
         wanted = servers // PART_LEAST
         self.grown = max(self.grown, wanted if first else warm // PART_LEAST)
         if not (first or waning):  # caches that are lost for a while are counted once they are back
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -196,6 +196,16 @@
     assert members(d) and d.router.parts == 6
 
 
+def test_a_router_asked_before_it_is_told_of_any_server_has_its_parts_at_once() -> None:
+    """With all that it was told of then cold, it kept to one part until news after they had warmed up."""
+    d = Driver(settings(routers=200, connections_priced=True, ramp=8.0))
+    d.list(*(entry(f"s{n}", state=api.State.DRAINING) for n in range(60)))
+    d.request("early")
+    assert d.router.parts == 1
+    d.list(*(entry(f"s{n}", since=d.now) for n in range(60, 120)))
+    assert members(d) and d.router.parts == 6
+
+
 def test_connections_to_other_parts_are_closed() -> None:
     d = Driver(settings(routers=2 * balance.CROWD, connections_priced=True))
     names = [f"s{n}" for n in range(2 * balance.PART_LEAST)]
