--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -57,6 +57,7 @@
     entry: api.ServerEntry
     cache: bool = True  # or the origin
     load: int = 0  # own attempts in flight
+    out: float = 0.0  # expected work in them
     limit: float = LIMIT_START  # of own attempts in flight
     cut_at: float = -math.inf
     rest_until: float = -math.inf
@@ -321,6 +322,10 @@
         most = max(cost, refill * self.settings.fall_window)
         server.credit = min(most, server.credit + refill * (self.now - server.credit_at))
         server.credit_at = self.now
+        # guards a cold server that is slow besides: what all routers have out at it may have come in one
+        # window, beside what it gets done in it, and the budget alone goes on however little it answers
+        if server.load and server.out + cost > WARM_SPEND * fair * self.settings.fall_window:
+            return False
         # with nothing served yet there is no guide: one at a time, whose answer is the first
         return server.credit >= cost or not self.served and not server.load
 
@@ -398,6 +403,7 @@
             self.further.append(self.now)
         held.paid = max(0, held.paid - 1)
         server.load += 1
+        server.out += attempt.cost
         self.ring_load += server.cache
         server.credit -= attempt.cost
         self.out.append(api.Send(name, server.entry.server, attempt=len(held.attempts) - 1))
@@ -467,6 +473,7 @@
         attempt.broken = event.status in BROKEN and event.latency < OVERDUE * attempt.aim
         attempt.may_have_run = event.status not in NEVER_RAN
         attempt.server.load -= 1
+        attempt.server.out -= attempt.cost
         self.ring_load -= attempt.server.cache
         self._learn_health(attempt, event)
         self._learn_limit(attempt, event)
@@ -498,7 +505,8 @@
                 server.well_at = max(server.well_at, attempt.sent_at)
             self.served = self.served * fade + (attempt.cost if carried else 0.0)
             self.latency += 0.0 if full else SMOOTHING / 4 * (event.latency - self.latency)
-        calm = self.latency <= CALM * attempt.aim
+        # what a cold server does not answer still weighs on it, however crowded the others are
+        calm = self.latency <= CALM * attempt.aim or self._warm_share(server) < 1.0
         unheard = calm and event.status in UNHEARD and event.latency >= OVERDUE * attempt.aim
         lost, failed = event.status is api.Status.RESET or unheard, event.status is api.Status.CONNECT_FAILED
         if answered:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -296,6 +296,43 @@
     assert 50 < sent < 200 * 5 * 0.65
 
 
+def sent_to_a_cold_server(routers: int, takes: float, answers: bool) -> list[float]:
+    """When so many routers sent to one that takes so long, in 4 s from its start; the others are crowded."""
+    sent: list[float] = []
+    for seed in range(routers):
+        conf = settings(ramp=10.0, cold_share=0.3, fall_multiple=2.0, fall_window=1.0, max_attempts=1)
+        d = Driver(conf, seed)
+        warm = [entry(f"s{n}") for n in range(9)]
+        d.list(*warm)
+        out: list[tuple[float, str]] = []
+        for n in range(500):  # five seconds, and four more in which it is there
+            if n == 300:
+                d.list(*warm, entry("cold", since=d.now))
+            d.now += 0.02
+            while out and out[0][0] <= d.now - takes:
+                d.end(out.pop(0)[1], api.Status.MISS if answers else api.Status.TIMEOUT, latency=takes)
+            if d.request(f"r{n}", key=f"k{seed}-{n}") == "cold":
+                sent.append(d.now - 106.0)
+                out.append((d.now, f"r{n}"))
+            elif d.sends.get(f"r{n}"):
+                d.end(f"r{n}", api.Status.OK, latency=0.35)
+    return sent
+
+
+def test_what_all_routers_have_out_at_a_cold_server_is_bounded() -> None:
+    """One that was slow besides had nearly five times what it could do, within the budget of each router."""
+    quick, slow = (sent_to_a_cold_server(15, takes, True) for takes in (0.02, 0.8))
+    assert len(quick) > 80  # its budget
+    assert (
+        max(sum(t - 1.0 < u <= t for u in slow) for t in slow) <= 1.5 * 15
+    )  # one each, most of them answered
+
+
+def test_a_cold_server_that_does_not_answer_is_left_for_a_while_though_others_are_crowded() -> None:
+    answering, silent = (sent_to_a_cold_server(15, 0.8, answers) for answers in (True, False))
+    assert 0 < sum(t > 1.0 for t in silent) < 0.7 * sum(t > 1.0 for t in answering)
+
+
 def test_a_fleet_all_cold_is_not_left_idle() -> None:
     """With nothing served yet there is no guide to a budget, and none would ever come."""
     d = Driver(settings(ramp=10.0, cold_share=0.3))
