--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -58,6 +58,7 @@
     cache: bool = True  # or the origin
     load: int = 0  # own attempts in flight
     out: float = 0.0  # expected work in them
+    lingering: deque[tuple[float, float]] = field(default_factory=deque)  # given up: sent at, counted until
     limit: float = LIMIT_START  # of own attempts in flight
     cut_at: float = -math.inf
     rest_until: float = -math.inf
@@ -139,6 +140,8 @@
         self.most_parts = math.ceil(settings.routers / CROWD) if settings.connections_priced else 1
         self.parts = 0  # 0: not known before the first list
         self.grown = 0  # as many as the fleet was ever large enough for, if for any
+        # where few routers share a server each has enough out there to learn by; with many it has one or two
+        self.crowd = settings.routers >= CROWD
         self.ring_load, self.stale, self.queued = 0, False, 0
         self.least = max(LIMIT_LEAST, min(1.0, ORIGIN_CROWD / settings.routers))  # at the origin: limit, step
         self.points: dict[str, int] = {}  # virtual nodes of each server on the ring
@@ -276,7 +279,7 @@
             server = self.servers[name]
             if not self._eligible(held, server):
                 barred.add(name)
-                if server.load < server.limit:
+                if not self._full(server):
                     continue  # not counted: a cold server within its budget, or one that was tried
             elif self.now < server.trial_at or len(spare) < linked_first and not self._linked(server):
                 spare[name] = server  # for want of others
@@ -292,13 +295,19 @@
 
     def _eligible(self, held: Held, server: Server) -> bool:
         """Whether a server may take the request now."""
-        if server.load >= server.limit or any(a.server is server and not a.broken for a in held.attempts):
+        if self._full(server) or any(a.server is server and not a.broken for a in held.attempts):
             return False
         # guards drained servers whose news came in an answer that was spoilt: they turn away what is new
         if self.asking.binds(self.now) and server.well_at < (self.asking.spoilt_at or 0.0):
             return False
         return self._within_budget(server, held) and self._permits(held, server)
 
+    def _full(self, server: Server) -> bool:
+        """Whether it has all that may be out, with what was given up: it is worked on all the same."""
+        while server.lingering and server.lingering[0][1] <= self.now:
+            server.lingering.popleft()
+        return server.load + len(server.lingering) >= server.limit
+
     def _warm_share(self, server: Server) -> float:
         """Share of its capacity that a server surely has, from the cold share to all over the ramp."""
         age = self.now - server.entry.since
@@ -475,6 +484,8 @@
         attempt.server.load -= 1
         attempt.server.out -= attempt.cost
         self.ring_load -= attempt.server.cache
+        if self.crowd and attempt.server.cache:
+            self._learn_lingering(attempt, event.status)
         self._learn_health(attempt, event)
         self._learn_limit(attempt, event)
         held = self.held.get(event.request)
@@ -491,6 +502,15 @@
         if not attempt.server.cache:
             self._serve_queue()
 
+    def _learn_lingering(self, attempt: Attempt, status: api.Status) -> None:
+        """Guards servers that go on with what was given up: hundreds of routers kept queues of it full."""
+        server = attempt.server
+        if status in (api.Status.TIMEOUT, api.Status.CANCELLED):
+            server.lingering.append((attempt.sent_at, self.now + attempt.aim))
+        # it takes them in turn, so what was sent before is done; one that is full answers out of turn
+        elif status in ANSWERED and status is not api.Status.FULL and server.lingering:
+            server.lingering = deque(x for x in server.lingering if x[0] > attempt.sent_at)
+
     def _learn_health(self, attempt: Attempt, event: api.Outcome) -> None:
         """What the fleet answers in time, and which servers and connections lose what is sent."""
         server, answered = attempt.server, event.status in ANSWERED
@@ -571,9 +591,13 @@
         if refused or server.slowness > 1.0:
             if self.now - server.cut_at > attempt.target:
                 least = min(1.0, server.limit) if server.cache or not refused else self.least
-                server.limit = max(least, server.limit * LIMIT_CUT)
+                # of a crowd none has many out: a limit far above that bounds nothing, for many cuts
+                used = min(server.limit, server.load + 1) if self.crowd and not refused else server.limit
+                server.limit = max(least, used * LIMIT_CUT)
                 server.cut_at = self.now
-            if refused:  # what is out there now is what it bears
+            # what is out there now is what it bears
+            unheard = self.crowd and server.cache and event.status in UNHEARD
+            if refused or unheard and event.latency > OVERDUE * attempt.aim:
                 server.limit = min(server.limit, max(1.0, server.load))
         elif event.status in (api.Status.OK, api.Status.MISS) and server.load + 1 >= server.limit / 2:
             # of the origin there is one for all routers
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -833,6 +833,44 @@
     assert d.sends.get("w") == ["o"] and d.sends["r2"] == ["a"]
 
 
+def test_what_was_given_up_counts_as_out_until_a_later_answer_or_an_aim() -> None:
+    """Servers go on with it: 200 routers kept old ones full of it, and next to nothing came."""
+    d = Driver(settings(max_attempts=1, second_copies=False, routers=balance.CROWD))
+    d.list(*fleet("a"))
+    d.router.servers["a"].limit = 3.0
+    assert [d.request(f"r{n}", key="k") for n in range(4)] == ["a", "a", "a", None]
+    d.end("r0", api.Status.TIMEOUT, latency=0.1)
+    d.end("r1", api.Status.CANCELLED, latency=0.1)
+    assert d.request("early", key="k") is None  # one out, two given up
+    d.end("r2", api.Status.FULL, latency=0.1)  # tells nothing of those before it
+    d.router.servers["a"].limit = 3.0
+    assert d.request("r4", key="k") == "a" and d.request("more", key="k") is None
+    d.ok("r4")  # sent after them
+    assert [d.request(f"s{n}", key="k") for n in range(4)] == ["a", "a", "a", None]
+    d.end("s0", api.Status.TIMEOUT, latency=0.1)
+    assert d.request("at once", key="k") is None
+    d.now += 1.1  # longer than its aim: whether the server still lives has to be learned
+    assert d.request("later", key="k") == "a"
+
+
+@pytest.mark.parametrize(
+    ("status", "limit"), [(api.Status.ERROR, 2 * balance.LIMIT_CUT), (api.Status.TIMEOUT, 1.0)]
+)
+def test_where_routers_are_many_a_limit_is_cut_from_what_is_out(status: api.Status, limit: float) -> None:
+    """Limits of nine, grown while all was well, took eight cuts to bound the three that were out."""
+    found = []
+    for routers in (1, balance.CROWD):
+        d = Driver(settings(max_attempts=1, second_copies=False, routers=routers))
+        d.list(*fleet("a"))
+        d.router.servers["a"].limit = 9.0
+        for n in range(3):
+            d.request(f"r{n}", key="k")
+        for n in range(2):
+            d.end(f"r{n}", status, latency=0.9)
+        found.append(d.router.servers["a"].limit)
+    assert found == [9.0 * balance.LIMIT_CUT, limit]  # two out of which one has ended, or one left
+
+
 def test_a_full_server_shows_what_it_bears() -> None:
     """Limits fell a quarter a round while small servers turned two attempts in three away."""
     d = Driver(settings())
