--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -10,7 +10,7 @@
 from ironrail.rehearsal.faults.plan import Planned, Step
 from ironrail.rehearsal.ground import Router
 from ironrail.rehearsal.load.schedule import hot_router_share
-from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.archive import Archive
 from ironrail.rehearsal.standins.fleet import Fleet
 from ironrail.rehearsal.standins.front import Front
--- a/ironrail/rehearsal/faults/plan.py
+++ b/ironrail/rehearsal/faults/plan.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 from ironrail.rehearsal.draws import stream
-from ironrail.rehearsal.scenario.model import Fault, FaultKind, Scenario
+from ironrail.rehearsal.scenario.faults import Fault, FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, hall_of, router_names
 
 ARCHIVE_TOO = (FaultKind.ERRORS, FaultKind.RESET, FaultKind.SPOILT)  # kinds that may hit the archive
@@ -24,6 +25,9 @@
     FaultKind.DRAIN: CACHES,
     FaultKind.RESTART: CACHES,
     FaultKind.REPLACE: CACHES,
+    FaultKind.LATE_CONNECT: CACHES,
+    FaultKind.SECOND_ANSWER: CACHES,
+    FaultKind.HANG: CACHES,
     FaultKind.HALL_CUT: HALLS,
     FaultKind.LIST_SILENT: LIST,
     FaultKind.LIST_EMPTY: LIST,
@@ -33,6 +37,7 @@
     FaultKind.LIST_CUT: LIST,
     FaultKind.LIST_SPOILT: LIST,
     FaultKind.LIST_LATE: LIST,
+    FaultKind.WATCH_SILENT: LIST,
     FaultKind.HOT_KEYS: LOAD,
     FaultKind.HOT_ROUTER: ROUTERS,
     FaultKind.ARCHIVE_SLOW: ARCHIVE,
--- a/ironrail/rehearsal/load/schedule.py
+++ b/ironrail/rehearsal/load/schedule.py
@@ -17,7 +17,8 @@
 from ironrail.rehearsal.draws import stream, token
 from ironrail.rehearsal.load.arrivals import arrivals
 from ironrail.rehearsal.load.popularity import Popularity
-from ironrail.rehearsal.scenario.model import Fault, FaultKind, Halls, Load, RequestClass, Scenario
+from ironrail.rehearsal.scenario.faults import Fault, FaultKind
+from ironrail.rehearsal.scenario.model import Halls, Load, RequestClass, Scenario
 
 HINT_SPREAD = 0.3  # standard deviation of a hint, as a share of the work: clients know it roughly
 LEAST_WORK = 0.05  # of the usual: no request costs nothing
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -9,14 +9,13 @@
 from enum import StrEnum
 from typing import Annotated, Self
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import Field, model_validator
 
+from ironrail.rehearsal.scenario.base import Count, Positive, Share, Table
+from ironrail.rehearsal.scenario.bounds import Bounds
+from ironrail.rehearsal.scenario.faults import Cut, Fault
 from ironrail.rehearsal.scenario.units import Bytes, Seconds
 
-Share = Annotated[float, Field(ge=0.0, le=1.0)]
-Positive = Annotated[float, Field(gt=0.0)]
-Count = Annotated[int, Field(ge=1, le=2000)]
-
 NAME = r"^[!-+.-<>-~-]{1,64}$"  # of a class or a title: the protocol puts it into a list of names and values
 MOST_RATE = 5000.0  # first tries a second on real sockets: one core of the kit drives no more
 MOST_ROUTERS = 64  # the same, each at a loopback network of its own
@@ -25,12 +24,6 @@
 MOST_LENGTH = 3600.0  # seconds: every load loop is bounded
 
 
-class Table(BaseModel):
-    """A table of the file: unknown keys are mistakes, and nothing changes once read."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
-
-
 class Repeats(StrEnum):
     """What repeating a request of a class may do."""
 
@@ -163,86 +156,6 @@
     destroys: Share = 0.5  # of resets take along what was not yet read
 
 
-class CutKind(StrEnum):
-    """How a task of a router is cut short."""
-
-    MOVES = "moves"  # of `Discovery._run`: the list is to be asked for elsewhere
-    TIME_UP = "time-up"  # of `Pool._open`: a dial's time is over
-    TERM = "term"  # of any: the router is told to end
-
-
-class Cut(Table):
-    """A task of a router that is cut short at one of its awaits; it counts in virtual time only."""
-
-    task: str  # its name, as Python qualifies it
-    nth: Annotated[int, Field(ge=0)]  # await of all tasks of that name, from 1; 0 is none
-    how: CutKind
-    woken: bool = False  # when what it waited for has come, rather than as it begins to wait
-
-
-class FaultKind(StrEnum):
-    """What can go wrong. The operator's page describes each."""
-
-    VANISH = "vanish"
-    STALL = "stall"
-    RESET = "reset"
-    SLOW_CLOSE = "slow-close"
-    LOST = "lost"
-    SPOILT = "spoilt"
-    SURPLUS = "surplus"
-    ENDLESS = "endless"
-    ERRORS = "errors"
-    HOT_KEYS = "hot-keys"
-    HOT_ROUTER = "hot-router"
-    HALL_CUT = "hall-cut"
-    LIST_SILENT = "list-silent"
-    LIST_EMPTY = "list-empty"
-    LIST_ABSURD = "list-absurd"
-    LIST_MOVES = "list-moves"
-    LIST_CROWDED = "list-crowded"
-    LIST_CUT = "list-cut"
-    LIST_SPOILT = "list-spoilt"
-    LIST_LATE = "list-late"
-    DRAIN = "drain"
-    RESTART = "restart"
-    REPLACE = "replace"
-    ARCHIVE_SLOW = "archive-slow"
-    ARCHIVE_DOWN = "archive-down"
-    ROUTER_TERM = "router-term"
-    ROUTER_KILL = "router-kill"
-    ROUTER_STOP = "router-stop"
-    ROUTER_REPLACE = "router-replace"
-    ROUTER_RESTART = "router-restart"
-
-
-class Fault(Table):
-    """One thing that goes wrong: what, whom, when, how long, how hard."""
-
-    kind: FaultKind
-    whom: str = ""  # `cache-3`, `2 caches`, `hall-b`, `router-1`, `all`; empty where the kind has one victim
-    at: Seconds
-    lasts: Seconds = 3.0
-    hard: Annotated[float, Field(gt=0.0)] | None = None  # by kind: a share, a factor or a number
-    pause: Seconds = 0.35  # of a stall
-    every: Seconds = 1.5  # between two of them
-
-
-class Bounds(Table):
-    """What a run must keep. What is left out is not judged, broken rules always are."""
-
-    service: Share | None = None  # worth answered in time over worth asked for, at the least
-    worst_window: Share | None = None  # the same in the worst 5 s
-    worst_class: Share | None = None
-    worst_title: Share | None = None
-    archive_fetches: float | None = None  # for each first try, at the most
-    connections: float | None = None  # to one cache, mean over time, at the most
-    kept_back: int = 0  # answers given up and held back all the same, at the most
-    memory: Bytes | None = None  # of the largest router, at the most; its limit where left out
-    descriptors: int | None = None  # of the router with most of them; its limit where left out
-    log: Bytes = 4 * 1024**2  # of one router, at the most
-    stop: Seconds = 4.5  # from SIGTERM to its end, at the most
-
-
 USUAL_CLASSES = [
     RequestClass.model_validate(row)
     for row in (
--- a/ironrail/rehearsal/standins/archive.py
+++ b/ironrail/rehearsal/standins/archive.py
@@ -9,7 +9,7 @@
 from urllib.parse import unquote
 
 from ironrail.rehearsal.account.record import Attempt, Ended
-from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.door import Door
 from ironrail.rehearsal.standins.http import HttpConnection, HttpRequest
 from ironrail.rehearsal.standins.spoiling import spoil_http
--- a/ironrail/rehearsal/standins/gridcache.py
+++ b/ironrail/rehearsal/standins/gridcache.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from ironrail.rehearsal.account.record import Attempt, Ended, Fallen
-from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.door import Door, DoorConnection
 from ironrail.rehearsal.standins.meta import CommandReader, MetaCommand, NotMeta
 from ironrail.rehearsal.standins.spoiling import ENDLESS_LENGTH, ENDLESS_PIECE, ENDLESS_PIECES, spoil, surplus
--- a/ironrail/rehearsal/standins/registry.py
+++ b/ironrail/rehearsal/standins/registry.py
@@ -15,7 +15,7 @@
 import orjson
 
 from ironrail.rehearsal.account.record import Call, ListCall
-from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.desk import Desk
 from ironrail.rehearsal.standins.door import Door
 from ironrail.rehearsal.standins.http import HttpConnection, HttpRequest, write_response
--- a/ironrail/rehearsal/virtual/cuts.py
+++ b/ironrail/rehearsal/virtual/cuts.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from ironrail.net import patience
-from ironrail.rehearsal.scenario.model import Cut, CutKind
+from ironrail.rehearsal.scenario.faults import Cut, CutKind
 from ironrail.rehearsal.virtual.ground import VirtualGround, VirtualRouter
 from ironrail.rehearsal.virtual.loop import PROCESS, VirtualLoop
 
--- a/ironrail/rehearsal/virtual/worlds.py
+++ b/ironrail/rehearsal/virtual/worlds.py
@@ -10,7 +10,8 @@
 
 from ironrail.rehearsal.draws import stream
 from ironrail.rehearsal.faults.plan import CACHES, HALLS, ROUTERS, VICTIMS
-from ironrail.rehearsal.scenario.model import CutKind, FaultKind, Scenario
+from ironrail.rehearsal.scenario.faults import CutKind, FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, router_names
 from ironrail.rehearsal.scenario.units import read_time, write_time
 
@@ -27,6 +28,10 @@
     FaultKind.REPLACE,
     FaultKind.LOST,
     FaultKind.ROUTER_RESTART,
+    FaultKind.WATCH_SILENT,
+    FaultKind.LATE_CONNECT,
+    FaultKind.SECOND_ANSWER,
+    FaultKind.HANG,
 )
 KINDS = tuple(kind for kind in FaultKind if kind not in LATER + NOT_DRAWN)
 CUT_SHARE = 0.2  # of worlds, in which a task of a router is cut short
--- a/tests/recorded/test_replay.py
+++ b/tests/recorded/test_replay.py
@@ -14,7 +14,8 @@
 from ironrail.recorded.scaling import scaled
 from ironrail.recorded.schedule import ReplayError, plan_of
 from ironrail.recorded.trace import write_trace
-from ironrail.rehearsal.scenario.model import Fault, FaultKind, Scenario
+from ironrail.rehearsal.scenario.faults import Fault, FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.reader import parse_scenario
 from ironrail.rehearsal.virtual.play import play_virtual
 from tests.recorded.samples import RULES, START, clf, entry, log_of
--- a/tests/rehearsal/fleet/test_fleet.py
+++ b/tests/rehearsal/fleet/test_fleet.py
@@ -15,7 +15,8 @@
 from ironrail.rehearsal.faults.plan import make_plan
 from ironrail.rehearsal.fleet.command import counts_document, fleet, play_fleet
 from ironrail.rehearsal.fleet.worlds import TROUBLES, fleet_world
-from ironrail.rehearsal.scenario.model import FaultKind, Scenario
+from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.virtual.network import FIRST_PORT, Network
 
 ROUTERS, CACHES, LENGTH = 14, 14, 12.0
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -15,7 +15,7 @@
 
 from ironrail.rehearsal.command import rehearse
 from ironrail.rehearsal.lateness import Lateness
-from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.scenario.faults import FaultKind
 
 ROOT = Path(__file__).parent.parent.parent
 TINY = """
--- a/tests/rehearsal/test_standins.py
+++ b/tests/rehearsal/test_standins.py
@@ -12,7 +12,7 @@
 
 from ironrail.rehearsal.account.record import Ended, Outcome, Record
 from ironrail.rehearsal.load.schedule import Planned
-from ironrail.rehearsal.scenario.model import FaultKind
+from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.archive import Archive
 from ironrail.rehearsal.standins.clients import Clients
 from ironrail.rehearsal.standins.fleet import Fleet, make_caches, rows_of
--- a/tests/rehearsal/virtual/test_cuts.py
+++ b/tests/rehearsal/virtual/test_cuts.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from ironrail.rehearsal.scenario.model import Cut, CutKind, Scenario
+from ironrail.rehearsal.scenario.faults import Cut, CutKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.reader import parse_scenario
 from ironrail.rehearsal.virtual.explore import look_at
 from ironrail.rehearsal.virtual.play import Virtual, play_virtual
--- a/tests/rehearsal/virtual/test_explore.py
+++ b/tests/rehearsal/virtual/test_explore.py
@@ -13,7 +13,8 @@
 from ironrail.policy import interface as api
 from ironrail.policy.balance import Router
 from ironrail.rehearsal.faults.plan import make_plan
-from ironrail.rehearsal.scenario.model import FaultKind, Scenario
+from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.reader import read_scenario
 from ironrail.rehearsal.scenario.units import read_time, write_time
 from ironrail.rehearsal.virtual.command import explore as command
