--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,6 +8,7 @@
 
 from ironrail.connections import downstream
 from ironrail.net import clients
+from ironrail.net.client import ClientConnection
 from tests.peers import Client, World, scenario
 
 P = b"Pc=read,t=x,d=5000"
@@ -171,12 +172,12 @@
     world = await World(sockets=384).start()
     looked = 0
 
-    def unsettled(_: clients.ClientConnection) -> bool:
+    def unsettled(_: ClientConnection) -> bool:
         nonlocal looked
         looked += 1
         return False
 
-    monkeypatch.setattr(clients.ClientConnection, "clear", unsettled)
+    monkeypatch.setattr(ClientConnection, "clear", unsettled)
     crowd = [await world.client() for _ in range(100)]
     for client in crowd:
         assert await is_ready(client)
