A watch that fell silent is asked for anew within the clock's 2 s, by a fleet in turn

Seen: a watch was waited for 1 s beyond its wait and the next call put off: pushed 3.5 s after it was opened, a second try at 5.2 s of 6; asked, the module put the call off by the spread of a failed one, 59 s and more at 200 routers, where what was missed counts as told 2 s after the wait. All watches that were opened at one moment came back at one moment. Change: given up 0.5 s after the wait; pushed, asked anew at once (three tries within 6 s); asked, a further kind of news (SILENT): two calls at once, the first for 0.7 s, and from 1 s after the wait on only servers that served since are sent to. Tests: real processes and loopback; the old patience, a silence told as a failure, and no spread each fail one.

--- a/ironrail/net/config.py
+++ b/ironrail/net/config.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from ironrail.net.discovery import read_address
+from ironrail.net.lists import read_address
 from ironrail.net.system import Address
 from ironrail.policy import interface as api
 from ironrail.settings import number, read_settings, section
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -17,8 +17,9 @@
 from ironrail.net.caches import CacheConnection
 from ironrail.net.clients import Clients
 from ironrail.net.config import Config, ConfigError, read_config
-from ironrail.net.discovery import Discovery, ListError, ListReader
+from ironrail.net.discovery import Discovery
 from ironrail.net.host import Host
+from ironrail.net.lists import ListError, ListReader
 from ironrail.net.operators import Door
 from ironrail.net.origin import OriginConnection
 from ironrail.net.pool import Pool
@@ -65,7 +66,8 @@
         self._config, self._operator, self._system, self._reread = config, operator, system, reread
         reader = ListReader(system)
         router = Router(config.settings, config.seed, system.now())
-        self._discovery = Discovery(config.discovery, reader, config.settings.subscribe)
+        settings = config.settings
+        self._discovery = Discovery(config.discovery, reader, settings.subscribe, settings.index)
         self._listed, self._listening = asyncio.Event(), False
         self._late: asyncio.Task[None] | None = None
         to_servers = (config.sockets - OWN_DESCRIPTORS) // 3
--- a/ironrail/policy/asking.py
+++ b/ironrail/policy/asking.py
@@ -18,6 +18,13 @@
 IN_TIME = 0.7  # of it, as a call takes its time
 # seconds after a spoilt answer was given up; what it held counts as told 6 s after it came, a second earlier
 UNTOLD = 5.0
+# the same after a watch that fell silent was given up, half a second after its wait: what it missed counts as
+# told 2 s after the wait
+UNTOLD_SILENT = 0.5
+AT_ONCE = (
+    2  # calls after a silent watch that are not put off for the sake of others: the second if the first fails
+)
+NO_LIST = (api.ListKind.FAILED, api.ListKind.SPOILT, api.ListKind.SILENT)  # how a call may have failed
 MOST_DOUBLINGS = 1000  # guards against overflow, which ended all service after some hours
 
 
@@ -27,43 +34,56 @@
     def __init__(self, settings: api.Settings) -> None:
         self._settings = settings
         crowd = max(0, settings.routers - CROWD) if settings.subscribe else 0
-        self.spread = (
-            SPREAD * settings.fall_window * crowd
-        )  # seconds in which all routers may have called once
+        self.spread = SPREAD * settings.fall_window * crowd  # seconds in which all may have called once
         # in which the list is to be asked for; where no rule says so, as soon as a server may be warm again
         self._interval = settings.must_ask if settings.must_ask < math.inf else settings.ramp
         self.failures = 0  # in a row
-        self.spoilt_at: float | None = None  # when an answer was spoilt, until a list came
+        self._spoilt = False  # an answer was, and no list came since
+        self._at_once = 0  # calls that are due without a pause
+        self._unsure_at, self._binds_at = -math.inf, math.inf  # news was missed till then, told from then on
 
     def told(self) -> None:
         """A list came that could be used."""
-        self.failures, self.spoilt_at = 0, None
+        self.failures, self._spoilt, self._at_once = 0, False, 0
+        self._unsure_at, self._binds_at = -math.inf, math.inf
 
     def first(self, draws: random.Random) -> float:
         """Seconds until the first call: routers that start together don't ask together."""
         most = min(self.spread, IN_TIME * self._interval)
         return most * draws.random() if most else 0.0
 
-    def spoilt(self, now: float) -> None:
-        """An answer had begun and can't be used: what it had to tell counts as told within seconds."""
-        if self.spoilt_at is None:
-            self.spoilt_at = now
+    def proof_from(self, now: float) -> float:
+        """Servers may be sent to that served what was sent since then: news that never came counts as told.
 
-    def binds(self, now: float) -> bool:
-        """Whether a spoilt answer counts as told, or soon does, and its news never came."""
-        return self.spoilt_at is not None and now >= self.spoilt_at + UNTOLD
+        A server that drains turns away what is new, so one that served did not drain then.
+        """
+        return self._unsure_at if now >= self._binds_at else -math.inf
 
-    def again(self, draws: random.Random) -> float:
-        """Seconds until the next call, once one has failed.
+    def failed(self, now: float, how: api.ListKind, draws: random.Random) -> float:
+        """Seconds until the next call, once one has failed; 0 for now.
 
-        After a spoilt answer it is not put off for the sake of others, until there is a list.
+        A spoilt answer had begun, and a silent watch missed what there was: either counts as told within
+        seconds. After the first no call is put off for the sake of others, until there is a list; after the
+        second not the first calls, which the watches' own waits have spread.
         """
+        if how is api.ListKind.SPOILT:
+            self._spoilt = True
+            self._missed(now, UNTOLD)
+        elif how is api.ListKind.SILENT:
+            self._at_once = AT_ONCE
+            self._missed(now, UNTOLD_SILENT)
+        if self._at_once > 0:
+            self._at_once -= 1
+            return 0.0
         conf = self._settings
         self.failures = min(self.failures + 1, MOST_DOUBLINGS)
         doublings = 2.0**self.failures
         pause = min(conf.ramp, conf.fall_window / 4 * doublings)
-        if (
-            self.spoilt_at is None
-        ):  # twice the spread that proved too narrow: what was refused is still worked off
+        if not self._spoilt:  # twice the spread that proved too narrow: what was refused is still worked off
             pause += self.spread * doublings
         return min(pause, IN_TIME * AFTER_FAILURE * self._interval) * draws.uniform(0.5, 1.0)
+
+    def _missed(self, now: float, untold: float) -> None:
+        if self._binds_at == math.inf:
+            self._unsure_at = now
+        self._binds_at = min(self._binds_at, now + untold)
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -14,7 +14,7 @@
 from functools import lru_cache
 
 from ironrail.policy import interface as api
-from ironrail.policy.asking import MOST_DOUBLINGS, Asking
+from ironrail.policy.asking import MOST_DOUBLINGS, NO_LIST, Asking
 
 RING_SIZE = 2**16  # positions on the ring, as the paper has it
 TOTAL_POINTS = 150  # virtual nodes shared out by weight, as the paper has it, in fleets of up to 10 servers
@@ -191,12 +191,10 @@
         if event.kind is api.ListKind.MOVED:  # guards whoever tells it: all routers hear of that at once
             self._ask_first()
             return
-        if event.kind in (api.ListKind.FAILED, api.ListKind.SPOILT):
+        if event.kind in NO_LIST:
             if self.settings.subscribe:
-                if event.kind is api.ListKind.SPOILT:
-                    self.asking.spoilt(self.now)
-                pause = self.asking.again(self.random)
-                self.out.append(api.SetTimer(pause, "list"))
+                pause = self.asking.failed(self.now, event.kind, self.random)
+                self.out.append(api.SetTimer(pause, "list") if pause else api.Subscribe())
                 self.out.append(api.Log(f"list out of reach, {self.asking.failures} in a row"))
             return
         if event.kind is not api.ListKind.DELTA:
@@ -299,7 +297,7 @@
         if self._full(server) or any(a.server is server and not a.broken for a in held.attempts):
             return False
         # guards drained servers whose news came in an answer that was spoilt: they turn away what is new
-        if self.asking.binds(self.now) and server.well_at < (self.asking.spoilt_at or 0.0):
+        if server.well_at < self.asking.proof_from(self.now):
             return False
         return self._within_budget(server, held) and self._permits(held, server)
 
--- a/ironrail/policy/interface.py
+++ b/ironrail/policy/interface.py
@@ -1,7 +1,7 @@
 """Everything the decision module is told and everything it may answer.
 
-A host turns its own messages into these events, hands them to `balance.Router.handle`, and carries out
-the actions it gets back, in order. Times are seconds on one clock that only advances.
+A host hands these events to `balance.Router.handle` and carries out the actions that it gets back, in order.
+Times are seconds on one clock that only advances.
 """
 
 from __future__ import annotations
@@ -47,6 +47,7 @@
     SAVED = "saved"
     FAILED = "failed"  # a call got no answer, or was refused
     SPOILT = "spoilt"  # an answer began and broke off, or can't be used
+    SILENT = "silent"  # a watch said nothing when its wait was over, and is given up
     MOVED = "moved"  # it is told elsewhere from now on, and has to be asked for there
 
 
@@ -69,7 +70,7 @@
     """A class of requests and what its clients expect."""
 
     name: str
-    aim: float
+    aim: float  # seconds
     effect: Effect = Effect.SAFE
     group: Group = Group.ALL
     window: float = 0.0
@@ -79,10 +80,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Budget:
-    """In any `span` seconds, at most `free + ratio x requests taken` attempts beyond each request's first.
-
-    A `Status.MISS` pays for one further attempt of its request.
-    """
+    """In `span` seconds at most `free + ratio x requests taken` further attempts; a MISS pays for one."""
 
     free: float
     ratio: float
@@ -98,9 +96,7 @@
     aside: bool = False  # a miss is ours to fetch from the origin
     origin_kind: str | None = None
     subscribe: bool = False  # changes of the list come only after asking
-    must_ask: float = (
-        math.inf
-    )  # seconds without asking after which all counts as told; after a failure four times
+    must_ask: float = math.inf  # seconds without asking until all counts as told; four times after a failure
     second_copies: bool = False
     may_cancel: bool = False
     max_attempts: int = 1
@@ -177,7 +173,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TimeUp:
-    """The client stops waiting now, and no attempt is out any more: the answer can't be put off."""
+    """The client stops waiting now, and no attempt is out any more."""
 
     request: str
 
@@ -207,7 +203,7 @@
     """Final answer: not done, and trying again is harmless, best after a while."""
 
     request: str
-    retry_after: float | None = None  # seconds that the client should stay away
+    retry_after: float | None = None  # seconds to stay away
 
 
 @dataclass(slots=True, frozen=True)
@@ -234,7 +230,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SetTimer:
-    """Ask for a `TimerFired` after a delay."""
+    """Ask for a `TimerFired` after a delay in seconds."""
 
     delay: float
     token: str
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -12,7 +12,7 @@
 import orjson
 
 from ironrail.net.config import Config, config_of_table
-from ironrail.net.discovery import read_address
+from ironrail.net.lists import read_address
 from ironrail.net.node import NO_FILE, Node
 from ironrail.operator import Operator
 from ironrail.rehearsal.account.record import RouterFacts
--- a/tests/mutants/sends_to_drained.py
+++ b/tests/mutants/sends_to_drained.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from ironrail.net import discovery
+from ironrail.net import lists
 from ironrail.policy.interface import State
 
 RULE = "rule drains"
 
 
 def break_it() -> None:
-    discovery.STATES["terminating"] = State.READY
+    lists.STATES["terminating"] = State.READY
--- a/tests/rehearsal/fleet/test_fleet.py
+++ b/tests/rehearsal/fleet/test_fleet.py
@@ -47,7 +47,7 @@
 
 def test_routers_that_call_for_the_list_in_step_fail(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Asking, "first", lambda self, draws: 0.0)
-    monkeypatch.setattr(Asking, "again", lambda self, draws: 0.05)
+    monkeypatch.setattr(Asking, "failed", lambda self, now, how, draws: 0.05)
     assert "calls for the list in a second" in failed(world("release"))
 
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 from hypothesis import strategies as st
 
 from ironrail.policy import interface as api
-from ironrail.policy.asking import AFTER_FAILURE, IN_TIME, Asking
+from ironrail.policy.asking import AFTER_FAILURE, AT_ONCE, IN_TIME, Asking
 from tests.driver import Driver, entry, settings
 
 
@@ -58,7 +59,7 @@
                 continue
             if not self.grows:
                 askings[n].failures = -1  # the spread stays as it was
-            heapq.heappush(due, (ends + askings[n].again(draws), n))
+            heapq.heappush(due, (ends + askings[n].failed(ends, api.ListKind.FAILED, draws), n))
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -78,52 +79,73 @@
     assert len(fleet.told) < 20 and fleet.calls > 6 * 40
 
 
+KINDS = (api.ListKind.FAILED, api.ListKind.SPOILT, api.ListKind.SILENT)
+
+
 @given(
     st.integers(1, 2000),
     st.floats(0.1, 600),
     st.floats(0.01, 10),
     st.floats(0.1, 600),
     st.integers(0, 2**32),
-    st.lists(st.booleans(), max_size=60),
+    st.lists(st.sampled_from(KINDS), max_size=60),
 )
 def test_a_call_always_comes_in_time(
-    routers: int, ramp: float, window: float, must_ask: float, seed: int, spoilt: list[bool]
+    routers: int, ramp: float, window: float, must_ask: float, seed: int, ways: list[api.ListKind]
 ) -> None:
     conf = settings(subscribe=True, routers=routers, ramp=ramp, fall_window=window, must_ask=must_ask)
     asking, draws = Asking(conf), random.Random(seed)
     assert 0 <= asking.first(draws) <= IN_TIME * must_ask
-    for one in spoilt:
-        if one:
-            asking.spoilt(1.0)
-        pause = asking.again(draws)
-        assert 0 < pause <= IN_TIME * AFTER_FAILURE * must_ask
-        assert asking.spoilt_at is None or pause <= max(ramp, window)
+    at_once = 0
+    for n, how in enumerate(ways):
+        at_once = AT_ONCE if how is api.ListKind.SILENT else at_once
+        pause = asking.failed(1.0, how, draws)
+        assert (pause == 0) is (at_once > 0)
+        at_once -= 1
+        assert pause <= IN_TIME * AFTER_FAILURE * must_ask
+        assert api.ListKind.SPOILT not in ways[: n + 1] or pause <= max(ramp, window)
     asking.told()
-    assert asking.failures == 0 and not asking.binds(100.0)
+    assert asking.failures == 0 and asking.proof_from(100.0) == -math.inf
 
 
 def test_after_a_spoilt_answer_calls_wait_for_no_others_until_there_is_a_list() -> None:
     """Refused calls included: one that was refused put off the next by half a minute."""
     conf = settings(subscribe=True, routers=40, ramp=8.9, fall_window=1.0, must_ask=10.0)
     draws = random.Random(1)
+    failed, spoilt, _ = KINDS
     for _ in range(100):
         asking = Asking(conf)
-        assert asking.again(draws) > 4.0
+        assert asking.failed(0.0, failed, draws) > 4.0
         asking.told()
-        asking.spoilt(7.0)
-        assert asking.again(draws) <= 0.5 and asking.again(draws) <= 1.0
-        assert not asking.binds(11.9) and asking.binds(12.0)
-        asking.spoilt(11.0)  # the first one counts
-        assert asking.binds(12.0)
+        assert asking.failed(7.0, spoilt, draws) <= 0.5 and asking.failed(7.5, failed, draws) <= 1.0
+        assert asking.proof_from(11.9) == -math.inf and asking.proof_from(12.0) == 7.0
+        asking.failed(11.0, spoilt, draws)  # the first one counts
+        assert asking.proof_from(12.0) == 7.0
         asking.told()
-        assert not asking.binds(12.0) and asking.again(draws) > 4.0
+        assert asking.proof_from(12.0) == -math.inf and asking.failed(12.0, failed, draws) > 4.0
 
 
-def test_once_a_spoilt_answer_binds_only_servers_that_served_since_are_sent_to() -> None:
-    """Draining ones turn away what is new to them; the news that they drain was in the spoilt answer."""
+def test_after_a_silent_watch_two_calls_fit_in_before_what_it_missed_counts_as_told() -> None:
+    """Half a second after the wait it is given up, 2 s after the wait all that it missed counts as told."""
+    conf = settings(subscribe=True, routers=200, ramp=8.9, fall_window=1.0, must_ask=30.0)
+    draws = random.Random(1)
+    asking = Asking(conf)
+    assert asking.failed(20.5, api.ListKind.SILENT, draws) == 0.0
+    assert asking.failed(21.2, api.ListKind.FAILED, draws) == 0.0
+    assert asking.proof_from(20.9) == -math.inf and asking.proof_from(21.0) == 20.5
+    assert asking.failed(21.5, api.ListKind.FAILED, draws) > 4.0  # it is a crowd: not a third one at once
+    asking.told()
+    assert asking.proof_from(99.0) == -math.inf
+
+
+@pytest.mark.parametrize("missed", [api.ListKind.SPOILT, api.ListKind.SILENT])
+def test_once_news_that_was_missed_binds_only_servers_that_served_since_are_sent_to(
+    missed: api.ListKind,
+) -> None:
+    """Draining ones turn away what is new to them; the news that they drain never came."""
     d = Driver(settings(subscribe=True, routers=5, must_ask=10.0, max_attempts=3))
     d.list(*(entry(name) for name in "abcdef"))
-    d.list(kind=api.ListKind.SPOILT)
+    d.list(kind=missed)
     sent: dict[bool, Counter[str]] = {False: Counter(), True: Counter()}
     for n in range(600):
         d.now += 0.02
@@ -145,7 +167,7 @@
     """Of a thousand routers none waits for minutes, however often it failed."""
     asking, draws = Asking(settings(subscribe=True, routers=1000, ramp=5.0)), random.Random(1)
     assert asking.first(draws) <= 5.0
-    assert all(asking.again(draws) <= 4 * 5.0 for _ in range(1200))
+    assert all(asking.failed(0.0, api.ListKind.FAILED, draws) <= 4 * 5.0 for _ in range(1200))
 
 
 def test_a_push_needs_no_spread() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from ironrail.net import discovery
+from ironrail.net import asked, discovery, lists
 from ironrail.policy import asking
 from ironrail.policy import interface as api
 from tests.peers import Peer, World, scenario
@@ -309,7 +309,7 @@
 
 
 def test_a_step_of_the_wall_clock_makes_no_server_seem_restarted(monkeypatch: pytest.MonkeyPatch) -> None:
-    reader, now = discovery.ListReader(), time.time()
+    reader, now = lists.ListReader(), time.time()
     row = {"id": "c", "addr": "127.0.0.1:9", "state": "in_service", "started_ms": (now - 60) * 1000}
     message = {"version": 1, "full": True, "servers": [row]}
     _, first, _ = reader.read(message)
@@ -323,7 +323,7 @@
 
 
 def test_nothing_is_kept_of_servers_that_have_gone() -> None:
-    reader = discovery.ListReader()
+    reader = lists.ListReader()
     for n in range(5):
         row = {"id": str(n), "addr": "127.0.0.1:9", "started_ms": 1000.0}
         for state in ("in_service", "terminated"):
@@ -388,7 +388,7 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """What it holds counts as told within seconds: it was waited for as long as for a watch."""
-    monkeypatch.setattr(discovery, "REST_PATIENCE", 0.05)
+    monkeypatch.setattr(asked, "REST_PATIENCE", 0.05)
     # calls are minutes apart after one that failed, but not after one that was spoilt
     world = World(subscribe=True, routers=40, ramp=600.0, must_ask=600.0, fall_window=0.05)
     monkeypatch.setattr(asking, "SPREAD", 0.0)  # of the first call
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -407,7 +407,12 @@
             entry(n, state=data.draw(states), kind="origin" if n == "o" else "std", since=data.draw(since))
             for n in names
         ]
-        if kind in (api.ListKind.FAILED, api.ListKind.SPOILT, api.ListKind.MOVED):  # none brings entries
+        if kind in (
+            api.ListKind.FAILED,
+            api.ListKind.SPOILT,
+            api.ListKind.SILENT,
+            api.ListKind.MOVED,
+        ):  # none brings entries
             self.feed(api.ServerList(kind))
         else:
             self.list(*rows, kind=kind)
--- /dev/null
+++ b/tests/test_silent_list.py
@@ -0,0 +1,118 @@
+"""A watch or a call that falls silent is broken: the list is asked for anew in time, by routers in turn."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from collections import Counter
+from pathlib import Path
+
+import orjson
+import pytest
+
+from ironrail.net import discovery
+from ironrail.net.discovery import Discovery
+from ironrail.net.lists import ListReader
+from ironrail.policy import asking
+from tests.peers import LOCAL, Peer, World, connect, read_http, scenario
+from tests.test_process import config, free_port, served_by, start
+
+
+@scenario
+async def test_a_silent_watch_is_opened_anew_with_time_for_a_second_try(tmp_path: Path) -> None:
+    """Pushed: a process whose watch says nothing, then a call that says nothing, has the news within 6 s."""
+    cache, other, told = await Peer().start(), await Peer().start(), await Peer(read_http).start()
+    path, port = tmp_path / "config.json", free_port()
+    process, client = await start(path, port, cache, discovery=f"{LOCAL}:{told.port}")
+    (await told.next()).respond_list(1, cache.row("c"))
+    assert b"&wait=2000" in (await told.next()).head  # falls silent, its connection stays open
+    began = time.monotonic()
+    assert (await told.next()).head == b"GET /api/targets"
+    assert time.monotonic() - began < 3.0  # silent, too
+    (await told.next()).respond_list(2, other.row("d"))
+    assert time.monotonic() - began < 4.5
+    await told.next()
+    assert time.monotonic() - began < 6.0
+    await served_by(other, client, "1")
+    process.kill()
+    await process.wait()
+
+
+@scenario
+async def test_where_all_ask_a_silent_watch_leaves_time_for_two_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """2 s after its wait all that it missed counts as told: by then a second call is out, in its place."""
+    monkeypatch.setattr(discovery, "WAIT", 0.2)
+    monkeypatch.setattr(discovery, "WAIT_SPREAD", 0.0)
+    monkeypatch.setattr(asking, "SPREAD", 0.0)  # of the first call
+    world = await World(subscribe=True, routers=200, must_ask=600.0, ramp=600.0, index=1).start()
+    world.node._host._router.asking.spread = 600.0
+    over = time.monotonic() + 0.2
+    assert (await world.discovery.next()).head == b"GET /api/targets"  # silent as well
+    assert 0.4 < time.monotonic() - over < 0.8
+    again = await world.discovery.next()
+    assert time.monotonic() - over < 1.6
+    other = await Peer().start()
+    again.respond_list(2, other.row("d"))
+    await world.discovery.next()
+    client = await world.client()
+    client.get("1")
+    (await other.next()).reply_value(b"v")
+    assert await client.value("1") == b"v"
+
+
+def test_watches_that_fall_silent_together_are_asked_for_anew_in_turn() -> None:
+    """Of 200 routers whose watches began at one moment no more than 13 in any second; 20 s on average."""
+
+    async def waits() -> list[float]:
+        return [Discovery((LOCAL, 9), ListReader(), True, n)._wait for n in range(200)]
+
+    drawn = asyncio.run(waits())
+    ends = Counter(int(wait) for wait in drawn)
+    assert max(ends.values()) <= 13 and min(drawn) >= 10.0 and max(drawn) <= 30.0
+    assert 19.5 < sum(drawn) / len(drawn) < 20.5
+
+
+@scenario
+async def test_a_list_may_come_indented_and_in_pieces() -> None:
+    world = await World().start()
+    other = await Peer().start()
+    rows = [other.row("d"), world.origin.row("o", "origin")]
+    body = json.dumps({"version": 2, "full": True, "servers": rows}, indent=4).encode()
+    world.watch.reply(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for at in range(0, len(body), 100):
+        piece = body[at : at + 100]
+        world.watch.reply(b"%x\r\n%b\r\n" % (len(piece), piece))
+    world.watch.reply(b"0\r\n\r\n")
+    await world.discovery.next()
+    client = await world.client()
+    client.get("1")
+    (await other.next()).reply_value(b"v")
+    assert await client.value("1") == b"v"
+
+
+@scenario
+async def test_a_new_process_and_one_told_of_another_agent_know_the_list_at_once(tmp_path: Path) -> None:
+    """What an agent has counts as told from the first moment, whatever the configuration's own list says."""
+    old, new, cache = await Peer(read_http).start(), await Peer(read_http).start(), await Peer().start()
+    spare, path, port = await Peer().start(), tmp_path / "config.json", free_port()
+    process, client = await start(path, port, cache, discovery=f"{LOCAL}:{old.port}")
+    rows = [cache.row("c", state="terminating"), spare.row("s")]
+    (await old.next()).respond(orjson.dumps({"version": 7, "full": True, "servers": rows}))
+    await old.next()
+    await served_by(spare, client, "1")  # `known` has only the other one
+    path.write_text(json.dumps(config(port, cache.row("c"), discovery=f"{LOCAL}:{new.port}")))
+    process.send_signal(signal.SIGHUP)
+    await new.next()  # says nothing
+    began = time.monotonic()
+    rows = [cache.row("c"), spare.row("s", state="terminating")]
+    (await new.next()).respond(orjson.dumps({"version": 1, "full": True, "servers": rows}))
+    await new.next()
+    assert time.monotonic() - began < 4.0
+    late = await connect((LOCAL, port))
+    await served_by(cache, late, "2")
+    process.kill()
+    await process.wait()
