--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -14,7 +14,8 @@
 from ironrail.rehearsal.standins.archive import Archive
 from ironrail.rehearsal.standins.fleet import Fleet
 from ironrail.rehearsal.standins.front import Front
-from ironrail.rehearsal.standins.registry import Registry, Row
+from ironrail.rehearsal.standins.registry import Registry
+from ironrail.rehearsal.standins.rows import Row
 from ironrail.rehearsal.standins.world import World
 
 REPLIES = (
@@ -32,7 +33,13 @@
     FaultKind.LIST_SPOILT: 0.2,
     FaultKind.LIST_LATE: 3.0,
 }
-LISTS = (FaultKind.LIST_SILENT, FaultKind.LIST_EMPTY, FaultKind.LIST_ABSURD, *LIST_ANSWERS)
+LISTS = (
+    FaultKind.LIST_SILENT,
+    FaultKind.LIST_EMPTY,
+    FaultKind.LIST_ABSURD,
+    FaultKind.WATCH_SILENT,
+    *LIST_ANSWERS,
+)
 ROUTER_KINDS = (
     FaultKind.ROUTER_TERM,
     FaultKind.ROUTER_KILL,
@@ -147,6 +154,10 @@
         if kind in LIST_ANSWERS:
             self._list_answers(planned, kind, begins)
             return
+        if kind is FaultKind.WATCH_SILENT:
+            if begins:  # once: what is open then is never answered
+                self.registry.silence_watches()
+            return
         for agent in self.registry.agents.values():
             if kind is FaultKind.LIST_SILENT:
                 (agent.begin_silence if begins else agent.end_silence)(planned)
