--- /dev/null
+++ b/tests/rehearsal/test_list_clock.py
@@ -0,0 +1,194 @@
+"""When news of the list counts as told, pushed or asked for, by the stand-in's own record."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearsal.standins.rows import Row, write_list
+from tests.rehearsal.list_stage import ASKED, ListStage, on_stage
+from tests.rehearsal.test_standins import ask
+
+DRAINS = "terminating"
+
+
+def test_what_an_agent_has_counts_at_once_with_no_watch_open() -> None:
+    async def test(s: ListStage) -> None:
+        await s.at(1.0)
+        s.learn(DRAINS)
+        assert s.told() == [(1.0, DRAINS)]
+
+    on_stage(test)
+
+
+def test_in_an_outage_an_agent_hears_nothing_and_what_it_has_counts_for_a_new_process() -> None:
+    async def test(s: ListStage) -> None:
+        s.learn(DRAINS)
+        await s.at(1.0)
+        s.agent.begin_silence("outage")
+        await s.at(2.0)
+        s.starts()
+        s.learn("terminated")
+        assert s.told()[1:] == [(2.0, "in_service"), (2.0, DRAINS)]
+        await s.at(20.0)
+        s.agent.end_silence("outage")
+        assert s.told()[3:] == [(20.0, "terminated")]
+        s.starts()
+        assert s.told()[4:] == [(20.0, "in_service"), (20.0, "terminated")]
+
+    on_stage(test)
+
+
+def test_after_a_move_it_counts_four_seconds_later_unless_it_is_told_there_before() -> None:
+    async def test(s: ListStage) -> None:
+        _, old = await s.watch(60.0)
+        await s.at(1.0)
+        s.agent.move()
+        await s.at(2.0)
+        s.learn(DRAINS)
+        await s.at(6.0)
+        assert s.told() == [(5.0, DRAINS)]
+        s.learn("in_service")
+        assert s.told()[1:] == [(6.0, "in_service")]
+        s.agent.move()
+        await s.at(7.0)
+        s.learn(DRAINS)
+        await s.watch(60.0)
+        await s.at(12.0)
+        assert s.told()[2:] == [(7.0, DRAINS)]
+        assert not old.done()
+
+    on_stage(test)
+
+
+@pytest.mark.parametrize("text", ["", ASKED], ids=["pushed", "asked"])
+@pytest.mark.parametrize("wait", [3.0, 20.0, 90.0])
+def test_what_a_silent_watch_misses_counts_by_one_clock(text: str, wait: float) -> None:
+    async def test(s: ListStage) -> None:
+        connection, answer = await s.watch(wait)
+        began = s.world.now() - 0.05
+        await s.at(2.0)
+        s.registry.silence_watches()
+        await s.at(2.5)
+        s.learn(DRAINS)
+        await s.at(100.0)
+        due = max(2.0 + 6.0, began + min(wait, 60.0) + 2.0)
+        assert s.told() == [(pytest.approx(due, abs=0.11), DRAINS)]
+        assert not answer.done() and not connection.reader.at_eof()
+        s.learn("in_service")  # its time is over: whoever does not ask anew is told all the same
+        await s.at(100.1)
+        assert s.told()[1:] == [(100.0, "in_service")]
+
+    on_stage(test, text)
+
+
+@pytest.mark.parametrize("text", ["", ASKED], ids=["pushed", "asked"])
+def test_a_silent_connection_stays_silent_and_a_new_one_is_answered(text: str) -> None:
+    async def test(s: ListStage) -> None:
+        connection, answer = await s.watch(1.0)
+        s.registry.silence_watches()
+        s.learn(DRAINS)
+        await s.at(3.0)
+        connection.writer.write(b"GET /api/targets HTTP/1.1\r\nHost: a\r\n\r\n")
+        again = await s.connect()
+        whole = await ask(again, "/api/targets")
+        states = {row["id"]: row["state"] for row in whole["servers"]}  # type: ignore[attr-defined]
+        assert states["cache-1"] == DRAINS
+        told = s.told()
+        assert [state for _, state in told] == [DRAINS] and 3.0 <= told[0][0] <= 3.6
+        await s.at(20.0)
+        assert not answer.done() and s.told() == told
+
+    on_stage(test, text)
+
+
+def test_a_silent_watch_that_is_given_up_delays_nothing_more() -> None:
+    async def test(s: ListStage) -> None:
+        connection, answer = await s.watch(60.0)
+        s.registry.silence_watches()
+        answer.cancel()
+        connection.writer.close()
+        await s.at(1.0)
+        s.learn(DRAINS)
+        assert s.told() == [(1.0, DRAINS)]
+
+    on_stage(test)
+
+
+def test_a_call_that_falls_silent_in_its_turn_at_the_desk_misses_what_it_was_to_tell() -> None:
+    async def test(s: ListStage) -> None:
+        s.learn(DRAINS)
+        connection = await s.connect()
+        answer = asyncio.ensure_future(ask(connection, "/api/targets"))
+        await s.at(0.1)
+        s.registry.silence_watches()
+        await s.at(50.0)
+        assert s.told() == [(6.1, DRAINS)] and not answer.done()
+
+    on_stage(test, ASKED)
+
+
+def test_who_gave_up_a_silent_watch_has_asked_until_then_and_failed() -> None:
+    async def test(s: ListStage) -> None:
+        connection, answer = await s.watch(60.0)
+        s.registry.silence_watches()
+        await s.at(30.0)
+        answer.cancel()
+        connection.writer.close()
+        await s.at(31.0)
+        s.learn(DRAINS)
+        await s.at(90.0)
+        assert s.told() == [(70.0, DRAINS)]
+
+    on_stage(test, ASKED)
+
+
+@pytest.mark.parametrize("kind", [FaultKind.LIST_CUT, FaultKind.LIST_SPOILT])
+def test_what_a_spoilt_answer_held_counts_six_seconds_later(kind: FaultKind) -> None:
+    async def test(s: ListStage) -> None:
+        _, answer = await s.watch(60.0)
+        answer.cancel()
+        s.agent.begin_trouble("f", kind, 1.0)
+        await s.at(1.0)
+        s.learn(DRAINS)
+        await s.at(20.0)
+        assert s.told() == [(7.0, DRAINS)]
+
+    on_stage(test)
+    on_stage(test, ASKED)
+
+
+def test_while_the_registry_has_lost_its_list_nothing_counts_and_then_all_of_it() -> None:
+    async def test(s: ListStage) -> None:
+        s.agent.begin_lost("f", [])
+        s.learn(DRAINS)
+        await s.at(20.0)
+        assert s.told() == []
+        s.agent.end_lost("f")
+        assert s.told() == [(20.0, DRAINS)]
+
+    on_stage(test)
+
+
+def test_answers_come_on_one_line_or_indented_as_drawn() -> None:
+    forms: list[list[bool]] = []
+
+    async def test(s: ListStage) -> None:
+        connection, seen = await s.connect(), []
+        for _ in range(12):
+            connection.writer.write(b"GET /api/targets HTTP/1.1\r\nHost: a\r\n\r\n")
+            _, body = await connection.response()
+            assert len(json.loads(body)["servers"]) == 3
+            seen.append(b"\n" in body)
+        forms.append(seen)
+
+    on_stage(test)
+    on_stage(test)
+    assert set(forms[0]) == {True, False} and forms[0] == forms[1]
+    row = Row("a", "", "cache", addresses={"r": "127.0.0.1:1"})
+    assert json.loads(write_list(1, True, [row], "r", True)) == json.loads(
+        write_list(1, True, [row], "r", False)
+    )
