--- a/ironrail/rehearsal/standins/telling.py
+++ b/ironrail/rehearsal/standins/telling.py
@@ -15,9 +15,7 @@
 from ironrail.rehearsal.standins.rows import Row
 from ironrail.rehearsal.standins.world import World
 
-BROKEN = (
-    6.0  # seconds after a call fell silent, or its answer was spoilt, until what it misses counts as told
-)
+BROKEN = 6.0  # seconds after a call fell silent, or its answer was spoilt, until what it misses counts
 AFTER_WAIT = 2.0  # the same after the wait of a silent watch was over, if that is later
 AFTER_MOVE = 4.0  # after a router was told that the list is told elsewhere, where it is pushed
 AFTER_FAILURE = 4.0  # times as long until news counts as told to a router whose call failed
--- a/tests/rehearsal/test_list_clock.py
+++ b/tests/rehearsal/test_list_clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 
@@ -60,6 +61,10 @@
         await s.at(12.0)
         assert s.told()[2:] == [(7.0, DRAINS)]
         assert not old.done()
+        s.agent.move()
+        s.starts()  # which reads where the list is now
+        s.learn("terminated")
+        assert s.told()[-1] == (12.0, "terminated")
 
     on_stage(test)
 
@@ -162,6 +167,21 @@
     on_stage(test, ASKED)
 
 
+def test_an_answer_that_stops_short_is_a_call_that_fell_silent() -> None:
+    async def test(s: ListStage) -> None:
+        _, answer = await s.watch(60.0)
+        s.agent._draws = SimpleNamespace(random=lambda: 0.9)  # type: ignore[assignment]
+        s.agent.begin_trouble("f", FaultKind.LIST_CUT, 1.0)
+        await s.at(1.0)
+        s.learn(DRAINS)
+        await s.at(1.5)
+        s.learn("terminated")
+        await s.at(20.0)
+        assert s.told() == [(7.0, "terminated")] and not answer.done()
+
+    on_stage(test)
+
+
 def test_while_the_registry_has_lost_its_list_nothing_counts_and_then_all_of_it() -> None:
     async def test(s: ListStage) -> None:
         s.agent.begin_lost("f", [])
