--- a/ironrail/__main__.py
+++ b/ironrail/__main__.py
@@ -9,11 +9,11 @@
 
 import uvloop
 
+from ironrail.errors import InputError
 from ironrail.logs import log_to_stderr
-from ironrail.net.config import ConfigError, read_config
+from ironrail.net.config import read_config
 from ironrail.net.node import serve
-from ironrail.operator import Operator, OperatorError, read_operator
-from ironrail.policy import interface as api
+from ironrail.operator_file import Operator, read_operator
 
 
 def _operator_file(arguments: Sequence[str]) -> str | None:
@@ -39,9 +39,9 @@
         operator = read_operator(path) if path else Operator()
         config = read_config(dict(os.environ))
         uvloop.run(serve(config, operator))
-    except (ConfigError, OperatorError, api.SettingsError) as e:
-        print(f"ironrail: {e}", file=sys.stderr)
-        return 2
+    except InputError as e:
+        print(f"ironrail: {e.told()}", file=sys.stderr)
+        return e.exit_code
     except OSError as e:  # the address to listen on is taken, say
         print(f"ironrail: {e}", file=sys.stderr)
         return 1
--- a/ironrail/errors.py
+++ b/ironrail/errors.py
@@ -27,7 +27,7 @@
 
     def told(self) -> str:
         """The line and what can be done about it."""
-        return f"{self}. {self.advice}" if self.advice else str(self)
+        return f"{self}; {self.advice}" if self.advice else str(self)
 
 
 class InputError(IronrailError, ValueError):
--- a/ironrail/net/access.py
+++ b/ironrail/net/access.py
@@ -14,7 +14,7 @@
 from ironrail.access.keep import Ended, Keeper, Line, Room
 from ironrail.net.memcache import Command, read_figure
 from ironrail.net.system import REAL, System
-from ironrail.operator import AccessLog, OperatorError
+from ironrail.operator_file import AccessLog, OperatorError
 
 log = logging.getLogger(__name__)
 
--- a/ironrail/net/config.py
+++ b/ironrail/net/config.py
@@ -8,15 +8,18 @@
 
 import orjson
 
+from ironrail.errors import InputError
 from ironrail.net.lists import read_address
 from ironrail.net.system import Address
 from ironrail.policy import interface as api
 from ironrail.settings import number, read_settings, section
 
 
-class ConfigError(ValueError):
+class ConfigError(InputError):
     """A configuration that can't be used; the message names the field."""
 
+    advice = "correct the file that NODE_CONFIG names and start again; a running router keeps the one before"
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
@@ -37,13 +40,13 @@
     """The configuration that the environment names."""
     path = environ.get("NODE_CONFIG")
     if not path:
-        raise ConfigError("NODE_CONFIG is not set")
+        raise ConfigError("is not set", "NODE_CONFIG")
     try:
         table = orjson.loads(Path(path).read_bytes())
     except (OSError, ValueError) as e:
-        raise ConfigError(f"NODE_CONFIG: {e}") from e
+        raise ConfigError(str(e), "NODE_CONFIG") from e
     if not isinstance(table, dict):
-        raise ConfigError("NODE_CONFIG: must hold an object")
+        raise ConfigError("must hold an object", "NODE_CONFIG")
     return config_of_table(table, environ)
 
 
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -24,7 +24,7 @@
 from ironrail.net.origin import OriginConnection
 from ironrail.net.pool import Pool
 from ironrail.net.system import REAL, Address, System
-from ironrail.operator import Operator
+from ironrail.operator_file import Operator
 from ironrail.policy import interface as api
 from ironrail.policy.balance import Router
 
@@ -97,7 +97,7 @@
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
             except ListError as e:
-                raise ConfigError(f"known: {e}") from e
+                raise ConfigError(str(e), "known") from e
             self._host.servers(known, addresses)
 
     def _pool(self, entry: api.ServerEntry, address: Address) -> Pool:
--- a/ironrail/operator.py
+++ b/ironrail/operator_file.py
@@ -9,6 +9,7 @@
 
 from ironrail.access.names import LEAST_SECRET, MOST_SECRET
 from ironrail.connections.sharing import places_each
+from ironrail.errors import InputError
 
 MOST_FILE = 64 * 1024  # bytes: it is written by hand
 BOUNDS = {
@@ -17,9 +18,11 @@
 }
 
 
-class OperatorError(ValueError):
+class OperatorError(InputError):
     """A file that can't be used; the message names the file, the field and the mistake."""
 
+    advice = "correct that line; `deploy/operator.toml` has every field with its usual value"
+
 
 @dataclass(frozen=True, slots=True)
 class Connections:
@@ -52,9 +55,9 @@
         try:
             secret = Path(self.hash_key).read_bytes().strip()
         except OSError as e:
-            raise OperatorError(f"{self.hash_key}: {e.strerror or e}") from e
+            raise OperatorError(e.strerror or str(e), self.hash_key) from e
         if not LEAST_SECRET <= len(secret) <= MOST_SECRET:
-            raise OperatorError(f"{self.hash_key}: must hold {LEAST_SECRET} to {MOST_SECRET} bytes")
+            raise OperatorError(f"must hold {LEAST_SECRET} to {MOST_SECRET} bytes", self.hash_key)
         return secret
 
 
@@ -73,17 +76,17 @@
     try:
         data = Path(path).read_bytes()
         if len(data) > MOST_FILE:
-            raise OperatorError(f"{path}: larger than {MOST_FILE} bytes")
+            raise OperatorError(f"larger than {MOST_FILE} bytes", path)
         table = tomllib.loads(data.decode())
     except OSError as e:
-        raise OperatorError(f"{path}: {e.strerror or e}") from e
+        raise OperatorError(e.strerror or str(e), path) from e
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
-        raise OperatorError(f"{path}: {e}") from e
+        raise OperatorError(str(e), path) from e
     _known(path, "", table, {field.name for field in fields(Operator)})
     connections = _section(path, table, "connections", Connections)
     log = _section(path, table, "access_log", AccessLog)
     if "access_log" in table and not log.get("path"):
-        raise OperatorError(f"{path}: access_log.path is missing")
+        raise OperatorError("access_log.path is missing", path)
     return Operator(Connections(**connections), AccessLog(**log) if log else None)
 
 
@@ -91,7 +94,7 @@
     """One table of the file, each of its values checked."""
     section = table.get(name, {})
     if not isinstance(section, dict):
-        raise OperatorError(f"{path}: {name} must be a table")
+        raise OperatorError(f"{name} must be a table", path)
     _known(path, f"{name}.", section, {field.name for field in fields(form)})
     return {key: _value(path, name, key, value) for key, value in section.items()}
 
@@ -101,24 +104,24 @@
         return _whole(path, section, name, value)
     if name == "sample":
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value <= 1:
-            raise OperatorError(f"{path}: {section}.sample must be above 0 and at most 1, not {value!r}")
+            raise OperatorError(f"{section}.sample must be above 0 and at most 1, not {value!r}", path)
         return float(value)
     kind, word = (bool, "true or false") if name == "hash_keys" else (str, "a path")
     if not isinstance(value, kind):
-        raise OperatorError(f"{path}: {section}.{name} must be {word}, not {value!r}")
+        raise OperatorError(f"{section}.{name} must be {word}, not {value!r}", path)
     return value
 
 
 def _known(path: str, where: str, table: dict[str, Any], names: Any) -> None:
     for name in table:
         if name not in names:
-            raise OperatorError(f"{path}: {where}{name} is unknown (known: {', '.join(sorted(names))})")
+            raise OperatorError(f"{where}{name} is unknown (known: {', '.join(sorted(names))})", path)
 
 
 def _whole(path: str, section: str, name: str, value: Any) -> int:
     least, most = BOUNDS[section][name]
     if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
         raise OperatorError(
-            f"{path}: {section}.{name} must be a whole number from {least} to {most}, not {value!r}"
+            f"{section}.{name} must be a whole number from {least} to {most}, not {value!r}", path
         )
     return value
--- a/ironrail/policy/interface.py
+++ b/ironrail/policy/interface.py
@@ -11,10 +11,6 @@
 from enum import Enum
 
 
-class SettingsError(ValueError):
-    """Settings that cannot be used; the message names the field."""
-
-
 class Effect(Enum):
     """What repeating a request of a class may do."""
 
--- a/ironrail/rehearsal/pipelines.py
+++ b/ironrail/rehearsal/pipelines.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ironrail.operator import Connections
+from ironrail.operator_file import Connections
 from ironrail.rehearsal.account.record import Ended, Record
 from ironrail.rehearsal.account.service import quantiles
 from ironrail.rehearsal.run import Result
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -14,7 +14,7 @@
 from ironrail.net.config import Config, config_of_table
 from ironrail.net.lists import read_address
 from ironrail.net.node import NO_FILE, Node
-from ironrail.operator import Operator
+from ironrail.operator_file import Operator
 from ironrail.rehearsal.account.record import RouterFacts
 from ironrail.rehearsal.draws import stream
 from ironrail.rehearsal.ground import OnExit
--- a/ironrail/rehearsal/virtual/play.py
+++ b/ironrail/rehearsal/virtual/play.py
@@ -12,7 +12,7 @@
 
 from ironrail.logs import formatter
 from ironrail.net.node import NO_FILE
-from ironrail.operator import Operator
+from ironrail.operator_file import Operator
 from ironrail.rehearsal.load.schedule import Planned
 from ironrail.rehearsal.losses.lay import lay
 from ironrail.rehearsal.losses.tap import Decided
--- a/ironrail/settings.py
+++ b/ironrail/settings.py
@@ -5,8 +5,18 @@
 import math
 from typing import Any
 
+from ironrail.errors import InputError
 from ironrail.policy import interface as api
 
+
+class SettingsError(InputError):
+    """Settings that can't be used; the message names the field."""
+
+    advice = (
+        "correct that field in the settings that the platform hands out"
+    )
+
+
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 
 
@@ -16,8 +26,8 @@
     if value is None:
         return default
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
-        raise api.SettingsError(
-            f"settings: {where}{field} must be a number of at least {least:g}, not {value!r}"
+        raise SettingsError(
+            f"{where}{field} must be a number of at least {least:g}, not {value!r}", "settings"
         )
     return value
 
@@ -27,7 +37,7 @@
     value = table.get(field)
     value = default if value is None else value
     if not isinstance(value, str) or value not in known:
-        raise api.SettingsError(f"settings: {where}{field} must be one of {', '.join(known)}, not {value!r}")
+        raise SettingsError(f"{where}{field} must be one of {', '.join(known)}, not {value!r}", "settings")
     return known[value]
 
 
@@ -37,7 +47,7 @@
     if value is None:
         return {}
     if not isinstance(value, dict):
-        raise api.SettingsError(f"settings: {field} must be an object, not {value!r}")
+        raise SettingsError(f"{field} must be an object, not {value!r}", "settings")
     return value
 
 
@@ -46,10 +56,10 @@
     value = conf.get(field)
     value = [] if value is None else value
     if not isinstance(value, list) or not all(isinstance(r, dict) for r in value):
-        raise api.SettingsError(f"settings: {field} must be a list of objects")
+        raise SettingsError(f"{field} must be a list of objects", "settings")
     for i, row in enumerate(value):
         if not isinstance(row.get("name"), str):
-            raise api.SettingsError(f"settings: {field}[{i}].name is missing")
+            raise SettingsError(f"{field}[{i}].name is missing", "settings")
     return value
 
 
@@ -74,7 +84,7 @@
         return None
     span = number(rules, "lookBack", 0.0, "rules.")
     if span <= 0:
-        raise api.SettingsError("settings: rules.lookBack must be above 0 where a budget is stated")
+        raise SettingsError("rules.lookBack must be above 0 where a budget is stated", "settings")
     return api.Budget(
         number(rules, "extraFree", 0.0, "rules."), number(rules, "repeatRatio", 0.0, "rules."), span
     )
@@ -83,10 +93,10 @@
 def read_settings(conf: Any) -> api.Settings:
     """The wire's settings as the module's; unknown keys are ignored and absent ones take defaults."""
     if not isinstance(conf, dict):
-        raise api.SettingsError("settings: conf must be an object")
+        raise SettingsError("conf must be an object", "settings")
     classes = {row["name"]: read_class(row) for row in rows(conf, "classes")}
     if not classes:
-        raise api.SettingsError("settings: classes is empty")
+        raise SettingsError("classes is empty", "settings")
     limits, rules, info = section(conf, "limits"), section(conf, "rules"), section(conf, "familyInfo")
     kinds = conf.get("skus") or []
     origin = int(number(info, "originKind", -1, "familyInfo.", -1))
--- a/ironrail/simhost.py
+++ b/ironrail/simhost.py
@@ -10,7 +10,7 @@
 
 from ironrail.policy import interface as api
 from ironrail.policy.balance import Router
-from ironrail.settings import read_settings
+from ironrail.settings import SettingsError, read_settings
 
 STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 KINDS = {
@@ -137,7 +137,7 @@
                 return
             read = READERS[op](event)
             router = self.routers.get(number_)
-        except api.SettingsError as e:
+        except SettingsError as e:
             print(f"ironrail: {e}", file=sys.stderr)
             commands.append({"op": "InternalError", "routerId": number_, "line": str(e)})
             return
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,7 +14,7 @@
 
 from ironrail.net.config import Config
 from ironrail.net.node import NO_FILE, Node
-from ironrail.operator import Operator
+from ironrail.operator_file import Operator
 from ironrail.policy import interface as api
 from ironrail.rehearsal.standins.http import RequestReader
 from ironrail.rehearsal.standins.meta import CommandReader
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,7 +9,7 @@
 
 from ironrail.__main__ import main
 from ironrail.net.node import Node
-from ironrail.operator import Connections, Operator, OperatorError, read_operator
+from ironrail.operator_file import Connections, Operator, OperatorError, read_operator
 from ironrail.policy import interface as api
 from tests.peers import World, scenario
 
