--- a/ironrail/rehearsal/report/page.py
+++ b/ironrail/rehearsal/report/page.py
@@ -8,7 +8,7 @@
 
 from ironrail.rehearsal.report.document import outcome_of
 from ironrail.rehearsal.report.plots import plots
-from ironrail.rehearsal.report.table import figure
+from ironrail.rehearsal.report.table import answers_line, figure
 from ironrail.rehearsal.run import Result
 
 MOST_HISTORIES = 20
@@ -23,6 +23,7 @@
         outcome=outcome_of(result),
         plots=plots(result),
         figure=figure,
+        answers=answers_line(result.service.answers),
         late=result.lateness.summary(),
         broken=result.broken[:MOST_HISTORIES],
         parts=_parts(result),
--- a/ironrail/rehearsal/verdicts.py
+++ b/ironrail/rehearsal/verdicts.py
@@ -56,6 +56,9 @@
     yield Verdict(
         "answers kept back", service.kept_back <= bounds.kept_back, bounds.kept_back, service.kept_back
     )
+    # nothing in a router's settings forbids to name one
+    untimed = service.answers.untimed
+    yield Verdict("refusals that name no time", untimed <= bounds.untimed, bounds.untimed, untimed)
 
 
 def _routers(scenario: Scenario, routers: dict[str, RouterFacts]) -> Iterator[Verdict]:
