--- a/tests/mutants/closes_new.py
+++ b/tests/mutants/closes_new.py
@@ -4,7 +4,7 @@
 
 import itertools
 
-from ironrail.net.clients import ClientConnection
+from ironrail.net.client import ClientConnection
 
 RULE = "rule one-answer"
 count = itertools.count(1)
