--- /dev/null
+++ b/tests/outcomes/test_links.py
@@ -0,0 +1,204 @@
+"""Connections that are refused, come up late, break, rest or run out."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from ironrail.connections import upstream
+from ironrail.net import host
+from ironrail.net.caches import CacheConnection
+from ironrail.net.pool import Attempt
+from ironrail.policy import interface as api
+from ironrail.policy.interface import Status
+from tests.outcomes.bench import Bench, Script, quick_replies
+from tests.peers import LOCAL, Peer, scenario
+
+
+@scenario
+async def test_a_refused_connection_never_ran() -> None:
+    with socket.socket() as unused:
+        unused.bind((LOCAL, 0))
+        script = Script()
+        Bench(script, unused.getsockname()[1]).take("1")
+        assert (await script.outcome()).status is Status.CONNECT_FAILED
+
+
+@scenario
+async def test_a_connection_that_never_comes_up_never_ran() -> None:
+    with socket.socket() as full:  # a full backlog drops what would connect, like a vanished machine
+        full.bind((LOCAL, 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        script = Script()
+        Bench(script, full.getsockname()[1], connect_timeout=0.1).take("1")
+        outcome = await script.outcome()
+        assert outcome.status is Status.CONNECT_FAILED
+        assert 0.09 <= outcome.latency < 0.9  # and not when the system tries once more
+        Bench(script, full.getsockname()[1]).take("1", wait=50)  # nor when the client gives up before
+        assert (await script.outcome()).status is Status.CONNECT_FAILED
+        for filler in fillers:
+            filler.close()
+
+
+@scenario
+async def test_a_router_that_stood_still_while_it_dialled_takes_the_connection_that_came_up() -> None:
+    script, peer = Script(), await Peer().start()
+    Bench(script, peer.port, connect_timeout=0.02).take("1")
+    loop = asyncio.get_running_loop()
+    loop.call_soon(loop.call_soon, time.sleep, 0.1)  # once the dial is under way
+    (await peer.next()).reply(b"VA 1 O1 h1\r\nv\r\n")
+    assert (await script.outcome()).status is Status.OK
+
+
+class Padded(CacheConnection):
+    """Writes more than fits into the system's buffers."""
+
+    def encode(self, attempt: Attempt) -> list[bytes]:
+        return [*super().encode(attempt), b"x" * 8 * 1024**2]
+
+
+@scenario
+async def test_what_breaks_before_its_last_byte_is_out_never_ran() -> None:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind((LOCAL, 0))
+        listener.listen()
+        listener.setblocking(False)
+        script = Script()
+        bench = Bench(script, listener.getsockname()[1], Padded, most=1)
+        loop = asyncio.get_running_loop()
+        bench.take("0")
+        connection, _ = await loop.sock_accept(listener)
+        connection.setblocking(True)
+        await asyncio.to_thread(connection.recv, 1, socket.MSG_PEEK)
+        bench.take("1")
+        bench.take("2")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        connection.close()
+        outcomes = {(o := await script.outcome()).request: o.status for _ in "012"}
+        assert outcomes == {"0": Status.RESET, "1": Status.RESET, "2": Status.CONNECT_FAILED}
+
+
+@scenario
+async def test_an_attempt_that_waits_takes_the_connection_that_falls_free() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1")
+    first = await peer.next()
+    bench.take("2")
+    second = await peer.next()  # behind the first: there may be no other connection
+    assert first.writer is second.writer
+    first.reply_value(b"1")
+    second.reply_value(b"2")
+    assert [(await script.outcome()).request for _ in "12"] == ["1", "2"]
+
+
+class Stillborn(CacheConnection):
+    """Its server has ended it by the time it is up."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.abort()
+
+
+@scenario
+async def test_a_connection_that_ends_as_it_comes_up_is_not_kept() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, Stillborn, most=1)
+    for name in "12":
+        bench.take(name)
+        assert (await script.outcome()).status is Status.CONNECT_FAILED
+        await peer.ended.acquire()
+    assert peer.opened == 2
+
+
+@scenario
+async def test_idle_connections_close_before_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(host, "SWEEP", 0.01)
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, idle=1.0)
+    bench.take("1")
+    (await peer.next()).reply_value(b"v")
+    await script.outcome()
+    began = asyncio.get_running_loop().time()
+    await peer.ended.acquire()
+    assert 0.5 < asyncio.get_running_loop().time() - began < 1.0
+
+
+@scenario
+async def test_connections_that_nobody_waits_on_close_when_the_module_says_so() -> None:
+    peer, script = await Peer().start(), Script(api.CloseIdle("s"), api.Fail("3"))
+    bench = Bench(script, peer.port)
+    for name in "123":
+        bench.take(name)
+    got = {m.words[3]: m for m in [await peer.next() for _ in "123"]}
+    got[b"O1"].reply_value(b"v")  # now idle
+    await script.outcome()
+    got[b"O3"].reply(b"EN O3\r\n")
+    await peer.ended.acquire()
+    await peer.ended.acquire()
+    got[b"O2"].reply_value(b"w")  # what is in use stays open
+    while (await script.outcome()).request != "2":
+        pass
+    assert bench.answers["2"] == [b"VA 1 O2\r\nw\r\n"]
+
+
+@scenario
+async def test_given_up_attempts_do_not_keep_all_connections() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1", wait=30)
+    await peer.next()
+    assert (await script.outcome()).status is Status.TIMEOUT
+    bench.take("2")
+    await peer.ended.acquire()
+    (await peer.next()).reply_value(b"2")
+    assert (await script.outcome()).status is Status.OK
+
+
+@scenario
+async def test_pauses_after_which_connections_break_are_learned(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "LEAST_IDLE", 0.05)
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    writers = []
+    for name in "123":
+        bench.take(name)
+        got = await peer.next()
+        writers.append(got.writer)
+        if name == "2":
+            got.reset()
+            assert (await script.outcome()).status is Status.RESET
+        else:
+            got.reply_value(b"v")
+            assert (await script.outcome()).status is Status.OK
+        if name == "1":
+            await asyncio.sleep(0.2)
+    assert writers[0] is writers[1]
+    await asyncio.sleep(0.15)  # over half of the pause that it did not survive
+    bench.take("4")
+    assert (await peer.next()).writer is not writers[2]
+
+
+@scenario
+async def test_where_connections_break_fewer_requests_share_one() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=4)
+    await quick_replies(bench, peer, script)
+    bench.take("3")
+    bench.take("4")
+    first, second = await peer.next(), await peer.next()
+    assert first.writer is second.writer
+    first.reply(b"VA 1 Oother h1\r\nv\r\n")
+    outcomes = [(await script.outcome()).status for _ in "34"]
+    assert outcomes == [Status.ERROR, Status.CANCELLED]
+    for name in "567":
+        bench.take(name)
+    assert len({(await peer.next()).writer for _ in "567"}) == 3
--- /dev/null
+++ b/tests/outcomes/test_replies.py
@@ -0,0 +1,185 @@
+"""What caches and the origin say, and what the decision module is told of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from ironrail.net.origin import OriginConnection
+from ironrail.policy.interface import Status
+from tests.outcomes.bench import GOOD_HTTP, Bench, Brief, Script, reply, reply_then_end
+from tests.peers import Message, Peer, read_http, scenario
+
+CACHE = [
+    (reply(b"VA 1 O1 h1\r\nv\r\n"), Status.OK),
+    (reply(b"VA 1 O1 h1 Linflight=7,queue=2\r\nv\r\n"), Status.OK),
+    (reply(b"EN O1\r\n"), Status.MISS),
+    (reply(b"EN O1 h0 Z\r\n"), Status.MISS),
+    (reply(b"SERVER_ERROR failed\r\n"), Status.ERROR),
+    (reply(b"SERVER_ERROR busy\r\n"), Status.FULL),
+    (reply(b"SERVER_ERROR busy 250\r\n"), Status.FULL),
+    (Message.reset, Status.RESET),
+    (Message.end, Status.RESET),
+    (reply_then_end(b"VA 9 O1\r\nhalf"), Status.RESET),
+    (reply(b"VA 1 O2\r\nv\r\n"), Status.ERROR),  # meant for another request
+    (reply(b"EN O2\r\n"), Status.ERROR),
+    (reply(b"EN\r\n"), Status.ERROR),
+    (reply(b"HD O1 cr\r\n"), Status.ERROR),  # fits no read
+    (reply(b"VA x O1\r\nv\r\n"), Status.ERROR),
+    (reply(b"VA 4194305 O1\r\nv\r\n"), Status.ERROR),
+    (reply(b"VA 1 O1\r\nvalue\r\n"), Status.ERROR),
+    (reply(b"CLIENT_ERROR what\r\n"), Status.ERROR),
+    (reply(b"y" * 5000), Status.ERROR),
+]
+
+
+@scenario
+@pytest.mark.parametrize(("act", "status"), CACHE)
+async def test_what_a_cache_says(act: Callable[[Message], Any], status: Status) -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1")
+    act(await peer.next())
+    outcome = await script.outcome()
+    assert (outcome.status, outcome.closed) == (status, status is Status.OK)
+    served = b"VA 1 O1\r\nv\r\n"
+    assert bench.answers["1"] == [served if status is Status.OK else b"SERVER_ERROR failed\r\n"]
+
+
+@scenario
+async def test_a_write_without_a_receipt_is_no_answer() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", b"body")
+    (await peer.next()).reply(b"HD O1\r\n")
+    assert (await script.outcome()).status is Status.ERROR
+
+
+@scenario
+async def test_what_outlives_its_request_has_its_outcome_too() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", wait=60)
+    await peer.next()
+    bench.host.gone("1")
+    bench.take("1")
+    assert bench.answers["1"] == [b"CLIENT_ERROR id in use\r\n"]  # its attempt is still out
+    outcome = await script.outcome()
+    assert (outcome.status, outcome.closed) == (Status.TIMEOUT, True)
+
+
+@scenario
+async def test_a_receipt_of_a_cache() -> None:
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port)
+    bench.take("1", b"body")
+    got = await peer.next()
+    assert got.value == b"body"
+    got.reply(b"HD O1 cr-7\r\n")
+    assert (await script.outcome()).status is Status.OK
+    assert bench.answers["1"] == [b"HD O1 cr-7\r\n"]
+
+
+ORIGIN: list[tuple[bytes, list[bytes], bytes, Status]] = [
+    (b"200", [], b"v", Status.OK),
+    (b"200", [b"Server-Load: inflight=3"], b"v", Status.OK),
+    (b"500", [], b"", Status.ERROR),
+    (b"500", [b"Not-Started: 1"], b"", Status.ERROR),  # proves nothing with a 500
+    (b"503", [b"Not-Started: 1"], b"", Status.FULL),
+    (b"504", [b"not-started: 1"], b"", Status.FULL),
+    (b"503", [], b"", Status.ERROR),
+    (b"504", [], b"", Status.ERROR),
+    (b"503", [b"Not-Started: 0"], b"", Status.ERROR),
+    (b"404", [], b"", Status.ERROR),
+]
+
+
+@scenario
+@pytest.mark.parametrize("write", [False, True])
+@pytest.mark.parametrize(("code", "headers", "body", "status"), ORIGIN)
+async def test_what_the_origin_says(
+    code: bytes, headers: list[bytes], body: bytes, status: Status, write: bool
+) -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection)
+    bench.take("1", b"body" if write else None)
+    (await peer.next()).respond(body, int(code), *headers)
+    assert (await script.outcome()).status is status
+    served = b"HD O1 cv\r\n" if write else b"VA 1 O1\r\nv\r\n"
+    assert bench.answers["1"] == [served if status is Status.OK else b"SERVER_ERROR failed\r\n"]
+    bench.take("2")
+    (await peer.next()).respond(b"w")
+    await script.outcome()
+    assert peer.opened == 1  # the connection is kept
+
+
+@scenario
+@pytest.mark.parametrize(
+    ("act", "status"),
+    [
+        (Message.reset, Status.RESET),
+        (Message.end, Status.RESET),
+        (reply_then_end(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), Status.RESET),
+        (reply(b"nonsense\r\n\r\n"), Status.ERROR),
+        (reply(b"HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nv"), Status.ERROR),
+        (reply(b"ICY 200 OK\r\nContent-Length: 1\r\n\r\nv"), Status.ERROR),
+        (reply(b"HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 1\r\n\r\nv"), Status.ERROR),
+        (reply(b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 1\r\n\r\nv"), Status.ERROR),
+        (reply(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\nzz\r\n"), Status.ERROR),
+        (reply(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 70000), Status.ERROR),
+        (reply(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 100000), Status.ERROR),
+        # a receipt that would split the answer
+        (reply(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na\r\nb"), Status.ERROR),
+    ],
+)
+async def test_a_broken_answer_of_the_origin(act: Callable[[Message], Any], status: Status) -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection)
+    bench.take("1", b"body")
+    act(await peer.next())
+    assert (await script.outcome()).status is status
+    assert bench.answers["1"] == [b"SERVER_ERROR failed\r\n"]
+    bench.take("2")
+    (await peer.next()).respond(b"v")  # on a new connection
+    assert (await script.outcome()).status is Status.OK
+    assert peer.opened == 2
+
+
+@scenario
+async def test_interim_answers_ahead_are_legal() -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection, most=1)
+    for name in "12":
+        bench.take(name)
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+        (await peer.next()).reply(interim + GOOD_HTTP)
+        assert (await script.outcome()).status is Status.OK
+    assert peer.opened == 1
+
+
+@scenario
+async def test_an_origin_that_closes_after_each_answer() -> None:
+    peer, script = await Peer(read_http).start(), Script()
+    bench = Bench(script, peer.port, OriginConnection)
+    for name in "12":
+        bench.take(name)
+        (await peer.next()).respond(b"v", 200, b"Connection: close")
+        assert (await script.outcome()).status is Status.OK
+    assert peer.opened == 2
+
+
+@scenario
+async def test_a_slow_response_of_the_origin_is_waited_for() -> None:
+    peer, script = await Peer(read_http).start(), Brief()
+    bench = Bench(script, peer.port, OriginConnection, most=2, streams=1)
+    bench.take("1")
+    first = await peer.next()
+    await asyncio.sleep(0.1)
+    bench.take("2")
+    (await peer.next()).respond(b"v")
+    assert (await script.outcome()).request == "2"
+    first.respond(b"w")
+    assert (await script.outcome()).status is Status.OK
