--- a/ironrail/settings.py
+++ b/ironrail/settings.py
@@ -12,9 +12,7 @@
 class SettingsError(InputError):
     """Settings that can't be used; the message names the field."""
 
-    advice = (
-        "correct that field in the settings that the platform hands out"
-    )
+    advice = "correct that field in the settings that the platform hands out"
 
 
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
