--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -10,7 +10,7 @@
 from ironrail.rehearsal.faults.plan import Planned, Step
 from ironrail.rehearsal.ground import Router
 from ironrail.rehearsal.load.schedule import hot_router_share
-from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearsal.scenario.faults import Fault, FaultKind
 from ironrail.rehearsal.standins.archive import Archive
 from ironrail.rehearsal.standins.fleet import Fleet
 from ironrail.rehearsal.standins.front import Front
@@ -25,6 +25,8 @@
     FaultKind.ENDLESS,
     FaultKind.ERRORS,
     FaultKind.LOST,
+    FaultKind.SECOND_ANSWER,
+    FaultKind.LATE_CONNECT,
 )
 LIST_ANSWERS = {  # how hard, where the fault does not say
     FaultKind.LIST_CROWDED: 10.0,
@@ -40,7 +42,7 @@
     FaultKind.ROUTER_REPLACE,
     FaultKind.ROUTER_RESTART,
 )
-TERM_TOLD = 0.3  # seconds after SIGTERM for which the front still sends new clients: a restart is announced
+TERM_TOLD = 0.3  # seconds after SIGTERM for which the front still sends new clients, where `hard` is left out
 ABSURD = 40  # servers that an absurd list invents
 
 
@@ -92,7 +94,7 @@
             self._hot_router(planned, step.begins)
         elif kind in ROUTER_KINDS:
             for name in planned.victims:
-                self._router(name, kind, step.begins, planned.fault.lasts)
+                self._router(name, planned.fault, step.begins)
         elif kind is not FaultKind.HOT_KEYS:  # those are in the schedule
             self._caches(planned, kind, step.begins)
 
@@ -110,6 +112,7 @@
             FaultKind.RESTART: (self.fleet.stop, self.fleet.back),
             FaultKind.DRAIN: (self.fleet.drain, self.fleet.drained),
             FaultKind.REPLACE: (self.fleet.stop, self.fleet.succeeded),
+            FaultKind.HANG: (self.fleet.hang, self.fleet.hung),
         }[kind]
         for name in planned.victims:
             (begin if begins else end)(name, planned)
@@ -185,8 +188,8 @@
             else:
                 self.front.hot.pop((planned, name), None)
 
-    def _router(self, name: str, kind: FaultKind, begins: bool, lasts: float) -> None:
-        router, now = self.routers[name], self.world.now()
+    def _router(self, name: str, fault: Fault, begins: bool) -> None:
+        router, now, kind = self.routers[name], self.world.now(), fault.kind
         if kind is FaultKind.ROUTER_REPLACE:  # once it has begun it goes its own way
             if begins:
                 self.replace_router(name)
@@ -197,14 +200,14 @@
                 FaultKind.ROUTER_KILL: signal.SIGKILL,
                 FaultKind.ROUTER_STOP: signal.SIGSTOP,
             }[kind]
-            planned_end = number is signal.SIGTERM
-            if not planned_end:
+            if number is signal.SIGTERM:  # announced: the front hears of it sooner than of a death
+                self.front.ending(name, now + (TERM_TOLD if fault.hard is None else fault.hard))
+            else:
                 self.spells.append(Spell(name, now, f"{name} was sent {number.name}"))
-            told = now + TERM_TOLD - self.front.notice if planned_end else now
-            self.front.died(name, told)
+                self.front.died(name, now)
             router.signal(number, asked=kind is not FaultKind.ROUTER_STOP)
             if kind is FaultKind.ROUTER_RESTART:
-                self.start_router(name, lasts)
+                self.start_router(name, fault.lasts)
         elif kind is FaultKind.ROUTER_STOP:
             router.signal(signal.SIGCONT, asked=False)
             self.front.ready(name)
--- a/ironrail/rehearsal/fleet/command.py
+++ b/ironrail/rehearsal/fleet/command.py
@@ -126,8 +126,10 @@
 
     TROUBLE is calm, release (most routers killed at once), hall (one is lost and returns cold), replaced (six
     in ten caches within 7 s), list (its service is crowded, answers are spoilt), roll (routers restart by
-    tenths, half of the caches are replaced, the list moves), split (a hall is cut off, lists come late,
-    answers get lost), all, or a scenario's file.
+    tenths, half of the caches are replaced, one in twenty hangs, the list moves), split (a hall is cut off,
+    lists come late, answers get lost), herd (the list is out of reach as caches are released and most
+    routers killed), join (six in ten caches replaced, connects late, commands answered twice), all, or a
+    scenario's file.
     """
     console = make_console()
     try:
--- a/ironrail/rehearsal/fleet/worlds.py
+++ b/ironrail/rehearsal/fleet/worlds.py
@@ -34,6 +34,16 @@
 LOST, BROKEN = 0.01, 0.02  # of the answers of some caches that get lost, or end as a reset
 BAD, FAILS = 0.2, 0.15  # of all caches, and of their answers that are errors
 SPOILT = 0.25  # of the list's answers
+HUNG = 1 / 20  # of all caches, while routers restart
+TOLD = 0.2, 0.4  # seconds after SIGTERM for which new clients still come
+PIPELINED, LEFT = 0.05, 0.03  # of tries: written behind one that waits; left before their time is up
+LIST_DOWN, DOWN_BEFORE = 8.0, 2.0  # seconds that the list is out of reach, of these before a release begins
+HERD_STEPS = 4.6  # seconds from the first step of that release to the last
+ODD = 1 / 8  # of all caches that give errors or lose answers
+LATE = 0.2  # of all caches, whose connections come up late
+SECOND, SECOND_HARD = 0.2, 0.3  # of all caches, and of the connections to them: with second answers
+# added to `join`: kind, seconds of its begin, seconds that it lasts
+JOIN_TOO: tuple[tuple[str, float, float], ...] = ()
 
 Table = dict[str, Any]
 Trouble = Callable[[random.Random, int, int], list[Table]]
@@ -57,6 +67,7 @@
         "archive": {"concurrency": max(4, round(rate * 0.04))},
         "registry": {"asked": True, "rate": CALLS_EACH * routers},
         "fault": TROUBLES[trouble](stream(seed, f"fleet.{trouble}"), routers, caches),
+        **({"clients": CLIENTS[trouble]} if trouble in CLIENTS else {}),
     }
     return Scenario.model_validate(table)
 
@@ -104,7 +115,7 @@
 
 
 def _roll(draws: random.Random, routers: int, caches: int) -> list[Table]:
-    """All routers restart a tenth at a time, half of the caches are replaced in steps, and the list moves."""
+    """All routers restart a tenth at a time, half of the caches are replaced, one hangs, and the list moves."""
     order = draws.sample(range(1, routers + 1), routers)
     faults = [
         _spell(
@@ -116,11 +127,25 @@
         for i, n in enumerate(order)
     ]
     half = draws.sample(range(1, caches + 1), caches // 2)
-    for i, n in enumerate(half):
-        at = QUIET + (ROLLING - DRAINED) * (i * STEPS // len(half)) / (STEPS - 1)
-        faults.append(_spell("drain", f"cache-{n}", at, DRAINED))
-        faults.append(_spell("replace", f"cache-{n}", at + DRAINED - 0.1, draws.uniform(0.3, 1.0)))
-    return [*faults, _spell("list-moves", "", QUIET + draws.uniform(1.0, ROLLING - 1.0), 0.1)]
+    faults += _in_steps(draws, half, QUIET, ROLLING - DRAINED)
+    faults.append(_spell("list-moves", "", QUIET + draws.uniform(1.0, ROLLING - 1.0), 0.1))
+    rest = [n for n in range(1, caches + 1) if n not in half]
+    for n in draws.sample(rest, max(1, round(HUNG * caches))):
+        at, lasts = QUIET + draws.uniform(0.0, 2.0), draws.uniform(3.0, 6.0)
+        faults.append(_spell("hang", f"cache-{n}", at, lasts))
+    for fault in faults[:routers]:
+        fault["hard"] = draws.uniform(*TOLD)
+    return faults
+
+
+def _in_steps(draws: random.Random, caches: list[int], at: float, lasts: float) -> list[Table]:
+    """A release of caches: they drain and are replaced in steps, so many seconds from the first to the last."""
+    faults = []
+    for i, n in enumerate(caches):
+        step = at + lasts * (i * STEPS // len(caches)) / (STEPS - 1)
+        faults.append(_spell("drain", f"cache-{n}", step, DRAINED))
+        faults.append(_spell("replace", f"cache-{n}", step + DRAINED - 0.1, draws.uniform(0.3, 1.0)))
+    return faults
 
 
 def _split(draws: random.Random, routers: int, caches: int) -> list[Table]:
@@ -157,6 +182,40 @@
     return [*hall, release, _spell("list-cut", "", 0.0, 8.0, hard=SPOILT)]
 
 
+def _herd(draws: random.Random, routers: int, caches: int) -> list[Table]:
+    """The list is out of reach while a release begins, most routers are killed, and some caches are bad."""
+    order = draws.sample(range(1, caches + 1), caches)
+    half, rest = order[: caches // 2], order[caches // 2 :]
+    odd = rest[: max(1, round(ODD * caches))]
+    whom = f"{max(1, round(KILLED * routers))} routers"
+    return [
+        _spell("list-silent", "", QUIET, LIST_DOWN),
+        _spell("router-kill", whom, QUIET + draws.uniform(0.5, 1.5), draws.uniform(0.5, 1.5)),
+        *_in_steps(draws, half, QUIET + DOWN_BEFORE, HERD_STEPS),
+        *(
+            _spell("errors", f"cache-{n}", QUIET, LIST_DOWN, hard=FAILS)
+            if draws.random() < 0.5
+            else _spell("lost", f"cache-{n}", QUIET, LIST_DOWN, hard=LOST)
+            for n in odd
+        ),
+    ]
+
+
+def _join(draws: random.Random, routers: int, caches: int) -> list[Table]:
+    """Six in ten caches are replaced, connections come up late, and some answer a command twice."""
+    numbers = range(1, caches + 1)
+    gone = draws.sample(numbers, round(REPLACED * caches))
+    faults = [
+        _spell("replace", f"cache-{n}", QUIET + REPLACED_IN * i / len(gone), draws.uniform(0.3, 1.0))
+        for i, n in enumerate(gone)
+    ]
+    late = draws.sample(numbers, max(1, round(LATE * caches)))
+    twice = draws.sample(numbers, max(1, round(SECOND * caches)))
+    faults += [_spell("late-connect", f"cache-{n}", QUIET, REPLACED_IN) for n in late]
+    faults += [_spell("second-answer", f"cache-{n}", QUIET, REPLACED_IN, hard=SECOND_HARD) for n in twice]
+    return faults + [_spell(kind, "", at, lasts) for kind, at, lasts in JOIN_TOO]
+
+
 TROUBLES: dict[str, Trouble] = {
     "calm": _calm,
     "release": _release,
@@ -166,4 +225,10 @@
     "roll": _roll,
     "split": _split,
     "all": _all,
+    "herd": _herd,
+    "join": _join,
+}
+CLIENTS: dict[str, Table] = {  # where they differ from the usual ones
+    "roll": {"stay": 1.0, "pipelined": PIPELINED},
+    "join": {"leave": LEFT},
 }
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -76,6 +76,9 @@
     wait: Seconds = 0.1  # before a retry
     honour: Share = 0.5  # of refusals that name a time are followed
     new_connections: Share = 0.02  # of tries come on a connection of their own, which then stays unused
+    pipelined: Share = 0.0  # of tries are written behind one that waits, on its connection
+    stay: Share = 0.0  # of a router's clients keep to connections that stay open once it was told to end
+    leave: Share = 0.0  # of tries that are safe to repeat are left before the time told is up
 
 
 class Halls(Table):
--- a/ironrail/rehearsal/standins/door.py
+++ b/ironrail/rehearsal/standins/door.py
@@ -2,7 +2,7 @@
 
 A door may be open, shut (connects are refused) or silent: what is written is not read, what is answered is
 held, and connects hang, as with a machine that vanished or a hall that was cut off. Silences add up: it ends
-when the last of their causes has.
+when the last of their causes has. Connections through an open door may come up late.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from ironrail.rehearsal.standins.listening import Listen, Listening, SocketListening
+from ironrail.rehearsal.standins.listening import Late, Listen, Listening, SocketListening
 
 
 class DoorConnection(asyncio.Protocol):
@@ -92,6 +92,7 @@
         self._loop = asyncio.get_running_loop()
         self.connections: dict[DoorConnection, None] = {}  # in the order in which they came up
         self._silences: set[object] = set()
+        self._lates: dict[object, Late] = {}  # by cause; the latest holds
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening: Listening | None = None
         self.port, self.address = 0, ""
@@ -107,6 +108,7 @@
             return
         self._listening = self._listen(self.port, self._accepted)
         self.port, self.address = self._listening.port, self._listening.address
+        self._tell_late()
         if self.silent:
             self._listening.hang()
 
@@ -139,6 +141,19 @@
         for connection in list(self.connections):
             connection.speak_again()
 
+    def begin_late(self, cause: object, draw: Late) -> None:
+        """Connections come up late from now on, each by as many seconds as are drawn."""
+        self._lates[cause] = draw
+        self._tell_late()
+
+    def end_late(self, cause: object) -> None:
+        if self._lates.pop(cause, None) is not None:
+            self._tell_late()
+
+    def _tell_late(self) -> None:
+        if self._listening is not None:
+            self._listening.late(next(reversed(self._lates.values()), None))
+
     def reset_all(self) -> None:
         """End all connections, as the end of a process does."""
         for connection in list(self.connections):
--- a/ironrail/rehearsal/standins/fleet.py
+++ b/ironrail/rehearsal/standins/fleet.py
@@ -115,6 +115,16 @@
         (self._frozen[name].add if frozen else self._frozen[name].discard)(cause)
         self.caches[name].work.freeze(bool(self._frozen[name]))
 
+    def hang(self, name: str, cause: object) -> None:
+        """Answer nothing from now on, though connections come up; the list says nothing of it."""
+        self.caches[name].begin_hang(cause)
+        self.freeze(name, cause, True)
+
+    def hung(self, name: str, cause: object) -> None:
+        """It goes on."""
+        self.freeze(name, cause, False)
+        self.caches[name].end_hang(cause)
+
     def _note_gone(self, name: str) -> None:
         if self._away[name]:
             self._list(name, "terminated", 0.0)
--- a/ironrail/rehearsal/standins/front.py
+++ b/ironrail/rehearsal/standins/front.py
@@ -22,6 +22,7 @@
 
     notice: float  # seconds
     routers: dict[str, Seen] = field(default_factory=dict)
+    told: dict[str, None] = field(default_factory=dict)  # routers that were told to end, until they are back
     hot: dict[object, tuple[str, float]] = field(default_factory=dict)
     _turn: int = 0
     _noticed_at: float = -math.inf  # when the next death is noticed; not before anything else changes
@@ -31,8 +32,14 @@
         self.routers[router].gone_at = now
         self._changed()
 
+    def ending(self, router: str, until: float) -> None:
+        """It was told to end: until then new clients are sent there, as others have yet to hear of it."""
+        self.told[router] = None
+        self.died(router, until - self.notice)
+
     def ready(self, router: str) -> None:
         """It answers again, and the front finds out at once."""
+        self.told.pop(router, None)
         seen = self.routers[router]
         seen.alive, seen.gone_at = True, None
         self._changed()
--- a/ironrail/rehearsal/standins/listening.py
+++ b/ironrail/rehearsal/standins/listening.py
@@ -11,6 +11,7 @@
 BACKLOG = 512
 FILLERS = 3  # connects that fill a backlog of 0: the system then drops the packets of any further one
 
+Late = Callable[[], float]  # draws by how many seconds a connection comes up late
 Accepted = Callable[[Any, bool], None]  # a socket, and whether it came up while connects were to hang
 
 
@@ -26,6 +27,9 @@
     def answer(self) -> None:
         """They come up again."""
 
+    def late(self, draw: Late | None) -> None:
+        """They come up late from now on, or in time again."""
+
     def close(self) -> None:
         """They are refused from now on."""
 
@@ -34,7 +38,12 @@
 
 
 class SocketListening:
-    """On the machine's own loopback."""
+    """On the machine's own loopback.
+
+    The system answers a connect by itself, so here one can't come up late alone: where they are to be late
+    the port hangs and answers in turn, each for a time that is drawn. A connect that meets it hanging is
+    tried again by the system 1 s later.
+    """
 
     def __init__(self, port: int, accepted: Accepted) -> None:
         self._loop = asyncio.get_running_loop()
@@ -45,10 +54,41 @@
         self.port: int = self._socket.getsockname()[1]
         self.address = f"{LOCAL}:{self.port}"
         self._fillers: list[socket.socket] = []
+        self._silent = self._paused = False  # it hangs because it was told to, or as connects are to be late
+        self._turn: asyncio.TimerHandle | None = None
         self._loop.add_reader(self._socket, self._accept)
 
     def hang(self) -> None:
-        """Guards against connects that come up during a silence, as the system accepts them by itself."""
+        self._set(silent=True, paused=self._paused)
+
+    def answer(self) -> None:
+        self._set(silent=False, paused=self._paused)
+
+    def late(self, draw: Late | None) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+        if draw is None:
+            self._set(silent=self._silent, paused=False)
+        else:
+            self._take_turn(draw)
+
+    def _take_turn(self, draw: Late) -> None:
+        self._set(silent=self._silent, paused=not self._paused)
+        self._turn = self._loop.call_later(draw(), self._take_turn, draw)
+
+    def _set(self, *, silent: bool, paused: bool) -> None:
+        hung = self._silent or self._paused
+        self._silent, self._paused = silent, paused
+        if (silent or paused) is hung or not self._open:
+            return
+        if hung:
+            self._go_on()
+        else:
+            self._stop()
+
+    def _stop(self) -> None:
+        """Guards against connects that come up meanwhile, as the system accepts them by itself."""
         self._loop.remove_reader(self._socket)
         self._socket.listen(0)
         for _ in range(FILLERS):
@@ -57,13 +97,15 @@
             filler.connect_ex((LOCAL, self.port))
             self._fillers.append(filler)
 
-    def answer(self) -> None:
+    def _go_on(self) -> None:
         self._empty()
         self._socket.listen(BACKLOG)
         self._accept(late=True)  # what the system took meanwhile, in a place that no filler had
         self._loop.add_reader(self._socket, self._accept)
 
     def close(self) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
         self._loop.remove_reader(self._socket)
         self._open = False
         self._empty()
--- a/ironrail/rehearsal/standins/spoiling.py
+++ b/ironrail/rehearsal/standins/spoiling.py
@@ -36,3 +36,11 @@
 def surplus(good: bytes, draws: random.Random) -> bytes:
     """What comes behind a good reply and belongs to nobody: a second copy or noise."""
     return good if draws.random() < 0.5 else b"\x00noise\r\n"
+
+
+def second_answer(good: bytes, draws: random.Random) -> bytes:
+    """A second answer to the same command: a copy of the good one, or another value under the same id."""
+    if draws.random() < 0.5:
+        return good
+    head, _, value = good.partition(b"\r\n")
+    return head + b"\r\n" + b"?" * (len(value) - 2) + b"\r\n"
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -21,7 +21,7 @@
 from ironrail.rehearsal.losses.tap import Decided, Tap
 from ironrail.rehearsal.routers import Exit
 from ironrail.rehearsal.scenario.model import Scenario
-from ironrail.rehearsal.standins.listening import BACKLOG, Accepted, Listen
+from ironrail.rehearsal.standins.listening import BACKLOG, Accepted, Late, Listen
 from ironrail.rehearsal.virtual.loop import PROCESS, START, VirtualLoop
 from ironrail.rehearsal.virtual.network import Network
 from ironrail.rehearsal.virtual.process import Process
@@ -75,6 +75,9 @@
         self._accept(late=True)
         self._loop.add_reader(self._listener, self._accept)
 
+    def late(self, draw: Late | None) -> None:
+        self._listener.late = draw
+
     def close(self) -> None:
         self._listener.close()
 
--- a/ironrail/rehearsal/virtual/network.py
+++ b/ironrail/rehearsal/virtual/network.py
@@ -121,7 +121,11 @@
                 raise ConnectionRefusedError(111, f"Connect call failed {address}")
             heard = chance - self._conditions.refused >= self._conditions.unheard
             if heard and not listener.hangs and len(listener.queue) <= listener.backlog:
-                return listener
+                if listener.late is not None:
+                    await self._later(listener.late())
+                if listener.open:
+                    return listener
+                raise ConnectionRefusedError(111, f"Connect call failed {address}")
             await self._later(pause)
         raise TimeoutError(110, f"Connect call failed {address}")
 
--- a/ironrail/rehearsal/virtual/socket.py
+++ b/ironrail/rehearsal/virtual/socket.py
@@ -148,6 +148,7 @@
         self.queue: list[VirtualSocket] = []
         self.inbox = b""  # it has nothing to read
         self.hangs = False  # connects are not answered
+        self.late: Callable[[], float] | None = None  # draws by how many seconds one comes up late
         self.open = True
         self._watcher: Callable[[], None] | None = None
         self._told = False
