--- a/ironrail/rehearsal/fleet/worlds.py
+++ b/ironrail/rehearsal/fleet/worlds.py
@@ -115,7 +115,7 @@
 
 
 def _roll(draws: random.Random, routers: int, caches: int) -> list[Table]:
-    """All routers restart a tenth at a time, half of the caches are replaced, one hangs, and the list moves."""
+    """All routers restart a tenth at a time, half of the caches are replaced, some hang, the list moves."""
     order = draws.sample(range(1, routers + 1), routers)
     faults = [
         _spell(
@@ -139,7 +139,7 @@
 
 
 def _in_steps(draws: random.Random, caches: list[int], at: float, lasts: float) -> list[Table]:
-    """A release of caches: they drain and are replaced in steps, so many seconds from the first to the last."""
+    """A release of caches: they drain and are replaced in steps, over so many seconds."""
     faults = []
     for i, n in enumerate(caches):
         step = at + lasts * (i * STEPS // len(caches)) / (STEPS - 1)
--- a/ironrail/rehearsal/standins/clientpool.py
+++ b/ironrail/rehearsal/standins/clientpool.py
@@ -31,6 +31,10 @@
         self.uses = 0
         self.kept = True  # to be used again
 
+    @property
+    def router(self) -> str:
+        return self._pool.router
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
@@ -83,11 +87,14 @@
                 self._pool.clients.closed(one, self.uses)
             unread = ""
 
-    def takes_behind(self) -> bool:
-        """Whether one more may be written behind what is out on it."""
+    def takes_behind(self, due: float) -> bool:
+        """Whether one more may be written behind what is out on it, all of which is due before.
+
+        Answers come in order: behind one that may wait for longer none could come in time.
+        """
         if self.transport.is_closing() or not self.kept or self._left:
             return False
-        return 0 < len(self.out) <= MOST_BEHIND
+        return 0 < len(self.out) <= MOST_BEHIND and all(other.due <= due for other in self.out)
 
     def give_up(self, one: Try) -> None:
         """The client stops waiting for one; with nothing else out the connection goes too."""
@@ -116,16 +123,13 @@
 
     def send(self, one: Try, data: bytes, own: bool) -> None:
         """Send on a connection that is free, or on a new one; some go behind one that waits."""
-        if self._pipelined and not own and self._draws.random() < self._pipelined:
-            for connection in self.all:
-                if connection.takes_behind():
-                    connection.send(one, data)
-                    return
-        while self._idle and not own:
-            connection = self._idle.pop()
-            if not connection.transport.is_closing():
-                connection.send(one, data)
-                return
+        behind = self._pipelined and not own and self._draws.random() < self._pipelined
+        connection = self._behind(one.due) if behind else None
+        if connection is None and not own:
+            connection = self._free()
+        if connection is not None:
+            connection.send(one, data)
+            return
         if len(self.all) + self._opening >= self._most:
             if self._idle:  # a client's own connection is as good as none where there are no more
                 self.send(one, data, False)
@@ -137,6 +141,20 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def take_open(self, due: float) -> ClientConnection | None:
+        """A connection that a client may go on with: free or, where clients pipeline, with others out."""
+        return self._free() or (self._behind(due) if self._pipelined else None)
+
+    def _free(self) -> ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.transport.is_closing():
+                return connection
+        return None
+
+    def _behind(self, due: float) -> ClientConnection | None:
+        return next((connection for connection in self.all if connection.takes_behind(due)), None)
+
     async def _open(self, one: Try, data: bytes, own: bool) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -163,12 +181,6 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    def usable(self) -> bool:
-        """Whether a connection is open that a client may go on with: one that is free, or to send behind."""
-        if any(not connection.transport.is_closing() for connection in self._idle):
-            return True
-        return bool(self._pipelined) and any(connection.takes_behind() for connection in self.all)
-
     def close(self) -> None:
         for connection in list(self.all):
             connection.transport.abort()
--- a/ironrail/rehearsal/standins/clients.py
+++ b/ironrail/rehearsal/standins/clients.py
@@ -15,7 +15,7 @@
 from ironrail.rehearsal.draws import stream, token
 from ironrail.rehearsal.load.schedule import Planned
 from ironrail.rehearsal.scenario.model import Repeats, RequestClass
-from ironrail.rehearsal.standins.clientpool import ClientPool
+from ironrail.rehearsal.standins.clientpool import ClientConnection, ClientPool
 from ironrail.rehearsal.standins.front import Front
 from ironrail.rehearsal.standins.meta import write_command
 from ironrail.rehearsal.standins.world import World
@@ -67,8 +67,9 @@
             return
         router = self._front.choose(planned.hall, now, self._front_draws)
         own = planned.own_connection and number == 0
-        if self._conf.stay and not own:
-            router = self._stay(router)
+        stays = None if own or not self._conf.stay else self._stay(now + patience)
+        if stays is not None:
+            router = stays.router
         name = token(self.world.seed, f"request.{planned.number}.{number}")
         one = Try(name, planned, number, router, now, now + patience)
         self.world.record.begin(one)
@@ -77,18 +78,22 @@
         limit = patience + GRANTED + OWN_SLACK if early is None else early
         timer = self._loop.call_later(limit, self._time_is_up, name, early is not None)
         self._waiting[name] = Waiting(one, timer, data)
-        self.pools[router].send(one, data, own)
+        if stays is not None:
+            stays.send(one, data)
+        else:
+            self.pools[router].send(one, data, own)
 
-    def _stay(self, chosen: str) -> str:
-        """A router that was told to end, for clients that keep to a connection that is still open.
+    def _stay(self, due: float) -> ClientConnection | None:
+        """A connection to a router that was told to end, for clients that keep to it while it is open.
 
-        They go on with the share of all tries that was that router's.
+        They go on with the share of all tries that was that router's once nobody new is sent there.
         """
-        routers = self._front.routers
         for router in self._front.told:
-            if self._stay_draws.random() < self._conf.stay / len(routers) and self.pools[router].usable():
-                return router
-        return chosen
+            if self._front.routers[router].alive:
+                continue
+            if self._stay_draws.random() < self._conf.stay / len(self._front.routers):
+                return self.pools[router].take_open(due)
+        return None
 
     def _leaves_after(self, kind: RequestClass, patience: float) -> float | None:
         """Seconds after which a client gives up before its time is up, which it can where it may repeat."""
--- /dev/null
+++ b/tests/mutants/hands_on_second.py
@@ -0,0 +1,16 @@
+"""Takes whatever a cache says for the reply to its oldest command, be it a second answer to another one."""
+
+from __future__ import annotations
+
+from ironrail.net.caches import CacheConnection
+from ironrail.net.memcache import FramingError
+
+RULE, SCENARIO = "rule own-value", "days.toml"
+
+
+def break_it() -> None:
+    def trusting(self: CacheConnection, request_id: bytes | None, before: int) -> None:
+        if len(self.attempts) <= before:
+            raise FramingError("a reply to nothing")
+
+    CacheConnection._check = trusting  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/rehearsal/test_new_days.py
@@ -0,0 +1,285 @@
+"""Caches that hang, come up late or answer twice; clients that stay, write ahead or leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from ironrail.rehearsal.account.record import Ended, Outcome
+from ironrail.rehearsal.faults.carry import Carrier
+from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearsal.scenario.model import Network as Conditions
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.reader import parse_scenario, read_scenario
+from ironrail.rehearsal.standins.clients import LEFT
+from ironrail.rehearsal.standins.door import Door
+from ironrail.rehearsal.standins.listening import SocketListening
+from ironrail.rehearsal.virtual.ground import VirtualListening
+from ironrail.rehearsal.virtual.loop import VirtualLoop
+from ironrail.rehearsal.virtual.network import Network
+from ironrail.rehearsal.virtual.play import Virtual, play_virtual
+from ironrail.rehearsal.virtual.trace import Trace
+from tests.peers import scenario
+from tests.rehearsal.facts import planned
+from tests.rehearsal.test_mutants import FOLDER
+from tests.rehearsal.test_standins import FAST, R, client_of, plan_of, stage, until, wire
+
+CONNECTIONS = 12
+
+# Caches
+
+
+@scenario
+async def test_a_cache_that_hangs_takes_connections_and_answers_nothing_until_it_goes_on() -> None:
+    async with stage() as s:
+        cache, other = s.caches["cache-1"], s.caches["cache-2"]
+        s.fleet.hang("cache-1", "f")
+        wires, stories = [], [s.asked(n) for n in range(CONNECTIONS)]
+        for story in stories:
+            wires.append(await wire(cache.doors[R].address))
+            wires[-1].read(story)
+        await until(lambda: sum(len(story.one.attempts) for story in stories) == CONNECTIONS)
+        well = s.asked(CONNECTIONS)
+        healthy = await wire(other.doors[R].address)
+        healthy.read(well)
+        await healthy.line()
+        assert {a.ended for story in stories for a in story.one.attempts} == {Ended.OPEN}
+        assert s.registry.rows["cache-1"].state == "in_service"
+        s.fleet.hung("cache-1", "f")
+        await until(lambda: all(a.ended is not Ended.OPEN for story in stories for a in story.one.attempts))
+        ends = [story.one.attempts[0].ended for story in stories]
+        assert set(ends) == {Ended.MISS, Ended.RESET}
+        for link, story, ended in zip(wires, stories, ends, strict=True):
+            told = await link.reader.read(100) if ended is Ended.MISS else b""
+            assert told == (f"EN O{story.one.request}\r\n".encode() if ended is Ended.MISS else b"")
+
+
+@scenario
+async def test_what_hangs_for_two_causes_goes_on_with_the_last() -> None:
+    async with stage() as s:
+        s.fleet.hang("cache-1", "f")
+        s.fleet.hang("cache-1", "g")
+        link, story = await wire(s.caches["cache-1"].doors[R].address), s.asked()
+        link.read(story)
+        await until(lambda: story.one.attempts)
+        s.fleet.hung("cache-1", "f")
+        assert story.one.attempts[0].ended is Ended.OPEN
+        s.fleet.hung("cache-1", "g")
+        await until(lambda: story.one.attempts[0].ended is not Ended.OPEN)
+
+
+@scenario
+async def test_a_second_answer_comes_later_under_the_same_id_and_the_connection_stays() -> None:
+    async with stage() as s:
+        cache = s.caches["cache-1"]
+        cache.store.put("grid-0", 200)
+        cache.begin("f", FaultKind.SECOND_ANSWER, 1.0)
+        link, copies = await wire(cache.doors[R].address), set()
+        for n in range(CONNECTIONS):
+            story = s.asked(n)
+            link.read(story)
+            heads, bodies = [], []
+            for _ in range(2):
+                heads.append(await link.line())
+                bodies.append(await link.reader.readexactly(int(heads[-1].split()[1]) + 2))
+                if len(heads) == 1:
+                    assert story.one.attempts[0].ended is Ended.SERVED
+            assert heads[0] == heads[1] and f"O{story.one.request}".encode() in heads[0]
+            copies.add(bodies[0] == bodies[1])
+        assert copies == {True, False}
+        cache.end("f")
+        link.read(s.asked(CONNECTIONS))
+        await link.reader.readexactly(len(heads[0]) + len(bodies[0]))
+
+
+def test_second_answers_come_some_milliseconds_late_on_a_share_of_connections() -> None:
+    text = 'summary = "x"\nlength = "3 s"\n[load]\nkeys = 20\n[[fault]]\nkind = "second-answer"\n'
+    played = play_virtual(parse_scenario(text + 'whom = "all"\nat = "0 s"\nhard = 0.5\n', "x.toml"), 1)
+    assert not played.result.broken and not played.faults
+    faults = [log.count("a reply to nothing") for log in played.result.logs.values()]
+    assert sum(faults) > 3  # a fault of the connection, not of the request: the first answer was good
+    assert played.result.service.whole.share > 0.9
+
+
+# Connections
+
+
+def test_connects_come_up_late_by_what_is_drawn_and_in_time_again_in_virtual_time() -> None:
+    loop = VirtualLoop(1)
+    network = Network(loop, Conditions(), 1, Trace())
+
+    async def times() -> list[float]:
+        loops = asyncio.get_running_loop()
+        listening = VirtualListening(network, 0, lambda connection, late: None)
+        host, _, port = listening.address.rpartition(":")
+        taken = []
+        for draw in (None, lambda: 0.7, lambda: 0.2, None):
+            listening.late(draw)
+            began = loops.time()
+            await loops.create_connection(asyncio.Protocol, host, int(port))
+            taken.append(loops.time() - began)
+        listening.late(lambda: 1.0)
+        loops.call_later(0.5, listening.close)
+        with pytest.raises(ConnectionRefusedError):
+            await loops.create_connection(asyncio.Protocol, host, int(port))
+        return taken
+
+    usual, late, less, again = loop.run_until_complete(times())
+    loop.close()
+    assert 0.7 < late < 0.71 and 0.2 < less < 0.21 and max(usual, again) < 0.01
+
+
+@scenario
+async def test_on_real_sockets_a_late_port_hangs_and_answers_in_turn() -> None:
+    listening = SocketListening(0, lambda connection, late: connection.close())
+    turns = iter([60.0, 60.0])
+    listening.late(lambda: next(turns))
+    link = asyncio.create_task(asyncio.to_thread(listening._socket.getsockname))
+    await link
+    connect = asyncio.create_task(asyncio.open_connection("127.0.0.1", listening.port))
+    other = SocketListening(0, lambda connection, late: connection.close())
+    await asyncio.open_connection("127.0.0.1", other.port)
+    assert not connect.done()
+    listening.hang()  # a silence too: it goes on hanging until both are over
+    listening.late(None)
+    assert listening._fillers
+    listening.answer()
+    assert not listening._fillers
+    _, writer = await connect  # once the system tries again
+    writer.close()
+    listening.close()
+    other.close()
+
+
+@scenario
+async def test_a_door_that_opens_anew_is_as_late_as_before() -> None:
+    told: list[object] = []
+
+    class Told(SocketListening):
+        def late(self, draw: object) -> None:
+            told.append(draw)
+
+    door = Door(R, lambda door: pytest.fail("nobody connects"), Told)
+    first, second = (lambda: 0.1), (lambda: 0.2)
+    door.begin_late("f", first)
+    door.begin_late("g", second)
+    door.shut()
+    door.open()
+    door.end_late("g")
+    door.end_late("f")
+    assert told == [None, first, second, second, first, None]
+    door.shut()
+
+
+# Clients
+
+RESTART = """
+summary = "a router is told to end"
+length = "4 s"
+warm_up = "500 ms"
+[load]
+rate = 150
+keys = 50
+[routers]
+count = 2
+[clients]
+retries = 0
+new_connections = 0.0
+stay = 1.0
+[[fault]]
+kind = "router-restart"
+whom = "router-1"
+at = "1 s"
+lasts = "4700 ms"
+hard = 0.3
+"""
+
+
+def sent_after(played: Virtual) -> list[float]:
+    """Seconds from SIGTERM to what router-1 was sent before it was ready again."""
+    sent = [t.sent_at - 1.0 for t in played.result.record.tries.values() if t.router == "router-1"]
+    return [at for at in sent if 0.0 < at < 0.9]
+
+
+def play(text: str, seed: int = 1) -> Virtual:
+    return play_virtual(parse_scenario(text, "x.toml"), seed)
+
+
+def test_new_clients_come_for_as_long_after_sigterm_as_the_fault_says() -> None:
+    gone = RESTART.replace("stay = 1.0", "stay = 0.0")
+    for told, most in (("0.2", 0.2), ("0.4", 0.4)):
+        last = max(sent_after(play(gone.replace("hard = 0.3", f"hard = {told}"))))
+        assert most - 0.1 < last <= most
+    assert max(sent_after(play(gone.replace("hard = 0.3\n", "")))) <= 0.3
+
+
+def test_clients_that_stay_go_on_with_connections_that_are_open_and_the_router_answers_them() -> None:
+    text = RESTART.replace("hard = 0.3", "hard = 0.02").replace("rate = 150", "rate = 400")
+    played, without = play(text), play(text.replace("stay = 1.0", "stay = 0.0"))
+    assert len([at for at in sent_after(played) if at > 0.1]) > 5
+    assert not [at for at in sent_after(without) if at > 0.1]
+    assert not played.result.broken and not played.faults
+    ends = {t.outcome for t in played.result.record.tries.values() if 1.31 < t.sent_at < 1.9}
+    assert ends <= {Outcome.SERVED, Outcome.REFUSED}
+
+
+@scenario
+async def test_some_commands_are_written_behind_one_that_waits_and_each_has_its_own_answer() -> None:
+    async with stage(FAST + "[clients]\npipelined = 1.0\n") as s:
+        router, clients = await client_of(s)
+        clients.send(plan_of(s))
+        first = await router.next()
+        clients.send(planned(1, s.world.now()))
+        clients.send(planned(2, s.world.now(), "entry"))
+        second, third = await router.next(), await router.next()
+        assert router.opened == 1
+        for got in (first, second, third):
+            s.world.note_made(got.flag[1:].decode(), b"v")
+            got.reply_value(b"v") if got.head.startswith(b"mg") else got.reply(b"HD %b cv\r\n" % got.flag)
+        await clients.quiet()
+        tries = list(s.record.tries.values())
+        assert [t.outcome for t in tries] == [Outcome.SERVED] * 3
+        assert [[g.request for g in t.answers] for t in tries] == [[t.request] for t in tries]
+        clients.send(planned(3, s.world.now(), "entry"))
+        await router.next()
+        clients.send(planned(4, s.world.now()))  # due before the entry: behind it none could come in time
+        await router.next()
+        assert router.opened == 2
+        clients.close()
+
+
+def test_clients_that_leave_early_are_owed_nothing_and_ask_again() -> None:
+    played = play(RESTART.replace("retries = 0", "retries = 1\nleave = 0.3").split("[[fault]]")[0])
+    tries = list(played.result.record.tries.values())
+    left = [t for t in tries if t.excuse == LEFT]
+    assert len(left) > 10 and not played.result.broken and not played.faults
+    assert all(t.ended_at is not None and t.ended_at < t.due for t in left)
+    again = {t.planned.number for t in tries if t.number == 1}
+    assert {t.planned.number for t in left if t.number == 0} <= again
+
+
+# All of it
+
+
+def test_the_true_router_keeps_all_rules_on_such_days() -> None:
+    for seed in (1, 2):
+        played = play_virtual(read_scenario(str(FOLDER / "days.toml")), seed)
+        assert not [v for v in played.result.verdicts if not v.kept]
+
+
+def test_each_new_kind_is_carried_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    begun: list[str] = []
+    carry_out = Carrier.carry_out
+
+    def noted(self: Carrier, step: object) -> None:
+        carry_out(self, step)  # type: ignore[arg-type]
+        caches = self.fleet.caches.values()
+        begun.extend(name for c in caches for name in ("_hangs",) if getattr(c, name))
+        begun.extend("late" for c in caches if any(door._lates for door in c.doors.values()))
+        begun.extend("second" for c in caches if c.replies._faults)
+
+    monkeypatch.setattr(Carrier, "carry_out", noted)
+    day: Scenario = read_scenario(str(FOLDER / "days.toml"))
+    play_virtual(day, 1)
+    assert set(begun) == {"_hangs", "late", "second"}
