--- a/tests/rehearsal/test_new_days.py
+++ b/tests/rehearsal/test_new_days.py
@@ -61,6 +61,7 @@
         link, story = await wire(s.caches["cache-1"].doors[R].address), s.asked()
         link.read(story)
         await until(lambda: story.one.attempts)
+        s.caches["cache-1"].draining = True  # what it goes on with it turns away at once
         s.fleet.hung("cache-1", "f")
         assert story.one.attempts[0].ended is Ended.OPEN
         s.fleet.hung("cache-1", "g")
@@ -133,6 +134,7 @@
     listening = SocketListening(0, lambda connection, late: connection.close())
     turns = iter([60.0, 60.0])
     listening.late(lambda: next(turns))
+    assert listening._fillers
     connect = asyncio.create_task(asyncio.open_connection("127.0.0.1", listening.port))
     other = SocketListening(0, lambda connection, late: connection.close())
     await asyncio.open_connection("127.0.0.1", other.port)
