Kit: faults on links, processes, clocks and disks from one plan

Later work on overload, shared limits and recovery needs each path between two ends to fail by itself.

--- /dev/null
+++ b/ironrail/rehearsal/links/grounds.py
@@ -0,0 +1,114 @@
+"""What a run with links stands on: a ground whose routers have doors before them, peers and a switch."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any, Protocol
+
+from ironrail.net.discovery import read_address
+from ironrail.net.system import System
+from ironrail.operator import Operator
+from ironrail.rehearsal.account.record import RouterFacts
+from ironrail.rehearsal.ground import Ground, OnExit, RealGround
+from ironrail.rehearsal.links.datagrams import Relays
+from ironrail.rehearsal.links.exchange import Exchange
+from ironrail.rehearsal.links.launch import switch_path
+from ironrail.rehearsal.links.relay import client_door
+from ironrail.rehearsal.links.switch import Drifting, Switch
+from ironrail.rehearsal.routers import RouterProcess
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.names import router_names
+from ironrail.rehearsal.standins.door import Door
+from ironrail.rehearsal.standins.listening import Listen
+from ironrail.rehearsal.virtual.datagrams import Datagrams
+from ironrail.rehearsal.virtual.ground import VirtualGround, VirtualRouter
+from ironrail.rehearsal.virtual.loop import VirtualLoop
+
+LAUNCH = (sys.executable, "-B", "-m", "ironrail.rehearsal.links.launch")
+PEER_PORT = 11311  # of every router, each at a loopback address of its own
+TO_ALL = f"127.63.0.1:{PEER_PORT}"  # in virtual time
+
+
+class Links:
+    """What can be made to fail around the routers of a run."""
+
+    def __init__(self, scenario: Scenario, seed: int, listen: Listen) -> None:
+        self.names = router_names(scenario)
+        self.exchange = Exchange(seed, self.names)
+        self._listen = listen
+        self.doors: dict[str, Door] = {}  # where clients reach each router
+        self.switches: dict[str, Switch] = {}
+
+    def before(self, router: RouterProcess | VirtualRouter) -> None:
+        """Have clients come to it by a door; a process that replaces another has the same."""
+        if router.name not in self.doors:
+            self.doors[router.name] = client_door(router.name, router.address, self._listen)
+        router.address = read_address(self.doors[router.name].address)
+
+    def close(self) -> None:
+        for door in self.doors.values():
+            door.shut()
+            door.reset_all()
+
+
+class LinkedGround(Ground, Protocol):
+    """A ground that has links."""
+
+    links: Links
+
+    def close(self) -> None:
+        """Leave no socket."""
+
+
+class RealLinks(RealGround):
+    """The machine. To be made where the loop runs."""
+
+    def __init__(self, scenario: Scenario, seed: int, command: tuple[str, ...] = LAUNCH) -> None:
+        super().__init__(command)
+        self.links = Links(scenario, seed, self.listen)
+        listens = {n: f"{self.address_of(i)}:{PEER_PORT}" for i, n in enumerate(self.links.names)}
+        self.datagrams = Relays(self.links.exchange, listens)
+
+    def make_router(
+        self, name: str, config: dict[str, Any], folder: Path, facts: RouterFacts, on_exit: OnExit
+    ) -> RouterProcess:
+        if name not in self.links.switches:
+            self.links.switches[name] = Switch.at(switch_path(folder / f"{name}.json"))
+        config = config | self.datagrams.config_of(name)
+        router = super().make_router(name, config, folder, facts, on_exit)
+        self.links.before(router)
+        return router
+
+    def close(self) -> None:
+        self.datagrams.close()
+        self.links.close()
+
+
+class VirtualLinks(VirtualGround):
+    """A world in virtual time."""
+
+    def __init__(
+        self, loop: VirtualLoop, scenario: Scenario, seed: int, *, operator: Operator, kept_lines: int
+    ) -> None:
+        super().__init__(loop, scenario, seed, operator=operator, kept_lines=kept_lines)
+        self.links = Links(scenario, seed, self.listen)
+        self._peers = [f"{self.address_of(i)}:{PEER_PORT}" for i, _ in enumerate(self.links.names)]
+        addresses = {n: read_address(a) for n, a in zip(self.links.names, self._peers, strict=True)}
+        loop.datagrams = Datagrams(loop, self.links.exchange, addresses, read_address(TO_ALL))
+
+    def make_router(
+        self, name: str, config: dict[str, Any], folder: Path, facts: RouterFacts, on_exit: OnExit
+    ) -> VirtualRouter:
+        self.links.switches.setdefault(name, Switch())
+        own = self._peers[self.links.names.index(name)]
+        peers = {"peer_listen": own, "peers": self._peers, "peers_all": TO_ALL}
+        router = super().make_router(name, config | peers, folder, facts, on_exit)
+        self.links.before(router)
+        return router
+
+    def system_of(self, name: str) -> System:
+        return Drifting(self.system, self.links.switches[name])
+
+    def close(self) -> None:
+        self.links.close()
--- /dev/null
+++ b/ironrail/rehearsal/links/rig.py
@@ -0,0 +1,218 @@
+"""A rehearsal with a plan of faults on links, processes, clocks and disks besides its scenario's own."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from ironrail.errors import IronrailError
+from ironrail.rehearsal.account.record import Try
+from ironrail.rehearsal.draws import stream
+from ironrail.rehearsal.faults import plan as faults
+from ironrail.rehearsal.links.grounds import LinkedGround, VirtualLinks
+from ironrail.rehearsal.links.observer import Observer, Seen
+from ironrail.rehearsal.links.paths import ARCHIVE, CLIENTS, DISCOVERY, Path, Places, path_of
+from ironrail.rehearsal.links.plan import (
+    CONNECTIONS,
+    DATAGRAMS,
+    PROCESSES,
+    Kind,
+    LinkFault,
+    Step,
+    check,
+    steps,
+)
+from ironrail.rehearsal.links.switch import Slot
+from ironrail.rehearsal.run import Rehearsal, Result
+from ironrail.rehearsal.scenario.faults import Fault, FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.units import write_time
+from ironrail.rehearsal.standins.door import Door, Way
+from ironrail.rehearsal.virtual.play import Virtual, play_virtual
+
+SIGNALS = {
+    Kind.KILL: FaultKind.ROUTER_KILL,
+    Kind.STOP: FaultKind.ROUTER_STOP,
+    Kind.TERM: FaultKind.ROUTER_RESTART,
+}
+SLOTS = {
+    Kind.CLOCK: Slot.CLOCK,
+    Kind.DISK_FULL: Slot.DISK_FULL,
+    Kind.DISK_READ_ONLY: Slot.DISK_READ_ONLY,
+    Kind.DISK_FAILING: Slot.DISK_FAILING,
+    Kind.DISK_SLOW: Slot.DISK_SLOW,
+}
+
+
+class RigError(IronrailError):
+    """The rig itself failed, and the run tells nothing."""
+
+    advice = "Report it with the plan and the seed"
+
+
+@dataclass(slots=True)
+class Spell:
+    """A time in which a router could not be reached by clients as usual."""
+
+    router: str
+    why: str
+    began: float
+    ended: float = math.inf
+
+
+class LinkedRehearsal(Rehearsal):
+    """One run. PlanError where the plan does not fit the scenario."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        *,
+        plan: Sequence[LinkFault],
+        ground: LinkedGround,
+        observe: str = "",
+        every: float = 0.25,
+        **others: Any,
+    ) -> None:
+        """`observe`: a page of the routers' own door that is asked for every so many seconds."""
+        self._places = Places.of(scenario)
+        check(plan, self._places, scenario.length)
+        super().__init__(scenario, seed, ground=ground, **others)
+        self._linked, self._steps = ground, steps(plan)
+        self._spells: list[Spell] = []
+        self._failed: Exception | None = None
+        self.played: list[Step] = []
+        self._page, self._every = observe, every
+        self.seen: list[Seen] = []  # by the observer
+
+    async def run(self) -> Result:
+        result = await super().run()
+        begun = all(facts.ready for facts in result.record.routers.values())
+        if self._failed is not None or begun and len(self.played) < len(self._steps):
+            raise RigError(f"carried out {len(self.played)} of {len(self._steps)} steps") from self._failed
+        return result
+
+    async def _clear(self) -> None:
+        try:
+            await super()._clear()
+        finally:
+            self._linked.close()
+
+    def _excuse(self, one: Try) -> str:
+        now = self._world.now()
+        for spell in self._spells:
+            if spell.router == one.router and spell.began <= now and spell.ended >= one.sent_at:
+                return spell.why
+        return super()._excuse(one)
+
+    # The plan
+
+    async def _carry_out(self) -> None:
+        if self._page:
+            observer = Observer(self._routers.values, self._page, self._every, self._world.now)
+            self.seen = observer.seen
+            self._spawn(observer.run())
+        self._spawn(self._carry_links())
+        await super()._carry_out()
+
+    async def _carry_links(self) -> None:
+        try:
+            for step in self._steps:
+                await asyncio.sleep(max(0.0, step.at - self._world.now()))
+                self._progress(self._world.now(), step.line().partition("  ")[2])
+                self._step(step)
+                self.played.append(step)
+        except Exception as e:
+            self._failed = e
+
+    def _step(self, step: Step) -> None:
+        fault, cause = step.fault, ("link", step.number)
+        if fault.kind in PROCESSES:
+            self._carrier.carry_out(faults.Step(step.at, step.begins, self._signal(step)))
+        elif fault.kind in SLOTS:
+            self._linked.links.switches[fault.on][SLOTS[fault.kind]] = fault.hardness if step.begins else 0.0
+        else:
+            path = path_of(fault.on, self._places)
+            if fault.kind not in CONNECTIONS:
+                self._datagrams(step, path)
+            if fault.kind not in DATAGRAMS:
+                self._connections(step, cause, path)
+
+    def _connections(self, step: Step, cause: object, path: Path) -> None:
+        for source, target, door in self._doors():
+            way = Way.IN if path.covers(source, target) else Way(0)
+            way |= Way.OUT if path.covers(target, source) else Way(0)
+            if not way:
+                continue
+            self._door(step, cause, door, way, f"links.{step.number}.{source}>{target}")
+            if source == CLIENTS:
+                self._on_clients(step, target)
+            elif target == DISCOVERY and step.fault.kind in (Kind.CUT, Kind.STALL):
+                self._agent(step, cause, source)
+
+    def _signal(self, step: Step) -> faults.Planned:
+        fault = step.fault
+        times = {"at": write_time(fault.at), "lasts": write_time(fault.lasts)}
+        told = Fault.model_validate({"kind": SIGNALS[fault.kind], "whom": fault.on, **times})
+        return faults.Planned(step.number, told, (fault.on,))
+
+    def _datagrams(self, step: Step, path: Path) -> None:
+        exchange = self._linked.links.exchange
+        if step.begins:
+            exchange.begin(step.number, step.fault, path)
+        else:
+            exchange.end(step.number)
+
+    def _doors(self) -> Iterator[tuple[str, str, Door]]:
+        """All ways of connections: who opens them, who takes them, and the door between."""
+        for name, cache in self._fleet.caches.items():
+            yield from ((router, name, door) for router, door in cache.doors.items())
+        yield from ((router, ARCHIVE, door) for router, door in self._archive.doors.items())
+        yield from ((router, DISCOVERY, agent.door) for router, agent in self._registry.agents.items())
+        yield from ((CLIENTS, router, door) for router, door in self._linked.links.doors.items())
+
+    def _door(self, step: Step, cause: object, door: Door, way: Way, draws: str) -> None:
+        fault = step.fault
+        if fault.kind is Kind.RESET:
+            door.reset_all()
+        elif fault.kind in (Kind.CUT, Kind.STALL) and step.begins:
+            door.begin_silence(cause, way, hang=fault.kind is Kind.CUT)
+        elif fault.kind in (Kind.CUT, Kind.STALL):
+            door.end_silence(cause)
+        elif step.begins:
+            door.begin_delay(cause, way, self._late(fault, draws))
+        else:
+            door.end_delay(cause)
+
+    def _late(self, fault: LinkFault, name: str) -> Callable[[], float]:
+        if not fault.spread:
+            return lambda: fault.hardness
+        draws = stream(self._seed, name)
+        return lambda: fault.hardness + draws.random() * fault.spread
+
+    def _agent(self, step: Step, cause: object, router: str) -> None:
+        """Guards the account: an agent that is cut off, either way, must not count as having told."""
+        agent = self._registry.agents[router]
+        (agent.begin_silence if step.begins else agent.end_silence)(("told", cause))
+
+    def _on_clients(self, step: Step, router: str) -> None:
+        """What a client sees through a door that fails is no router's doing."""
+        if step.begins:
+            self._spells.append(Spell(router, step.fault.label(), self._world.now()))
+            return
+        late = step.fault.hardness + step.fault.spread if step.fault.kind is Kind.DELAY else 0.0
+        for spell in self._spells:
+            if spell.router == router and spell.why == step.fault.label() and spell.ended == math.inf:
+                spell.ended = self._world.now() + late
+
+
+def play_linked(
+    scenario: Scenario, seed: int, plan: Sequence[LinkFault], observe: str = "", **others: Any
+) -> Virtual:
+    """Play a scenario with such a plan in virtual time, as `play_virtual` does."""
+    made = partial(LinkedRehearsal, plan=plan, observe=observe)
+    return play_virtual(scenario, seed, ground_of=VirtualLinks, rehearsal_of=made, **others)
--- a/ironrail/rehearsal/standins/door.py
+++ b/ironrail/rehearsal/standins/door.py
@@ -1,8 +1,8 @@
 """A listening address of a stand-in, one for each router, so that the network between the two can fail.
 
 A door may be open, shut (connects are refused) or silent: what is written is not read, what is answered is
-held, and connects hang, as with a machine that vanished or a hall that was cut off. Silences add up: it ends
-when the last of their causes has.
+held, and connects hang, as with a machine that vanished or a hall that was cut off. A silence may be of one
+way only, bytes of a way may be late, and causes add up: it is over when the last of them has ended.
 """
 
 from __future__ import annotations
@@ -10,11 +10,62 @@
 import asyncio
 import contextlib
 import socket
+from collections import deque
 from collections.abc import Callable
+from enum import Flag, auto
 from typing import Any, cast
 
 from ironrail.rehearsal.standins.listening import Listen, Listening, SocketListening
 
+EARLY = 0.001  # seconds by which a timer may fire too soon: loops round to milliseconds
+
+
+class Way(Flag):
+    """Which bytes of a connection."""
+
+    IN = auto()  # to the stand-in
+    OUT = auto()  # from it
+    BOTH = IN | OUT
+
+
+class Lane:
+    """Bytes of one way of a connection: none overtakes another, none comes while there is silence."""
+
+    def __init__(self, deliver: Callable[[bytes], None]) -> None:
+        self._deliver, self._loop = deliver, asyncio.get_running_loop()
+        self._waiting: deque[tuple[float, bytes]] = deque()  # when each is to come; empty bytes are the end
+        self._timer: asyncio.TimerHandle | None = None
+        self.silent = False
+
+    def put(self, data: bytes, delay: float) -> None:
+        """To come in so many seconds; at once where nothing holds it."""
+        if not (delay or self.silent or self._waiting):
+            self._deliver(data)
+            return
+        last = self._waiting[-1][0] if self._waiting else 0.0
+        self._waiting.append((max(last, self._loop.time() + delay), data))
+        self.go_on()
+
+    def go_on(self) -> None:
+        """Let come what is due, unless there is silence."""
+        self.stop()
+        while self._waiting and not self.silent:
+            at, data = self._waiting[0]
+            if at > self._loop.time() + EARLY:
+                self._timer = self._loop.call_at(at, self.go_on)
+                return
+            self._waiting.popleft()
+            self._deliver(data)
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._waiting)
+
 
 class DoorConnection(asyncio.Protocol):
     """One connection through a door. Subclasses read with `received` and write with `write`."""
@@ -23,15 +74,14 @@
 
     def __init__(self, door: Door) -> None:
         self.door = door
-        self._held: list[bytes] = []
+        self._in, self._out = Lane(self._come), Lane(self._go)
         self.late = False  # what comes now was written during a silence, nobody knows when
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.door.connections[self] = None
-        if self.door.silent:
-            self.transport.pause_reading()
+        self.fall_silent()
         self.opened()
 
     def opened(self) -> None:
@@ -41,28 +91,46 @@
         raise NotImplementedError
 
     def data_received(self, data: bytes) -> None:
+        delay = self.door.delay(Way.IN)
+        if delay or self._in.busy:
+            self._in.put(data, delay)
+            return
+        self.received(data)
+        self.late = False
+
+    def _come(self, data: bytes) -> None:
+        self.late = True
         self.received(data)
         self.late = False
 
+    def _go(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data) if data else self.transport.close()
+
     def write(self, data: bytes) -> None:
         """Send, or hold while there is silence."""
-        if self.door.silent:
-            self._held.append(data)
-        elif not self.transport.is_closing():
-            self.transport.write(data)
+        self._out.put(data, self.door.delay(Way.OUT))
+
+    def finish(self) -> None:
+        """End it behind all that was written."""
+        self._out.put(b"", 0.0)
 
     def fall_silent(self) -> None:
-        if not self.transport.is_closing():
+        self._in.silent, self._out.silent = self.door.silenced(Way.IN), self.door.silenced(Way.OUT)
+        if self._in.silent and not self.transport.is_closing():
             self.transport.pause_reading()
 
     def speak_again(self) -> None:
+        """As far as no other cause of silence lasts."""
+        heard = self._in.silent and not self.door.silenced(Way.IN)
+        self._in.silent, self._out.silent = self.door.silenced(Way.IN), self.door.silenced(Way.OUT)
         if self.transport.is_closing():
             return
-        self.late = True
-        self.transport.resume_reading()
-        held, self._held = self._held, []
-        for data in held:
-            self.transport.write(data)
+        if heard:
+            self.late = True
+            self.transport.resume_reading()
+            self._in.go_on()
+        self._out.go_on()
 
     def reset(self) -> None:
         """End it as the end of a process does."""
@@ -74,6 +142,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
+        self._in.stop()
+        self._out.stop()
         self.door.connections.pop(self, None)
         self.lost()
 
@@ -91,7 +161,8 @@
         self._make, self._listen = make, listen
         self._loop = asyncio.get_running_loop()
         self.connections: dict[DoorConnection, None] = {}  # in the order in which they came up
-        self._silences: set[object] = set()
+        self._silences: dict[object, tuple[Way, bool]] = {}  # by cause: of which way, whether connects hang
+        self._delays: dict[object, tuple[Way, Callable[[], float]]] = {}  # seconds, drawn for each piece
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening: Listening | None = None
         self.port, self.address = 0, ""
@@ -101,13 +172,30 @@
     def silent(self) -> bool:
         return bool(self._silences)
 
+    def silenced(self, way: Way) -> bool:
+        return any(way in silence for silence, _ in self._silences.values())
+
+    @property
+    def _hangs(self) -> bool:
+        return any(hang for _, hang in self._silences.values())
+
+    def delay(self, way: Way) -> float:
+        """Seconds that what goes this way now is late."""
+        return sum(draw() for ways, draw in self._delays.values() if way in ways)
+
+    def begin_delay(self, cause: object, way: Way, draw: Callable[[], float]) -> None:
+        self._delays[cause] = way, draw
+
+    def end_delay(self, cause: object) -> None:
+        self._delays.pop(cause, None)
+
     def open(self) -> None:
         """Listen, at the same port as before."""
         if self._listening is not None:
             return
         self._listening = self._listen(self.port, self._accepted)
         self.port, self.address = self._listening.port, self._listening.address
-        if self.silent:
+        if self._hangs:
             self._listening.hang()
 
     def shut(self) -> None:
@@ -116,13 +204,11 @@
             self._listening.close()
             self._listening = None
 
-    def begin_silence(self, cause: object) -> None:
-        """Let nothing through from now on."""
-        was = self.silent
-        self._silences.add(cause)
-        if was:
-            return
-        if self._listening is not None:
+    def begin_silence(self, cause: object, way: Way = Way.BOTH, hang: bool = True) -> None:
+        """Let nothing through from now on; `hang`: connects neither, which else come up and stand still."""
+        hung = self._hangs
+        self._silences[cause] = way, hang
+        if self._listening is not None and self._hangs and not hung:
             self._listening.hang()
         for connection in self.connections:
             connection.fall_silent()
@@ -131,10 +217,9 @@
         """Let all through again, unless another cause of the silence lasts."""
         if cause not in self._silences:
             return
-        self._silences.discard(cause)
-        if self.silent:
-            return
-        if self._listening is not None:
+        hung = self._hangs
+        del self._silences[cause]
+        if self._listening is not None and hung and not self._hangs:
             self._listening.answer()
         for connection in list(self.connections):
             connection.speak_again()
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -14,6 +14,7 @@
 from ironrail.net.config import Config, config_of_table
 from ironrail.net.discovery import read_address
 from ironrail.net.node import NO_FILE, Node
+from ironrail.net.system import System
 from ironrail.operator import Operator
 from ironrail.rehearsal.account.record import RouterFacts
 from ironrail.rehearsal.draws import stream
@@ -120,7 +121,9 @@
         delay = START_TIME * (1.0 + self._ground.draws.random())
         await asyncio.sleep(delay)
         try:
-            self.node = Node(self._config(), self._ground.operator, self._ground.system, self._config)
+            self.node = Node(
+                self._config(), self._ground.operator, self._ground.system_of(self.name), self._config
+            )
             host = self.node._host
             host._router = Tap(host._router, self._ground.decided)  # type: ignore[assignment]
             await self.node.serve()
@@ -206,6 +209,10 @@
     def listen(self) -> Listen:
         return lambda port, accepted: VirtualListening(self.network, port, accepted)
 
+    def system_of(self, name: str) -> System:
+        """What the router of this name is given."""
+        return self.system
+
     def address_of(self, number: int) -> str:
         return f"127.{64 + number % 128}.{number // 128}.1"
 
--- a/ironrail/rehearsal/virtual/loop.py
+++ b/ironrail/rehearsal/virtual/loop.py
@@ -19,6 +19,7 @@
 from ironrail.rehearsal.draws import stream
 
 if TYPE_CHECKING:
+    from ironrail.rehearsal.virtual.datagrams import Datagrams
     from ironrail.rehearsal.virtual.network import Network
     from ironrail.rehearsal.virtual.process import Process
 
@@ -43,6 +44,7 @@
         self._ties: random.Random = stream(seed, "virtual.ties")
         self._turns = 0
         self.network: Network
+        self.datagrams: Datagrams  # in worlds whose routers have addresses for them
         self.outside = contextvars.Context()  # of no process: the network's and the stand-ins'
         self._of_the_dead: list[Any] = []
         self.unwinding = False  # the world is over: all that is left runs to its end, whoever it belongs to
@@ -171,6 +173,11 @@
     async def connect_accepted_socket(self, protocol_factory: Any, sock: Any, **_: Any) -> Any:
         return self.network.adopt(protocol_factory, sock)
 
+    async def create_datagram_endpoint(
+        self, protocol_factory: Any, local_addr: Any = None, remote_addr: Any = None, **_: Any
+    ) -> Any:
+        return self.datagrams.open(protocol_factory, local_addr)
+
     def add_reader(self, fd: Any, callback: Any, *args: Any) -> None:  # type: ignore[override]
         fd.watch(lambda: callback(*args))
 
--- a/ironrail/rehearsal/virtual/play.py
+++ b/ironrail/rehearsal/virtual/play.py
@@ -6,7 +6,7 @@
 import gc
 import logging
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -68,16 +68,21 @@
     progress: Progress = lambda at, text: None,
     kept_lines: int = 0,
     schedule: list[Planned] | None = None,
+    ground_of: Callable[..., VirtualGround] = VirtualGround,
+    rehearsal_of: Callable[..., Rehearsal] = Rehearsal,
 ) -> Virtual:
-    """Play a scenario. The same scenario and seed give the same events, byte for byte."""
+    """Play a scenario. The same scenario and seed give the same events, byte for byte.
+
+    `ground_of`, `rehearsal_of`: what makes either where it is more than a plain one.
+    """
     loop = VirtualLoop(seed)
-    ground = VirtualGround(loop, scenario, seed, operator=operator, kept_lines=kept_lines)
+    ground = ground_of(loop, scenario, seed, operator=operator, kept_lines=kept_lines)
     cutter = Cutter(loop, ground, scenario.cut) if scenario.cut is not None else None
     faults: list[Fault] = []
     errors: list[str] = []
     with logs_to_processes():
         try:
-            rehearsal = Rehearsal(
+            rehearsal = rehearsal_of(
                 scenario,
                 seed,
                 ground=ground,
