--- a/ironrail/rehearsal/links/drawn.py
+++ b/ironrail/rehearsal/links/drawn.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from ironrail.rehearsal.draws import stream
@@ -57,7 +58,7 @@
 def _fault(draws: random.Random, kind: Kind, on: str, at: float, lasts: float) -> LinkFault:
     usual = HARD.get(kind)
     hard = round(usual[0] * draws.uniform(0.5, 1.0), 4) if usual is not None else None
-    at, lasts = round(at, 3), max(LEAST_LASTS / 2, round(lasts - 0.001, 3))  # rounded, it ends no later
+    at, lasts = (math.floor(seconds * 1000) / 1000 for seconds in (at, lasts))
     spread = 0.05 if kind in (Kind.DELAY, Kind.REORDER) else 0.0
     return link_fault(kind, on, at, lasts, hard, spread)
 
