--- a/ironrail/rehearsal/standins/door.py
+++ b/ironrail/rehearsal/standins/door.py
@@ -42,7 +42,7 @@
 
     def __init__(self, deliver: Callable[[bytes], None]) -> None:
         self._deliver, self._loop = deliver, asyncio.get_running_loop()
-        self.waiting: deque[tuple[float, bytes]] = deque()  # when each is to come; empty bytes are the end
+        self.waiting: deque[tuple[float, bytes]] = deque()  # from when each may come; empty is the end
         self._timer: asyncio.TimerHandle | None = None
         self.silent = False
 
@@ -51,8 +51,7 @@
         if not (delay or self.silent or self.waiting):
             self._deliver(data)
             return
-        last = self.waiting[-1][0] if self.waiting else 0.0
-        self.waiting.append((max(last, self._loop.time() + delay), data))
+        self.waiting.append((self._loop.time() + delay, data))
         self.go_on()
 
     def go_on(self) -> None:
--- a/tests/rehearsal/links/test_rig.py
+++ b/tests/rehearsal/links/test_rig.py
@@ -203,6 +203,17 @@
     assert result.broken == []
 
 
+@pytest.mark.parametrize("kind", ["cut", "stall"])
+def test_clients_of_a_cut_path_cannot_connect_and_of_one_that_stalls_can(kind: str) -> None:
+    result = play_linked(world(4.0, 2), SEED, [link_fault(kind, "clients > router-1", 1.0, 2.0)]).result
+    tries = [
+        o for o in result.record.tries.values() if o.router == "router-1" and 1.0 < o.sent_at < o.due < 2.8
+    ]
+    assert any(o.outcome is Outcome.UNCONNECTED for o in tries) is (kind == "cut")
+    assert all(o.outcome in (Outcome.UNCONNECTED, Outcome.UNANSWERED) and o.excuse for o in tries)
+    assert tries and result.broken == []
+
+
 def test_a_clock_runs_fast_in_virtual_time_as_it_is_told() -> None:
     shown: list[tuple[float, float]] = []
 
