Rig of links: processes and faults on each path between any two, by a seeded plan

Need: what happens between processes while some fail is to be shown with processes, and looked for again in virtual time. The launcher is the daemon's own main with another serve.

--- a/ironrail/__main__.py
+++ b/ironrail/__main__.py
@@ -5,13 +5,13 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
 
 import uvloop
 
 from ironrail.errors import InputError
 from ironrail.logs import log_to_stderr
-from ironrail.net.config import read_config
+from ironrail.net.config import Config, read_config
 from ironrail.net.node import serve
 from ironrail.operator_file import Operator, read_operator
 
@@ -30,7 +30,9 @@
     return operator
 
 
-def main(arguments: Sequence[str] = ()) -> int:
+def main(
+    arguments: Sequence[str] = (), serve: Callable[[Config, Operator], Coroutine[None, None, None]] = serve
+) -> int:
     """Run one router; answers with the exit code: 0 after a signal, 1 if it could not serve, 2 bad input."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not kill
     log_to_stderr()
--- /dev/null
+++ b/ironrail/rehearsal/links/launch.py
@@ -0,0 +1,39 @@
+"""A router whose clock and disk can fail: `python -m ironrail.rehearsal.links.launch`, in the daemon's place.
+
+The daemon is as it stands: its own seams are given a system with a drifting clock. A store that it is to keep
+things in is wrapped here too, by `disk.FaultyStore`.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from ironrail import __main__ as daemon
+from ironrail.net.config import Config
+from ironrail.net.node import Node
+from ironrail.net.system import REAL
+from ironrail.operator_file import Operator
+from ironrail.rehearsal.links.switch import Drifting, Switch
+
+
+def switch_path(config: Path) -> Path:
+    """Where the switch of a router with this file lies."""
+    return config.with_suffix(".switch")
+
+
+async def serve(config: Config, operator: Operator) -> None:
+    """Run until told to stop."""
+    switch = Switch.at(switch_path(Path(os.environ["NODE_CONFIG"])))
+    await Node(config, operator, Drifting(REAL, switch)).serve()
+
+
+def main(arguments: Sequence[str] = ()) -> int:
+    """Run one router; takes and answers with what the daemon does."""
+    return daemon.main(arguments, serve)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/ironrail/rehearsal/standins/door.py
+++ b/ironrail/rehearsal/standins/door.py
@@ -1,18 +1,18 @@
 """A listening address of a stand-in, one for each router, so that the network between the two can fail.
 
 A door may be open, shut (connects are refused) or silent: what is written is not read, what is answered is
-held, and connects hang, as with a machine that vanished or a hall that was cut off. Silences add up: it ends
-when the last of their causes has. Connections through an open door may come up late.
+held, and connects hang, as with a machine that vanished or a hall that was cut off. A silence may be of one
+way only, bytes of a way may be late, and causes add up: it is over when the last of them has ended.
+Connections through an open door may come up late.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from collections.abc import Callable
 from typing import Any, cast
 
+from ironrail.rehearsal.standins.lanes import Lane, Way, reset
 from ironrail.rehearsal.standins.listening import Late, Listen, Listening, SocketListening
 
 
@@ -23,15 +23,14 @@
 
     def __init__(self, door: Door) -> None:
         self.door = door
-        self._held: list[bytes] = []
+        self._in, self._out = Lane(self._come), Lane(self._go)
         self.late = False  # what comes now was written during a silence, nobody knows when
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.door.connections[self] = None
-        if self.door.silent:
-            self.transport.pause_reading()
+        self.fall_silent()
         self.opened()
 
     def opened(self) -> None:
@@ -41,39 +40,55 @@
         raise NotImplementedError
 
     def data_received(self, data: bytes) -> None:
+        delay = self.door.delay(Way.IN)
+        if delay or self._in.waiting or self._in.silent:  # loops begin to read whatever was paused before
+            self._in.put(data, delay)
+            return
+        self.received(data)
+        self.late = False
+
+    def _come(self, data: bytes) -> None:
+        self.late = True
         self.received(data)
         self.late = False
 
+    def _go(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data) if data else self.transport.close()
+
     def write(self, data: bytes) -> None:
         """Send, or hold while there is silence."""
-        if self.door.silent:
-            self._held.append(data)
-        elif not self.transport.is_closing():
-            self.transport.write(data)
+        self._out.put(data, self.door.delay(Way.OUT))
+
+    def finish(self) -> None:
+        """End it behind all that was written."""
+        self._out.put(b"", 0.0)
 
     def fall_silent(self) -> None:
-        if not self.transport.is_closing():
+        self._in.silent, self._out.silent = self.door.silenced(Way.IN), self.door.silenced(Way.OUT)
+        if self._in.silent and not self.transport.is_closing():
             self.transport.pause_reading()
 
     def speak_again(self) -> None:
+        """As far as no other cause of silence lasts."""
+        heard = self._in.silent and not self.door.silenced(Way.IN)
+        self._in.silent, self._out.silent = self.door.silenced(Way.IN), self.door.silenced(Way.OUT)
         if self.transport.is_closing():
             return
-        self.late = True
-        self.transport.resume_reading()
-        held, self._held = self._held, []
-        for data in held:
-            self.transport.write(data)
+        if heard:
+            self.late = True
+            self.transport.resume_reading()
+            self._in.go_on()
+        self._out.go_on()
 
     def reset(self) -> None:
         """End it as the end of a process does."""
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None and not self.transport.is_closing():
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-        self.transport.abort()
+        reset(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
+        self._in.stop()
+        self._out.stop()
         self.door.connections.pop(self, None)
         self.lost()
 
@@ -91,8 +106,9 @@
         self._make, self._listen = make, listen
         self._loop = asyncio.get_running_loop()
         self.connections: dict[DoorConnection, None] = {}  # in the order in which they came up
-        self._silences: set[object] = set()
-        self._lates: dict[object, Late] = {}  # by cause; the latest holds
+        self._silences: dict[object, tuple[Way, bool]] = {}  # by cause: of which way, whether connects hang
+        self._delays: dict[object, tuple[Way, Callable[[], float]]] = {}  # seconds, drawn for each piece
+        self._lates: dict[object, Late] = {}  # of connects, by cause; the latest holds
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening: Listening | None = None
         self.port, self.address = 0, ""
@@ -102,6 +118,23 @@
     def silent(self) -> bool:
         return bool(self._silences)
 
+    @property
+    def _hangs(self) -> bool:
+        return any(hang for _, hang in self._silences.values())
+
+    def silenced(self, way: Way) -> bool:
+        return any(way in silence for silence, _ in self._silences.values())
+
+    def delay(self, way: Way) -> float:
+        """Seconds that what goes this way now is late."""
+        return sum(draw() for ways, draw in self._delays.values() if way in ways)
+
+    def begin_delay(self, cause: object, way: Way, draw: Callable[[], float]) -> None:
+        self._delays[cause] = way, draw
+
+    def end_delay(self, cause: object) -> None:
+        self._delays.pop(cause, None)
+
     def open(self) -> None:
         """Listen, at the same port as before."""
         if self._listening is not None:
@@ -109,7 +142,7 @@
         self._listening = self._listen(self.port, self._accepted)
         self.port, self.address = self._listening.port, self._listening.address
         self._tell_late()
-        if self.silent:
+        if self._hangs:
             self._listening.hang()
 
     def shut(self) -> None:
@@ -118,13 +151,11 @@
             self._listening.close()
             self._listening = None
 
-    def begin_silence(self, cause: object) -> None:
-        """Let nothing through from now on."""
-        was = self.silent
-        self._silences.add(cause)
-        if was:
-            return
-        if self._listening is not None:
+    def begin_silence(self, cause: object, way: Way = Way.BOTH, hang: bool = True) -> None:
+        """Let nothing through from now on; `hang`: connects neither, which else come up and stand still."""
+        hung = self._hangs
+        self._silences[cause] = way, hang
+        if self._listening is not None and self._hangs and not hung:
             self._listening.hang()
         for connection in self.connections:
             connection.fall_silent()
@@ -133,10 +164,9 @@
         """Let all through again, unless another cause of the silence lasts."""
         if cause not in self._silences:
             return
-        self._silences.discard(cause)
-        if self.silent:
-            return
-        if self._listening is not None:
+        hung = self._hangs
+        del self._silences[cause]
+        if self._listening is not None and hung and not self._hangs:
             self._listening.answer()
         for connection in list(self.connections):
             connection.speak_again()
