The operator's file is read by msgspec, and has a section on peers

Need: configuration is plumbing of a library's; what routers tell one another is turned on by the operator's file. Messages name file, field, bounds and value as before.

--- a/benchmarks/connections_choice.py
+++ b/benchmarks/connections_choice.py
@@ -20,7 +20,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from ironrail.operator_file import read_operator
+from ironrail.operator_reader import read_operator
 from ironrail.rehearsal.command import play
 from ironrail.rehearsal.pipelines import Depth, Line, line_of
 from ironrail.rehearsal.scenario import read_scenario
--- a/ironrail/__main__.py
+++ b/ironrail/__main__.py
@@ -13,7 +13,7 @@
 from ironrail.logs import log_to_stderr
 from ironrail.net.config import Config, read_config
 from ironrail.net.node import serve
-from ironrail.operator_file import Operator, read_operator
+from ironrail.operator_file import Operator
 
 
 def _operator_file(arguments: Sequence[str]) -> str | None:
@@ -30,6 +30,13 @@
     return operator
 
 
+def _read_operator(path: str) -> Operator:
+    """Imported here: a router without the file does without what reads it."""
+    from ironrail.operator_reader import read_operator  # noqa: PLC0415
+
+    return read_operator(path)
+
+
 def main(
     arguments: Sequence[str] = (), serve: Callable[[Config, Operator], Coroutine[None, None, None]] = serve
 ) -> int:
@@ -38,7 +45,7 @@
     log_to_stderr()
     path = _operator_file(arguments) if arguments else None
     try:
-        operator = read_operator(path) if path else Operator()
+        operator = _read_operator(path) if path else Operator()
         config = read_config(dict(os.environ))
         uvloop.run(serve(config, operator))
     except InputError as e:
--- a/ironrail/operator_file.py
+++ b/ironrail/operator_file.py
@@ -3,20 +3,13 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from ironrail.access.names import LEAST_SECRET, MOST_SECRET
 from ironrail.connections.sharing import places_each
 from ironrail.errors import InputError
 
-MOST_FILE = 64 * 1024  # bytes: it is written by hand
-BOUNDS = {
-    "connections": {"places": (2, 100_000), "per_cache": (1, 64), "depth": (1, 1000), "cost_ms": (0, 10_000)},
-    "access_log": {"most_mb": (1, 100_000)},
-}
-
 
 class OperatorError(InputError):
     """A file that can't be used; the message names the file, the field and the mistake."""
@@ -52,13 +45,27 @@
         """What names are hashed with; OperatorError if the file can't be used."""
         if not self.hash_key:
             return os.urandom(32)
-        try:
-            secret = Path(self.hash_key).read_bytes().strip()
-        except OSError as e:
-            raise OperatorError(e.strerror or str(e), self.hash_key) from e
-        if not LEAST_SECRET <= len(secret) <= MOST_SECRET:
-            raise OperatorError(f"must hold {LEAST_SECRET} to {MOST_SECRET} bytes", self.hash_key)
-        return secret
+        return read_secret(self.hash_key)
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """What routers tell one another: datagrams to the addresses that the platform names as `peers`."""
+
+    keys: dict[int, str]  # files of 16 to 64 bytes, the same at all routers, by id; two while they change
+    sending: int  # id of the key that is sent with
+    halls: tuple[str, ...]  # of each router, by its number
+    voters: tuple[int, ...] = ()  # 3, 5 or 7 numbers of routers; none: there are no policies in accord
+    pace: int = 2000  # bytes a second that a router sends
+    lease_ms: int = 3000  # for which a router that is cut off decides by the policy it has
+    drift: float = 0.01  # that no clock's rate is off by more
+    keep: str = ""  # folder of a voter's record, {index} in it stands for its number; empty: it keeps none
+    start: str = "wait"  # a router that knows of no policy: is not ready (`wait`), or acts by the `floor`
+    floor: str = ""  # file of the policy that is obeyed where none can be decided by; empty: one of no rows
+
+    def secrets(self) -> dict[int, bytes]:
+        """The keys; OperatorError if a file can't be used."""
+        return {number: read_secret(path) for number, path in self.keys.items()}
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,61 +74,15 @@
 
     connections: Connections = Connections()
     access_log: AccessLog | None = None  # none is written
+    peers: Peers | None = None  # nothing is told to other routers, nor heard from them
 
 
-def read_operator(path: str) -> Operator:
-    """What the file sets; OperatorError if it can't be used."""
-    import tomllib  # noqa: PLC0415 - a router without the file does without it
-
+def read_secret(path: str) -> bytes:
+    """What a file of 16 to 64 bytes holds; OperatorError if it can't be used."""
     try:
-        data = Path(path).read_bytes()
-        if len(data) > MOST_FILE:
-            raise OperatorError(f"larger than {MOST_FILE} bytes", path)
-        table = tomllib.loads(data.decode())
+        secret = Path(path).read_bytes().strip()
     except OSError as e:
         raise OperatorError(e.strerror or str(e), path) from e
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
-        raise OperatorError(str(e), path) from e
-    _known(path, "", table, {field.name for field in fields(Operator)})
-    connections = _section(path, table, "connections", Connections)
-    log = _section(path, table, "access_log", AccessLog)
-    if "access_log" in table and not log.get("path"):
-        raise OperatorError("access_log.path is missing", path)
-    return Operator(Connections(**connections), AccessLog(**log) if log else None)
-
-
-def _section(path: str, table: dict[str, Any], name: str, form: type) -> dict[str, Any]:
-    """One table of the file, each of its values checked."""
-    section = table.get(name, {})
-    if not isinstance(section, dict):
-        raise OperatorError(f"{name} must be a table", path)
-    _known(path, f"{name}.", section, {field.name for field in fields(form)})
-    return {key: _value(path, name, key, value) for key, value in section.items()}
-
-
-def _value(path: str, section: str, name: str, value: Any) -> Any:
-    if name in BOUNDS[section]:
-        return _whole(path, section, name, value)
-    if name == "sample":
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value <= 1:
-            raise OperatorError(f"{section}.sample must be above 0 and at most 1, not {value!r}", path)
-        return float(value)
-    kind, word = (bool, "true or false") if name == "hash_keys" else (str, "a path")
-    if not isinstance(value, kind):
-        raise OperatorError(f"{section}.{name} must be {word}, not {value!r}", path)
-    return value
-
-
-def _known(path: str, where: str, table: dict[str, Any], names: Any) -> None:
-    for name in table:
-        if name not in names:
-            raise OperatorError(f"{where}{name} is unknown (known: {', '.join(sorted(names))})", path)
-
-
-def _whole(path: str, section: str, name: str, value: Any) -> int:
-    least, most = BOUNDS[section][name]
-    if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
-        raise OperatorError(
-            f"{section}.{name} must be a whole number from {least} to {most}, not {value!r}", path
-        )
-    return value
+    if not LEAST_SECRET <= len(secret) <= MOST_SECRET:
+        raise OperatorError(f"must hold {LEAST_SECRET} to {MOST_SECRET} bytes", path)
+    return secret
--- a/ironrail/rehearsal/command.py
+++ b/ironrail/rehearsal/command.py
@@ -17,7 +17,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from ironrail.operator_file import read_operator
+from ironrail.operator_reader import read_operator
 from ironrail.recorded.scaling import scaled
 from ironrail.recorded.schedule import ReplayError, plan_of
 from ironrail.recorded.trace import Trace, TraceError
--- a/tests/access/test_access.py
+++ b/tests/access/test_access.py
@@ -18,7 +18,8 @@
 
 from ironrail.access.keep import Ended, Keeper, Line, Room
 from ironrail.net.access import Writer
-from ironrail.operator_file import AccessLog, Operator, OperatorError, read_operator
+from ironrail.operator_file import AccessLog, Operator, OperatorError
+from ironrail.operator_reader import read_operator
 from ironrail.recorded.importing import FOLDED
 from ironrail.recorded.schedule import plan_of
 from ironrail.rehearsal.command import play
--- a/tests/rehearsal/test_pipelines.py
+++ b/tests/rehearsal/test_pipelines.py
@@ -9,7 +9,8 @@
 from click.testing import CliRunner
 
 from ironrail.connections.sharing import places_each
-from ironrail.operator_file import Connections, Operator, read_operator
+from ironrail.operator_file import Connections, Operator
+from ironrail.operator_reader import read_operator
 from ironrail.rehearsal.account.record import Ended, Record
 from ironrail.rehearsal.command import pipeline_report
 from ironrail.rehearsal.pipelines import Depth, lost_behind, operator_file
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,13 +9,22 @@
 
 from ironrail.__main__ import main
 from ironrail.net.node import Node
-from ironrail.operator_file import Connections, Operator, OperatorError, read_operator
+from ironrail.operator_file import Connections, Operator, OperatorError
+from ironrail.operator_reader import read_operator
 from ironrail.policy import interface as api
 from tests.peers import World, scenario
 
 ROOT = Path(__file__).parent.parent
 
 
+PEERS = """[peers]
+keys = { "1" = "/etc/key" }
+sending = 1
+halls = ["a", "b", "c"]
+voters = [0, 1, 2]
+"""
+
+
 def written(tmp_path: Path, text: str) -> str:
     path = tmp_path / "operator.toml"
     path.write_text(text)
@@ -40,9 +49,16 @@
         ("[connections]\nper_cache = true\n", "connections.per_cache must be"),
         ("[connections]\nper_cache = 2.0\n", "connections.per_cache must be"),
         ("[connections]\nper_cash = 2\n", "connections.per_cash is unknown (known: cost_ms, depth"),
-        ("[conections]\n", "conections is unknown (known: access_log, connections)"),
+        ("[conections]\n", "conections is unknown (known: access_log, connections, peers)"),
         ("connections = 3\n", "connections must be a table"),
         ("[connections\n", "at line 1"),
+        (PEERS.replace("sending = 1", "sending = 2"), "peers.sending: no key has the id 2"),
+        (PEERS.replace('"1"', '"old"'), "peers.keys: ids must be numbers from 0 to 255"),
+        (PEERS.replace("[0, 1, 2]", "[0, 1, 1]"), "peers.voters must be 3, 5 or 7 different numbers"),
+        (PEERS.replace("[0, 1, 2]", "[0, 1, 3]"), "peers.voters: there are 3 routers in peers.halls"),
+        (PEERS + "pace = 10\n", "peers.pace must be a whole number from 100 to 1000000, not 10"),
+        (PEERS + 'start = "soon"\n', "peers.start must be invalid enum value 'soon'"),
+        ("[peers]\nsending = 1\n", "peers.keys is missing"),
         ("#" * 100_000, "larger than"),
     ],
 )
