--- a/ironrail/peers/wire/outbox.py
+++ b/ironrail/peers/wire/outbox.py
@@ -1,18 +1,18 @@
 """One pace for everything that a router sends its peers, however many they are.
 
-Two accounts: what fits the burst is paid from the one, in order of priority; what costs more than the burst (a
-message to ALL of a large tier) saves up in the other, from half of the pace, while the rest goes on. A message
-is sealed as it goes, whole: one that waited would be too old for its receivers' windows.
+Two accounts: what fits the burst is paid from the one, in order of priority; what costs more than the burst
+(a message to ALL of a large tier) saves up in the other, from half of the pace, while the rest goes on. A
+message is sealed as it goes, whole: one that waited would be too old for its receivers' windows.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ironrail.peers.faces import ALL, Priority, Say
-from ironrail.peers.wire.errors import PaceError
+from ironrail.peers.wire.errors import PaceError, UnsendableError
 from ironrail.peers.wire.layout import MOST_BODY, sealed_size
 
 PACE = 2000.0  # bytes a second of datagrams, without IP and UDP (28 bytes each)
@@ -61,7 +61,7 @@
         self.sent = 0  # bytes, as paid
 
     def put(self, now: float, say: Say) -> None:
-        """To be sent when there is room. Of gossip the newest of one (to, topic, first byte) stays, in its place."""
+        """To be sent when it can be paid. Of gossip the newest of one (to, topic, first byte) stays."""
         self._earn(now)
         price = sealed_size(len(say.body)) * (self._others if say.to == ALL else 1)
         if len(say.body) > MOST_BODY:
@@ -90,7 +90,7 @@
         sends: list[Send] = []
         while (first := self._first(self._lines)) is not None:
             line, key, waiting = first
-            if self._lacks(waiting) > 0:
+            if self._lacks(waiting) > SLACK:
                 break
             self._tokens -= waiting.price
             sends += self._send(line, key, waiting)
@@ -117,23 +117,27 @@
 
     def _earn(self, now: float) -> None:
         gained, self._at = max(0.0, now - self._at) * self._pace, max(now, self._at)
-        if self._first(self._dear) is None:
+        if (dear := self._first(self._dear)) is None:
             self._tokens = min(self._burst, self._tokens + gained)
             return
         kept = min(gained / 2, self._burst - self._tokens)
         self._tokens += kept
-        dearest = max(waiting.price for line in self._dear.values() for waiting in line.values())
-        self._saved = min(self._saved + gained - kept, dearest)
+        self._saved = min(self._saved + gained - kept, dear[2].price)
 
     def _lacks(self, waiting: _Waiting) -> float:
         kept = min(KEPT[waiting.say.priority], self._burst - waiting.price)
-        return waiting.price + kept - self._tokens - SLACK
+        return waiting.price + kept - self._tokens
 
-    def _send(self, line: Line, key: Key, waiting: _Waiting) -> Iterator[Send]:
+    def _send(self, line: Line, key: Key, waiting: _Waiting) -> list[Send]:
         del line[key]
         self._forget(waiting)
+        try:
+            sends = self._seal(waiting.say)
+        except UnsendableError:  # a room's defect costs that room its message, not the others theirs
+            self.dropped[waiting.say.priority] += 1
+            return []
         self.sent += int(waiting.price)
-        return iter(self._seal(waiting.say))
+        return sends
 
     def _forget(self, waiting: _Waiting) -> None:
         self._bytes -= len(waiting.say.body)
--- a/ironrail/peers/wire/pieces.py
+++ b/ironrail/peers/wire/pieces.py
@@ -57,7 +57,8 @@
             raise ValueError("no piece")
         self.forget(now)
         name = (sender, sequence - index, count, topic)
-        body = self._bodies.get(name) or self._begin(now, name)
+        if (body := self._bodies.get(name) or self._begin(now, name)) is None:
+            return None
         body.parts[index] = data[2:]
         self._pay(body, len(data) + PIECE_COST)
         if len(body.parts) == count:
@@ -72,7 +73,7 @@
         """Drop what is too old."""
         while self._bodies:
             name, body = next(iter(self._bodies.items()))
-            if now - body.since <= MOST_AGE:
+            if now < body.since + MOST_AGE:
                 return
             self._drop(name)
             self.late += 1
@@ -86,10 +87,14 @@
         """When the eldest is too old."""
         return next((body.since + MOST_AGE for body in self._bodies.values()), math.inf)
 
-    def _begin(self, now: float, name: Name) -> _Unfinished:
+    def _begin(self, now: float, name: Name) -> _Unfinished | None:
+        """None where the sender has begun later ones: what is left of an older one must not end those."""
         if self._of_sender.get(name[0], 0) >= MOST_OF_SENDER:
-            self._drop(next(other for other in self._bodies if other[0] == name[0]))
             self.crowded += 1
+            oldest = min(other for other in self._bodies if other[0] == name[0])
+            if oldest > name:
+                return None
+            self._drop(oldest)
         body = self._bodies[name] = _Unfinished(now)
         self._of_sender[name[0]] = self._of_sender.get(name[0], 0) + 1
         self.cost += BODY_COST
--- a/ironrail/peers/wire/sender.py
+++ b/ironrail/peers/wire/sender.py
@@ -1,6 +1,7 @@
 """What a receiver keeps of one sender: its proven life, what was seen of it, what checks it may cost.
 
-Two lives of a router are told in order by a question only the living one can answer: see `docs/peers/wire.md`.
+Which of two lives is the present one is told by a question that only the living can answer: see
+`docs/peers/wire.md`.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 REPLACED = 4  # earlier lives that stay refused unasked; any other would have to answer, and the dead can't
 NONCE_AGE = 60.0  # seconds for an answer: after a restart 999 others ask at once, and are answered in 40
 NEVER: Final = float("-inf")
+ROUNDING = 1e-9  # seconds: who wakes when one more is due finds it due
 _MASK = (1 << WINDOW) - 1
 
 
@@ -25,7 +27,7 @@
 
     def permits(self, now: float, interval: float, burst: float) -> bool:
         """Whether one more may be taken."""
-        return self.full_at - now <= (burst - 1) * interval
+        return self.full_at - now <= (burst - 1) * interval + ROUNDING
 
     def take(self, now: float, interval: float) -> None:
         """One is taken, even if none was there."""
