The module takes what operators have all routers decide by, as an event

Need: a policy in accord is handed to whoever decides as plain facts. Guidance: emptied halls, order of shedding, share of further attempts by class, rates of titles.

--- a/ironrail/net/config.py
+++ b/ironrail/net/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +34,7 @@
     known: Any
     settings: api.Settings
     operator: Address | None = None  # where operators call
+    tier: dict[str, Any] = field(default_factory=dict)  # `peers` and what goes with it, as told: few need it
 
 
 def read_config(environ: dict[str, str]) -> Config:
@@ -64,6 +65,7 @@
         known=table.get("known"),
         settings=settings,
         operator=_operator(table, environ.get("NODE_OPERATOR")),
+        tier={name: table[name] for name in ("peer_listen", "peers", "peers_all") if name in table},
     )
 
 
@@ -76,7 +78,11 @@
 
 def _address(table: dict[str, Any], field: str, default: str | None) -> Address:
     value = table.get(field)
-    value = default if value is None else value
+    return address_of(field, default if value is None else value)
+
+
+def address_of(field: str, value: Any) -> Address:
+    """The address in a field; ConfigError if it holds none."""
     try:
         return read_address(str(value))
     except ValueError as e:
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -142,6 +142,7 @@
                 command.key.decode(),
                 None if hint is None else hint / 1e6,
                 command.write,
+                command.fields.get("t", ""),
             )
         )
         return name
--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -6,6 +6,7 @@
 from collections import deque
 
 from ironrail.policy import interface as api
+from ironrail.policy.guidance import Guide
 from ironrail.policy.health import Health
 from ironrail.policy.state import Attempt, Held, Server
 
@@ -26,8 +27,8 @@
 class Attempts:
     """All attempts of this router that are out, and the budget of further ones."""
 
-    def __init__(self, settings: api.Settings, health: Health) -> None:
-        self._settings, self._health = settings, health
+    def __init__(self, settings: api.Settings, health: Health, guide: Guide) -> None:
+        self._settings, self._health, self._guide = settings, health, guide
         self.out: dict[tuple[str, int], Attempt] = {}  # by request and number
         self.ring_load = 0  # of them, those at caches
         self.budget = settings.budget or api.Budget(RETRIES_SAVED, RETRY_SHARE, settings.ramp)
@@ -41,7 +42,8 @@
                 times.popleft()
         if held.paid > 0:
             return True
-        return len(self.further) + 1 <= self.budget.free + self.budget.ratio * len(self.taken)
+        allowed = self.budget.free + self.budget.ratio * len(self.taken)
+        return len(self.further) + 1 <= allowed * self._guide.further(held.request_class.name)
 
     def spent(self, now: float, held: Held) -> bool:
         """Whether no further attempt of a request may be sent, wherever to."""
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -12,6 +12,7 @@
 from ironrail.policy.asking import Asking
 from ironrail.policy.attempts import Attempts
 from ironrail.policy.cold import Cold
+from ironrail.policy.guidance import Guide
 from ironrail.policy.health import MOST_SHED, Health
 from ironrail.policy.limits import LIMIT_CUT, ORIGIN_CROWD, Limits
 from ironrail.policy.news import News
@@ -39,10 +40,11 @@
         self.news = News(settings, self.random, self.asking)
         self.servers = self.news.servers
         self.cold = Cold(settings, self.random, now)
-        self.health = Health(settings, self.random, now, self.cold)
+        self.guide = Guide(settings)
+        self.health = Health(settings, self.random, now, self.cold, self.guide)
         self.limits = Limits(settings)
-        self.attempts = Attempts(settings, self.health)
-        self.ring = Ring(settings, self.cold)
+        self.attempts = Attempts(settings, self.health, self.guide)
+        self.ring = Ring(settings, self.cold, self.guide)
         self.walk = Walk(
             self.servers, self.ring, self.attempts, self.limits, self.cold, self.health, self.asking
         )
@@ -62,6 +64,9 @@
                 self._on_timer(event)
             case api.ServerList():
                 self._on_list(event)
+            case api.Guidance():
+                self.guide.follow(event)
+                self.ring.stale = True
             case api.ClientGone(name) if name in self.held:
                 self._forget(self.held[name])
             case api.TimeUp(name) if name in self.held:  # its own timer may be due an instant later
@@ -95,7 +100,8 @@
         self.held[request.request] = held
         held.skip = self.random.randrange(self.ring.spread(held.key))
         self.attempts.taken.append(self.now)
-        if not held.to_origin and self.health.sheds():
+        shed = not held.to_origin and self.health.sheds(kind.name)
+        if shed or self.guide.exceeds(self.now, request.title):
             self._end(held)
         else:
             self._advance(held)
--- a/ironrail/policy/health.py
+++ b/ironrail/policy/health.py
@@ -8,6 +8,7 @@
 from ironrail.policy import interface as api
 from ironrail.policy.asking import MOST_DOUBLINGS
 from ironrail.policy.cold import Cold
+from ironrail.policy.guidance import Guide
 from ironrail.policy.state import ANSWERED, SMOOTHING, Attempt, Server
 
 CALM = 1 / 4  # of the aim: with a usual latency above, being late means a crowd rather than a loss
@@ -20,18 +21,22 @@
 class Health:
     """Answers of the fleet, losses of servers, and signs of what connections bear."""
 
-    def __init__(self, settings: api.Settings, draws: random.Random, now: float, cold: Cold) -> None:
-        self._settings, self._draws, self._cold = settings, draws, cold
+    def __init__(
+        self, settings: api.Settings, draws: random.Random, now: float, cold: Cold, guide: Guide
+    ) -> None:
+        self._settings, self._draws, self._cold, self._guide = settings, draws, cold, guide
         self._shortest_aim = min(c.aim for c in settings.classes.values())
         self.heard, self._good, self._heard_at = 0.0, 0.0, now  # answers, those in time, fading
         self.latency = 0.0  # usual, of caches
         self.keep, self._keep_at = math.inf, now  # idle time that connections survive, as last learned
         self.signs = dict.fromkeys(("idle", "other", "shut", "vain"), 0.0)  # shares lost, connects failed
 
-    def sheds(self) -> bool:
+    def sheds(self, request_class: str) -> bool:
         """Guards against a crowd at every server: the more a fleet is asked, the fewer it answers in time."""
         excess = min(MOST_SHED, max(0.0, self.heard - CROWDED * self._good - 1.0) / (self.heard + 1.0))
-        shed = self._draws.random() < excess
+        drawn = self._draws.random() < excess
+        guided = self._guide.sheds(request_class, excess)
+        shed = drawn if guided is None else guided
         self.heard += shed  # counts as asked, or the fleet would have to stay slow for shedding to go on
         return shed
 
--- a/ironrail/policy/interface.py
+++ b/ironrail/policy/interface.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -139,6 +140,7 @@
     key: str | None = None
     hint: float | None = None
     write: bool = False
+    title: str = ""  # whose traffic it is
 
 
 @dataclass(slots=True, frozen=True)
@@ -181,7 +183,17 @@
     token: str
 
 
-Event = ServerList | Request | Streaming | Outcome | ClientGone | TimeUp | TimerFired
+@dataclass(slots=True, frozen=True)
+class Guidance:
+    """What the operators have all routers decide by from now on; rows that are absent forbid nothing."""
+
+    emptied: frozenset[str] = frozenset()  # zones whose servers take nothing new
+    shed: Mapping[str, float] = field(default_factory=dict)  # class: the excess from which on it is shed
+    further: Mapping[str, float] = field(default_factory=dict)  # class: share of further attempts
+    rates: Mapping[str, float] = field(default_factory=dict)  # title: requests a second, of all routers
+
+
+Event = ServerList | Guidance | Request | Streaming | Outcome | ClientGone | TimeUp | TimerFired
 
 
 @dataclass(slots=True, frozen=True)
--- a/ironrail/policy/ring.py
+++ b/ironrail/policy/ring.py
@@ -10,6 +10,7 @@
 
 from ironrail.policy import interface as api
 from ironrail.policy.cold import Cold
+from ironrail.policy.guidance import Guide
 from ironrail.policy.state import Server
 
 RING_SIZE = 2**16  # positions on the ring, as the paper has it
@@ -47,8 +48,8 @@
 class Ring:
     """The ring of the part of the fleet that this router keeps to."""
 
-    def __init__(self, settings: api.Settings, cold: Cold) -> None:
-        self._index, self._cold = settings.index, cold
+    def __init__(self, settings: api.Settings, cold: Cold, guide: Guide) -> None:
+        self._index, self._cold, self._guide = settings.index, cold, guide
         self.places: list[tuple[int, str]] = []  # of virtual nodes, in order
         self.points: dict[str, int] = {}  # virtual nodes of each server
         self.stale = False  # it has to be built before use
@@ -62,7 +63,9 @@
     def build(self, now: float, servers: dict[str, Server]) -> list[api.Action]:
         """Guards against all CPU going into rings in a large deploy: on use, and only what has changed."""
         self.stale = False
-        caches = {i: s for i, s in servers.items() if s.cache and s.entry.state is api.State.READY}
+        ready, empties = api.State.READY, self._guide.empties
+        caches = {i: s for i, s in servers.items() if s.cache and s.entry.state is ready}
+        caches = {i: s for i, s in caches.items() if not empties(s.entry.zone)}
         self._divide(len(caches), sum(self._cold.share(now, s) >= 1.0 for s in caches.values()))
         part, order = self._index % self.parts, sorted(caches, key=lambda i: (self.hash(i), i))
         # by hash, so that a change moves only the borders of parts
--- /dev/null
+++ b/tests/policy/test_guidance.py
@@ -0,0 +1,89 @@
+"""What operators have routers decide by."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from ironrail.policy import interface as api
+from tests.driver import Driver, entry, settings
+
+HALLS = [entry(f"{hall}{n}", zone=hall) for hall in "ab" for n in range(3)]
+
+
+def test_nothing_new_goes_to_an_emptied_hall_until_it_is_so_no_longer() -> None:
+    d = Driver(settings(max_attempts=3))
+    d.list(*HALLS)
+    d.feed(api.Guidance(emptied=frozenset("a")))
+    sent = Counter(str(d.request(f"r{n}", key=f"k{n}", finish=True))[0] for n in range(60))
+    assert sent == {"b": 60}
+    d.request("again", key="k1")
+    assert str(d.end("again", api.Status.CONNECT_FAILED))[0] == "b"  # a further attempt, too
+    d.feed(api.Guidance())
+    sent = Counter(str(d.request(f"s{n}", key=f"k{n}", finish=True))[0] for n in range(60))
+    assert sent["a"] > 10
+
+
+def test_with_all_halls_emptied_requests_are_refused_in_time() -> None:
+    d = Driver(settings())
+    d.list(*HALLS)
+    d.feed(api.Guidance(emptied=frozenset("ab")))
+    assert d.request("r1") is None
+    d.wait(2.0)
+    assert d.ended["r1"] == "refused"
+
+
+@pytest.mark.parametrize(
+    ("rate", "routers", "most"), [(20.0, 1, 45), (20.0, 4, 12), (1.0, 4, 2), (0.0, 1, 0)]
+)
+def test_a_title_s_rate_is_of_all_routers_and_others_have_none(rate: float, routers: int, most: int) -> None:
+    d = Driver(settings(routers=routers))
+    d.list(*HALLS)
+    d.feed(api.Guidance(rates={"x": rate}))
+    served: Counter[str] = Counter()
+    for n in range(200):  # 50 a second of each for 2 s
+        d.now += 0.01
+        title = "xy"[n % 2]
+        served[title] += d.request(f"r{n}", key=f"k{n}", title=title, finish=False) is not None
+        if f"r{n}" in d.open:
+            d.ok(f"r{n}")
+    assert most * 0.9 <= served["x"] <= most and served["y"] == 100
+    assert all(how in ("served", "refused") for how in d.ended.values())  # at once
+
+
+def crowd(d: Driver, shed: dict[str, float]) -> dict[str, Counter[str]]:
+    """A fleet that answers a third of what it is asked in time: which classes get through."""
+    d.list(*HALLS)
+    d.feed(api.Guidance(shed=shed))
+    out: dict[str, Counter[str]] = {"read": Counter(), "late": Counter()}
+    for n in range(600):
+        d.now += 0.01
+        kind = "read" if n % 2 else "late"
+        server = d.request(f"r{n}", key=f"k{n}", request_class=kind)
+        out[kind]["shed" if server is None else "sent"] += n > 300
+        if server is not None:
+            d.end(f"r{n}", api.Status.OK, latency=0.1 if n % 3 == 0 else 5.0)
+    return out
+
+
+def test_classes_are_shed_in_the_order_that_was_told() -> None:
+    classes = {name: api.RequestClass(name, 0.8) for name in ("read", "late")}
+    d = Driver(settings(classes=classes))
+    got = crowd(d, {"late": 0.05, "read": 0.95})
+    assert got["read"]["shed"] == 0 < got["late"]["shed"]
+    assert got["late"]["sent"] < 0.7 * got["read"]["sent"]
+
+
+def test_further_attempts_of_a_class_are_what_was_told() -> None:
+    counts = []
+    for share in (1.0, 0.25, 0.0):
+        d = Driver(settings(max_attempts=3, budget=api.Budget(0.0, 0.4, 10.0)))
+        d.list(*HALLS)
+        d.feed(api.Guidance(further={"read": share}))
+        for n in range(100):
+            d.now += 0.01
+            if d.request(f"r{n}", key=f"k{n}") is not None and d.end(f"r{n}", api.Status.RESET):
+                d.ok(f"r{n}")
+        counts.append(sum(len(sent) - 1 for sent in d.sends.values()))
+    assert counts[0] > 2.5 * counts[1] > 0 == counts[2]
