--- a/ironrail/door/calls.py
+++ b/ironrail/door/calls.py
@@ -8,6 +8,7 @@
 import h11
 
 MOST_HEAD = 4096  # bytes of a call: beyond that it is none of ours
+MOST_BODY = 64 * 1024  # bytes of what is posted: a document that people write
 TEXT = b"text/plain; charset=utf-8"
 
 
@@ -20,13 +21,17 @@
 
 
 Page = Callable[[], Answer]
+Post = Callable[[bytes], Answer]
 
 
 class Call:
     """One call. Whatever comes behind it is not read: the connection ends with the answer."""
 
-    def __init__(self, pages: Mapping[str, Page]) -> None:
-        self._pages = pages
+    def __init__(self, pages: Mapping[str, Page], posts: Mapping[str, Post] | None = None) -> None:
+        """`posts`: pages that take what is posted to them."""
+        self._pages, self._posts = pages, posts or {}
+        self._post: Post | None = None  # that the call's body is for
+        self._body = bytearray()
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self._answered = False
 
@@ -39,19 +44,37 @@
             return None
         try:
             self._http.receive_data(data)
-            event = self._http.next_event()
+            while not isinstance(
+                event := self._http.next_event(), (h11.ConnectionClosed, type(h11.NEED_DATA))
+            ):
+                answer = self._take(event)
+                if answer is not None:
+                    return self._write(answer)
         except h11.RemoteProtocolError as e:
             return self._write(Answer(e.error_status_hint, f"{e}\n".encode()))
+        return None
+
+    def _take(self, event: object) -> Answer | None:
         if isinstance(event, h11.Request):
-            return self._write(self._answer(event))
+            return self._answer(event)
+        if isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > MOST_BODY:
+                return Answer(413, b"more than %d bytes\n" % MOST_BODY)
+        elif isinstance(event, h11.EndOfMessage) and self._post is not None:
+            return self._post(bytes(self._body))
         return None
 
     def too_late(self) -> bytes | None:
         """What a caller is told whose call did not come whole in time."""
         return None if self._answered else self._write(Answer(408, b"no whole call in time\n"))
 
-    def _answer(self, request: h11.Request) -> Answer:
-        page = self._pages.get(request.target.decode("ascii").partition("?")[0])
+    def _answer(self, request: h11.Request) -> Answer | None:
+        """The answer to a call without a body; None where one is to come."""
+        target = request.target.decode("ascii").partition("?")[0]
+        page, self._post = self._pages.get(target), self._posts.get(target)
+        if request.method == b"POST" and self._post is not None:
+            return None
         if page is None:
             return Answer(404, b"no such call\n")
         if request.method not in (b"GET", b"HEAD"):
--- a/ironrail/net/operators.py
+++ b/ironrail/net/operators.py
@@ -9,7 +9,7 @@
 from typing import cast
 
 from ironrail.door.callers import Caller, Callers
-from ironrail.door.calls import Call, Page
+from ironrail.door.calls import Call, Page, Post
 from ironrail.net.accepting import Acceptor
 from ironrail.net.system import REAL, Address, System
 
@@ -23,7 +23,7 @@
 
     def __init__(self, door: Door, caller: Caller) -> None:
         self._door, self._caller = door, caller
-        self._call = Call(door.pages)
+        self._call = Call(door.pages, door.posts)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -56,8 +56,10 @@
 class Door:
     """The listener for operators, and all that stand there."""
 
-    def __init__(self, pages: Mapping[str, Page], system: System = REAL) -> None:
-        self.pages, self._system = pages, system
+    def __init__(
+        self, pages: Mapping[str, Page], system: System = REAL, posts: Mapping[str, Post] | None = None
+    ) -> None:
+        self.pages, self.posts, self._system = pages, posts or {}, system
         self._callers = Callers()
         self._connections: dict[Caller, CallerConnection] = {}
         self._opening: dict[Caller, asyncio.Task[None]] = {}
--- a/tests/door/test_door.py
+++ b/tests/door/test_door.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from ironrail.door.callers import LINGER, PATIENCE, Callers
-from ironrail.door.calls import MOST_HEAD, Answer, Call
+from ironrail.door.calls import MOST_BODY, MOST_HEAD, Answer, Call
 from ironrail.door.figures import Figures
 
 PAGES = {"/-/ready": lambda: Answer(200, b"ready\n"), "/-/no": lambda: Answer(503, b"no\n")}
@@ -55,6 +55,27 @@
         assert len(ask(*pieces, b"", b"")) == bool(data)
 
 
+def test_what_is_posted_comes_whole_to_the_page_that_takes_it_and_to_no_other() -> None:
+    got: list[bytes] = []
+
+    def take(body: bytes) -> Answer:
+        got.append(body)
+        return Answer(202, b"taken\n")
+
+    head = b"POST /-/policy HTTP/1.1\r\nHost: x\r\n"
+    for pieces, expected in (
+        ([head + b"Content-Length: 4\r\n\r\n", b"ab", b"cd"], 202),
+        ([head + b"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n", b"0\r\n\r\n"], 202),
+        ([head + b"Content-Length: %d\r\n\r\n" % (MOST_BODY + 1), b"x" * (MOST_BODY + 1)], 413),
+        ([head.replace(b"policy", b"ready") + b"Content-Length: 4\r\n\r\nabcd"], 405),
+        ([head + b"Content-Length: 4\r\n\r\nab", b""], 400),
+    ):
+        call = Call(PAGES, {"/-/policy": take})
+        answers = [answer for piece in pieces if (answer := call.receive(piece)) is not None]
+        assert [status(answer) for answer in answers] == [expected], pieces[0]
+    assert got == [b"abcd", b"abcd"]
+
+
 def test_half_a_call_is_told_that_it_came_too_late_and_a_whole_one_is_not() -> None:
     call = Call(PAGES)
     assert call.receive(b"GET /-/ready HT") is None
