--- /dev/null
+++ b/ironrail/peers/accord/conf.py
@@ -0,0 +1,42 @@
+"""What the operator's file says of a router's place. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ironrail.errors import InputError
+from ironrail.peers.faces import MOST_ROUTERS
+
+LEASE = 3.0  # seconds: a router that is cut off decides for as long, and a change waits as long for it
+DRIFT = 0.01  # that no clock's rate is off by more: crystals are within 0.0002, a slewed clock within 0.0005
+DEADLINE = 20.0  # seconds for a change: stages take 2 each, a lease that has to run out 3.1, documents 10
+
+
+@dataclass(frozen=True, slots=True)
+class Conf:
+    """A router's place, as the operator's file has it."""
+
+    me: int
+    start: int  # of this process, as on the wire: drawn at random, never again
+    routers: int
+    voters: tuple[int, ...]  # 3, 5 or 7 of the routers
+    lease: float = LEASE
+    drift: float = DRIFT
+    disk: bool = False  # voters keep their record
+    start_on_floor: bool = False  # a router that knows nothing yet acts by the floor; else it isn't ready
+
+    def __post_init__(self) -> None:
+        """Raises InputError, with the field."""
+        if not 0 <= self.me < self.routers <= MOST_ROUTERS:
+            raise InputError("is no router's number", "me")
+        if len(self.voters) not in (3, 5, 7) or len(set(self.voters)) < len(self.voters):
+            raise InputError("must be 3, 5 or 7 different numbers", "voters")
+        if not all(0 <= voter < self.routers for voter in self.voters):
+            raise InputError("names a router that isn't there", "voters")
+        if not (self.lease > 0 and 0 <= self.drift < 0.5):
+            raise InputError("must be above 0, and the drift below 0.5", "lease")
+
+    @property
+    def wait(self) -> float:
+        """Seconds by any clock in which a lease has run out by any other: one may be slow, the other fast."""
+        return self.lease * (1 + self.drift) / (1 - self.drift)
--- /dev/null
+++ b/ironrail/peers/accord/library.py
@@ -0,0 +1,70 @@
+"""The documents that a router has, what it can work by, and what it still has to fetch. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from functools import reduce
+
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.errors import PolicyError
+from ironrail.peers.accord.messages import Ref, State
+
+
+class Library:
+    """Documents by digest."""
+
+    def __init__(self, facts: p.Facts, floor: p.Policy) -> None:
+        """`floor`: the operator's, obeyed where nothing is decided by."""
+        self.facts, self.floor = facts, floor
+        self._documents: dict[bytes, p.Policy] = {}
+        self._met: dict[tuple[bytes, ...], p.Policy] = {}
+
+    def add(self, policy: p.Policy) -> Ref:
+        """Have it; its name."""
+        ref = Ref(policy.version, p.digest(policy))
+        self._documents[ref.digest] = policy
+        return ref
+
+    def get(self, digest: bytes) -> bytes | None:
+        """The document as it goes on the wire."""
+        found = self._documents.get(digest)
+        return p.encode(found) if found else None
+
+    def missing(self, states: Iterable[State | None]) -> list[bytes]:
+        """Digests of the documents that these states take and that aren't here."""
+        wanted = {ref.digest for state in states if state for ref in state.refs()}
+        return sorted(wanted - self._documents.keys())
+
+    def refusal(self, state: State) -> tuple[Ref, PolicyError] | None:
+        """A document of this state that is here and can't be worked by."""
+        for ref in state.refs():
+            found = self._documents.get(ref.digest)
+            error = None
+            if found and found.version != ref.version:
+                error = PolicyError("is another one in the document", "version")
+            elif found:
+                error = p.check(found, self.facts)
+            if error:
+                return ref, error
+        return None
+
+    def effective(self, state: State) -> p.Policy:
+        """What holds in a state whose documents are all here and fit: in a change the meet of both."""
+        key = tuple(ref.digest for ref in state.refs())
+        if key not in self._met:
+            self._met[key] = self._meet([self._documents[digest] for digest in key])
+        return self._met[key]
+
+    def strictest(self, states: Iterable[State | None]) -> p.Policy:
+        """The floor met with all that is known of these states and fits."""
+        refs = {ref.digest: ref for state in states if state for ref in state.refs()}
+        known = [self._documents[digest] for digest in sorted(refs) if digest in self._documents]
+        return self._meet([self.floor, *(d for d in known if p.check(d, self.facts) is None)])
+
+    def _meet(self, policies: list[p.Policy]) -> p.Policy:
+        return reduce(lambda one, other: p.meet(one, other, self.facts), policies)
+
+    def keep_only(self, digests: set[bytes]) -> None:
+        """Forget what no state takes any more."""
+        self._documents = {d: policy for d, policy in self._documents.items() if d in digests}
+        self._met = {key: met for key, met in self._met.items() if set(key) <= digests}
--- /dev/null
+++ b/ironrail/peers/accord/proposer.py
@@ -0,0 +1,225 @@
+"""A router that was asked for a change: rounds of the register until it is in force, or taken back. Pure.
+
+Only the process that began a change ever takes it forward; whoever else finds it left behind takes it back.
+So a ticket that ends before the last step was sent out tells for certain that nobody goes on with the change.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ironrail.errors import IronrailError
+from ironrail.peers.accord import errors
+from ironrail.peers.accord import messages as m
+from ironrail.peers.accord.quorum import Reply, sound
+
+AGAIN = (
+    0.4  # seconds until an attempt is repeated, by up to twice that as drawn: two at once mustn't keep step
+)
+PATIENCE = 2.0  # times its deadline that a ticket whose last step was sent out waits to hear what came of it
+
+
+class Goal(Enum):
+    """What the next step of the register is to be."""
+
+    JOIN = "both"  # from the old policy to the joint state
+    FORWARD = "new"  # from the joint state to the new policy
+    BACK = "old"  # from the joint state to the old policy
+    SETTLE = "as it is"  # the same state, for certain
+
+
+@dataclass(slots=True)
+class Ticket:
+    """One call for a change. It ends once, with `in_force` or with an error that tells why not."""
+
+    ref: m.Ref
+    in_force: bool = False
+    error: IronrailError | None = None
+
+    @property
+    def open(self) -> bool:
+        """Whether it hasn't ended."""
+        return not self.in_force and self.error is None
+
+
+@dataclass(slots=True)
+class Change:
+    """What is being done about the register."""
+
+    goal: Goal
+    ref: m.Ref | None = None
+    ticket: Ticket | None = None
+    began: float = 0.0
+    deadline: float = math.inf  # of the ticket
+    sent: bool = False  # the step to the new policy was sent out
+    why: IronrailError | None = None  # it is taken back
+    held: tuple[int, ...] = ()  # routers that didn't acknowledge, as last told
+    ballot: m.Ballot = m.Ballot()
+    value: m.State | None = None  # that is to be accepted at this ballot
+    final: bool = False  # the value is the goal's, not one that another left half done
+    replies: dict[int, Reply] = field(default_factory=dict)
+    again_at: float = math.inf
+
+
+class Proposer:
+    """Runs one change at a time."""
+
+    def __init__(self, me: int, start: int, voters: tuple[int, ...], draw: Callable[[], float]) -> None:
+        """`draw`: from 0 to 1."""
+        self.me, self.start, self.voters, self._draw = me, start, voters, draw
+        self.need = len(voters) // 2 + 1
+        self.epoch = self._number = 0
+        self.known: m.State | None = None  # the latest that is decided, as the room tells
+        self.change: Change | None = None
+        self.out: m.Out = []
+        self.decided: list[m.State] = []  # by this one; the room takes them
+
+    def begin(self, now: float, change: Change) -> None:
+        """Take it up, in place of what is under way."""
+        self.change, change.began = change, now
+        self._prepare(now)
+
+    def _prepare(self, now: float) -> None:
+        change = self.change
+        if change:
+            self._number += 1
+            change.ballot = m.Ballot(self.epoch, self._number, self.me, self.start)
+            change.value, change.replies = None, {}
+            change.again_at = now + AGAIN * (1 + self._draw())
+            self.out += [(voter, m.Prepare(change.ballot)) for voter in self.voters]
+
+    def outvoted(self, promised: m.Ballot) -> None:
+        """Another one was faster; this one comes again with a higher ballot, not at once."""
+        self.epoch = max(self.epoch, promised.epoch) if self.known is None else self.epoch
+        if promised.epoch == self.epoch:
+            self._number = max(self._number, promised.number)
+
+    def promised(self, now: float, voter: int, start: int, message: m.Promise) -> None:
+        """A voter's promise; with a majority of them a state is chosen and sent out."""
+        change = self.change
+        if not change or change.value or message.ballot != change.ballot:
+            return
+        change.replies[voter] = Reply(start, message.seen, message)
+        group = sound(change.replies, self.voters, self.need)
+        if not group:
+            return
+        told = [
+            r.message for v, r in change.replies.items() if v in group and isinstance(r.message, m.Promise)
+        ]
+        best = max((p.vouched for p in told), key=lambda v: v.ballot).accepted
+        decided = max((p.decided for p in told), default=0)
+        if self.known:
+            decided = max(decided, self.known.step)
+        if best is None or best.step < decided:
+            return  # a voter that is behind its own word: can't be, and isn't built upon
+        if best.step > decided:
+            self._accept(change, best, final=False)
+            return
+        value = self._next(change, best, told)
+        if value and self.change is change:
+            change.sent |= change.goal is Goal.FORWARD
+            self._accept(change, value, final=True)
+
+    def _accept(self, change: Change, value: m.State, final: bool) -> None:
+        change.value, change.final, change.replies = value, final, {}
+        self.out += [(voter, m.Accept(change.ballot, value)) for voter in self.voters]
+
+    def _next(self, change: Change, state: m.State, told: list[m.Promise]) -> m.State | None:
+        """What follows a decided state, if it is the goal's to change it; else the change has ended."""
+        ref, mine = change.ref, state.new == change.ref and state.by == (self.me, self.start)
+        match change.goal:
+            case Goal.JOIN if ref and state.new is None and ref.version > state.tried:
+                return state.next(state.old, ref, (self.me, self.start))
+            case Goal.JOIN | Goal.FORWARD if ref and state.new is None and state.old == ref:
+                self._end()
+            case Goal.JOIN if mine:
+                change.goal = Goal.FORWARD
+                return self._next(change, state, told)
+            case Goal.JOIN if state.new:
+                self._end(errors.BusyError(f"version {state.new.version} is on its way", "policy"))
+            case Goal.JOIN:
+                self._end(errors.VersionError(f"version {state.tried} was tried already", "policy"))
+            case Goal.FORWARD if mine and ref:
+                refusals = [p.refusal for p in told if p.refusal]
+                change.held = tuple(sorted({router for p in told for router in p.held}))
+                if refusals:
+                    router, why = refusals[0]
+                    self._back(errors.RefusedByError(why, f"router {router}"))
+                elif not change.held:
+                    return state.next(ref)
+            case Goal.FORWARD:
+                self._end(errors.WithdrawnError("was taken back", "policy"))
+            case Goal.BACK if state.new:
+                return state.next(state.old)
+            case _:
+                self._end(None if state.old == ref else change.why)
+        return None
+
+    def accepted(self, now: float, voter: int, start: int, message: m.Accepted) -> None:
+        """A voter's vote; with a majority of them the state is decided."""
+        change = self.change
+        if not change or not change.value or message.ballot != change.ballot:
+            return
+        change.replies[voter] = Reply(start, message.seen, message)
+        if not sound(change.replies, self.voters, self.need):
+            return
+        state, final = change.value, change.final
+        self.decided.append(state)
+        self.out += [(v, m.Decided(state)) for v in self.voters]
+        change.value, change.ballot = None, m.Ballot()  # late votes count no more
+        if not final:
+            change.again_at = now
+        elif change.goal is Goal.JOIN:
+            change.goal, change.again_at = Goal.FORWARD, now + AGAIN
+        else:
+            self._end(change.why)
+
+    def _end(self, error: IronrailError | None = None) -> None:
+        """Over; a ticket ends with it, if it hasn't ended before."""
+        ticket = self.change.ticket if self.change else None
+        if ticket and ticket.open:
+            ticket.error, ticket.in_force = error, error is None
+        self.change = None
+
+    def _back(self, error: IronrailError) -> None:
+        """The ticket ends, if the last step was never sent out; the register goes back to the old state."""
+        change = self.change
+        if change:
+            if change.ticket and change.ticket.open and not change.sent:
+                change.ticket.error = error
+            change.goal, change.value, change.ballot = Goal.BACK, None, m.Ballot()
+            change.why = error
+
+    def wake(self, now: float) -> None:
+        """Repeat what had no answer; give up at the deadline."""
+        change = self.change
+        if not change:
+            return
+        if now >= change.deadline and change.ticket and change.ticket.open:
+            error = self._late(change)
+            if not change.sent:
+                self._back(error)
+                change.again_at = now
+            elif now >= change.began + PATIENCE * (change.deadline - change.began):
+                change.ticket.error = errors.OpenError(
+                    "the last step was sent out, its fate is not known", "policy"
+                )
+        if now >= change.again_at:
+            self._prepare(now)
+
+    def _late(self, change: Change) -> errors.NoMajorityError:
+        if change.held:
+            return errors.NoMajorityError("didn't acknowledge in time", f"routers {change.held}")
+        return errors.NoMajorityError("no majority answered in time", "voters")
+
+    def wake_at(self) -> float:
+        """When it wants to be asked again."""
+        change = self.change
+        if not change:
+            return math.inf
+        waiting = change.ticket is not None and change.ticket.open
+        late = change.began + PATIENCE * (change.deadline - change.began) if change.sent else change.deadline
+        return min(change.again_at, late if waiting else math.inf)
--- /dev/null
+++ b/ironrail/peers/accord/room.py
@@ -0,0 +1,151 @@
+"""The room in which routers come to an accord: puts voters, leases and proposals together. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ironrail.errors import InputError, IronrailError
+from ironrail.peers.accord import errors
+from ironrail.peers.accord import messages as m
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.conf import DEADLINE
+from ironrail.peers.accord.core import Core
+from ironrail.peers.accord.proposer import Change, Goal, Ticket
+from ironrail.peers.accord.register import Keep
+from ironrail.peers.faces import Heard, Say, Topic
+
+
+@dataclass(frozen=True, slots=True)
+class DecidedBy:
+    """What a router acts by at one instant."""
+
+    versions: tuple[int, ...]  # that it decides under; empty: under none
+    policy: p.Policy | None  # the effective one, or the floor; None: not ready
+    scope: m.Scope = ()
+
+
+class AccordRoom(Core):
+    """See `faces.Room`; besides, `propose`, `decides_by`, `found`, and the voter's record."""
+
+    topic = Topic.ACCORD
+
+    # what an operator or the router asks
+
+    def propose(self, now: float, policy: p.Policy, deadline: float = DEADLINE) -> Ticket:
+        """Have this policy take the old one's place everywhere; `deadline`: seconds.
+
+        Raises:
+            RefusedError: a change is under way here, or this router doesn't know where the register stands.
+            PolicyError: this router itself can't work by it.
+        """
+        if self.proposer.change:
+            raise errors.BusyError("a change is under way here", "policy")
+        if self.known is None or self.holder.decides(now) is None:
+            raise errors.UnreadyError("holds no lease", f"router {self.conf.me}")
+        if error := p.check(policy, self.library.facts):
+            raise error
+        ref = self.library.add(policy)
+        ticket = Ticket(ref)
+        self.proposer.begin(now, Change(Goal.JOIN, ref, ticket, deadline=now + deadline))
+        self._settle(now)
+        return ticket
+
+    def found(self, now: float, epoch: int, policy: p.Policy) -> None:
+        """By the operator's hand, the first time and where more voters lost their memory than can be.
+
+        `epoch`: never used before. Tell it to one router; voters with a memory take no notice.
+        """
+        if not 0 < epoch < 2**20:
+            raise InputError("must be from 1 to 2**20", "epoch")
+        if error := p.check(policy, self.library.facts):
+            raise error
+        ref = self.library.add(policy)
+        self._to_voters(m.Offer(m.State(epoch * m.EPOCH, ref, tried=ref.version)))
+        self._to_voters(m.Document(p.encode(policy)))
+        self._settle(now)
+
+    def decides_by(self, now: float) -> DecidedBy:
+        """What to act by at this very time; ask anew for each decision, with a clock that counts pauses."""
+        state = self.holder.decides(now)
+        if state:
+            return DecidedBy(
+                tuple(r.version for r in state.refs()), self.library.effective(state), state.scope
+            )
+        known = [self.known, self.holder.at, self.holder.next]
+        if not any(known) and not self.conf.start_on_floor:
+            return DecidedBy((), None)
+        return DecidedBy((), self.library.strictest(known))
+
+    def troubles(self, now: float) -> list[IronrailError]:
+        """What an operator should know."""
+        found: list[IronrailError] = []
+        if self.voter and self.voter.is_lost():
+            found.append(errors.LostError("a majority of the voters has no memory", "voters"))
+        if self.voter and self.voter.failing:
+            found.append(errors.KeepingError("can't keep its record", f"voter {self.conf.me}"))
+        if self.holder.decides(now) is None:
+            found.append(errors.LeaseError("holds no lease", f"router {self.conf.me}"))
+        if self.known and (refused := self.library.refusal(self.known)):
+            found.append(refused[1])
+        return found
+
+    # the voter's record
+
+    def keeps(self) -> list[Keep]:
+        """Records to be kept; asked after each event, and empty once taken."""
+        if not self.voter:
+            return []
+        taken, self.voter.keeps = self.voter.keeps, []
+        return taken
+
+    def kept(self, now: float, token: int) -> None:
+        """It is on the disk."""
+        if self.voter:
+            self.voter.kept(token)
+            self._settle(now)
+
+    def keep_failed(self, now: float, token: int) -> None:
+        """It couldn't be kept."""
+        if self.voter:
+            self.voter.keep_failed(now, token)
+
+    # the driver's calls
+
+    def hear(self, now: float, heard: Heard) -> None:
+        """A message; what can't be used is counted and dropped."""
+        try:
+            message = m.decode(heard.body)
+        except msgspec.MsgspecError:
+            self.unusable += 1
+            return
+        self._take(now, heard.sender, heard.start, message)
+        self._settle(now)
+
+    def wake(self, now: float) -> None:
+        """Time has passed."""
+        if self.voter:
+            self.voter.wake(now)
+        if now >= self._renew_at:
+            self._renew(now)
+        if now >= self._fetch_at:
+            self._fetch(now)
+        if now >= self._tend_at():
+            self._tend(now)
+        self.proposer.wake(now)
+        self._settle(now)
+
+    def say(self) -> list[Say]:
+        """What is to be sent."""
+        taken, self._out = self._out, []
+        return taken
+
+    def wake_at(self) -> float:
+        """When it wants to be woken."""
+        times = [self._renew_at, self.proposer.wake_at(), self._tend_at()]
+        if self.library.missing(self._states()):
+            times.append(self._fetch_at)
+        if self.voter:
+            times.append(self.voter.keep_again if self.voter.standing else self.voter.recover_at)
+        return min(times)
