--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -93,6 +93,7 @@
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._ending = False
+        self.before: Callable[[float], None] | None = None  # what is to be looked at before each decision
         self._held: dict[str, Held] = {}
         self._open: dict[tuple[str, int], tuple[Attempt, Pool]] = {}  # attempts without an outcome
         self._pools: dict[str, Pool] = {}
@@ -317,6 +318,11 @@
 
     # What the module makes of it
 
+    def guide(self, guidance: api.Guidance) -> None:
+        """Have the module decide by this, at once: also an event that is about to be handed over."""
+        for action in self._router.handle(self._now(), guidance):
+            self._carry_out(action)
+
     def _feed(self, event: api.Event) -> None:
         self._events.append(event)
         self._notice_return()
@@ -354,6 +360,8 @@
             self._busy = False
 
     def _handle(self, event: api.Event) -> None:
+        if self.before is not None:
+            self.before(self._now())
         try:
             actions = self._router.handle(self._now(), event)
         except Exception:  # guards all other requests against a fault that one event shows
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -13,7 +13,7 @@
 
 from ironrail.connections.downstream import CLIENTS_SHARE, KEPT_SHARE, Downstream
 from ironrail.connections.room import Room
-from ironrail.door.calls import Answer
+from ironrail.door.calls import Answer, Page, Post
 from ironrail.net.caches import CacheConnection
 from ironrail.net.clients import Clients
 from ironrail.net.config import Config, ConfigError, read_config
@@ -30,6 +30,8 @@
 
 if TYPE_CHECKING:
     from ironrail.net.access import Access
+    from ironrail.net.store import Store
+    from ironrail.net.together import Together
 
 ORIGIN_CONNECTIONS = 32
 OWN_DESCRIPTORS = 24  # of the process itself: log, loop, listener, two discoveries, new connections
@@ -62,7 +64,9 @@
         operator: Operator = NO_FILE,
         system: System = REAL,
         reread: Callable[[], Config] = configured,
+        store: Store | None = None,
     ) -> None:
+        """`store`: where a voter keeps its record, in place of the folder that the operator's file names."""
         self._config, self._operator, self._system, self._reread = config, operator, system, reread
         reader = ListReader(system)
         router = Router(config.settings, config.seed, system.now())
@@ -92,7 +96,13 @@
             self._access.note if self._access is not None else None,
         )
         kept = int(config.sockets * CLIENTS_SHARE * KEPT_SHARE)
-        self._clients = Clients(self._host, self._host.can_serve, Downstream(to_clients, kept), system)
+        self._clients = Clients(self._host, self._can_serve, Downstream(to_clients, kept), system)
+        self.together: Together | None = None
+        if operator.peers is not None:
+            from ironrail.net.together import Together  # noqa: PLC0415 - a router alone does without it
+
+            self.together = Together(config, operator.peers, system, self._host.guide, store)
+            self._host.before = self.together.check
         if config.known is not None:
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
@@ -100,6 +110,9 @@
                 raise ConfigError(str(e), "known") from e
             self._host.servers(known, addresses)
 
+    def _can_serve(self) -> bool:
+        return self._host.can_serve() and (self.together is None or self.together.ready())
+
     def _pool(self, entry: api.ServerEntry, address: Address) -> Pool:
         settings = self._config.settings
         connections = self._operator.connections
@@ -128,7 +141,12 @@
         else:
             address = self._listen()
         if self._config.operator is not None:
-            self.door = Door({"/-/ready": self._ready, "/-/metrics": self._metrics}, self._system)
+            pages: dict[str, Page] = {"/-/ready": self._ready, "/-/metrics": self._metrics}
+            posts: dict[str, Post] = {}
+            if self.together is not None:
+                pages |= self.together.pages()
+                posts = self.together.posts()
+            self.door = Door(pages, self._system, posts)
             self.door_address = self.door.listen(self._config.operator)
         self._discovery.start(self._told)
         if self._access is not None:
@@ -172,6 +190,8 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self._access is not None:
             loop.add_signal_handler(signal.SIGUSR1, self._access.reopen)
+        if self.together is not None:
+            await self.together.open()
         self.start()
         log.info("listening", extra={"address": "{}:{}".format(*self._config.listen)})
         self._system.settled()
@@ -200,6 +220,8 @@
             self._host.end_all()
             await asyncio.sleep(LAST_WRITES)
         self._discovery.stop()
+        if self.together is not None:
+            self.together.close()
         if self._access is not None:
             await self._access.stop()
 
--- /dev/null
+++ b/ironrail/net/policies.py
@@ -0,0 +1,216 @@
+"""A router's part in an accord on policies: its room, its record on a disk, its page at the operators' door.
+
+What is decided by is handed to the decision module as an event, and asked anew before each decision: a lease
+may have run out while the process stood still.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+
+from ironrail.door.calls import Answer
+from ironrail.errors import InputError, RefusedError
+from ironrail.net.store import Keeper, RecordError, Store
+from ironrail.operator_file import OperatorError, Peers
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.proposer import Ticket
+from ironrail.peers.accord.room import AccordRoom, DecidedBy
+from ironrail.policy import interface as api
+
+log = logging.getLogger(__name__)
+
+RECORD = "accord"  # name of a voter's record
+FIRST = 1  # version of a policy without rows, which forbids nothing
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where this router stands among all."""
+
+    me: int
+    start: int
+    now: float
+    seed: int
+
+
+def read_floor(path: str) -> p.Policy:
+    """The policy that is obeyed where none can be decided by; OperatorError if the file can't be used."""
+    if not path:
+        return p.Policy(version=FIRST)
+    try:
+        return p.read(tomllib.loads(Path(path).read_text()))
+    except OSError as e:
+        raise OperatorError(e.strerror or str(e), path) from e
+    except (ValueError, InputError) as e:  # TOML, UTF-8 or a policy's own
+        raise OperatorError(str(e), path) from e
+
+
+def facts_of(settings: api.Settings, peers: Peers) -> p.Facts:
+    """What this router checks each policy against. Titles come with requests: any may be named."""
+    return p.Facts(frozenset(settings.classes), None, frozenset(peers.halls))
+
+
+class Policies:
+    """The accord of one router."""
+
+    def __init__(
+        self,
+        place: Place,
+        settings: api.Settings,
+        peers: Peers,
+        store: Store | None,
+        follow: Callable[[api.Guidance], None],
+        now: Callable[[], float],
+        go_on: Callable[[], None],
+    ) -> None:
+        """`follow`: takes what is decided by from now on; `go_on`: sends what the room says."""
+        self._follow, self._now, self._go_on = follow, now, go_on
+        conf = Conf(
+            place.me, place.start, len(peers.halls), peers.voters, peers.lease_ms / 1000, peers.drift,
+            store is not None, peers.start == "floor",
+        )  # fmt: skip
+        facts, floor = facts_of(settings, peers), read_floor(peers.floor)
+        record, self._torn = self._kept(store)
+        self.room = AccordRoom(conf, facts, floor, place.now, place.seed, record)
+        self._keeper = Keeper(store, RECORD, self._done) if store is not None else None
+        self._followed: DecidedBy | None = None
+        self._until = -math.inf  # when what is decided by has to be asked for anew
+        self.ticket: Ticket | None = None  # of the latest call for a change here
+
+    def _kept(self, store: Store | None) -> tuple[bytes | None, RecordError | None]:
+        """A record that can't be read is none: the voter then asks the others where things stand."""
+        try:
+            return (store.read(RECORD) if store is not None else None), None
+        except RecordError as e:
+            log.error("record_unusable", extra={"error": e.told()})
+            return None, e
+        except OSError as e:
+            log.error("record_unread", extra={"error": str(e)})
+            return None, RecordError(str(e), RECORD)
+
+    # What is decided by
+
+    def ready(self) -> bool:
+        """Whether there is anything to decide by."""
+        return self.room.decides_by(self._now()).policy is not None
+
+    def check(self, now: float) -> None:
+        """Before each decision: what was decided by may have ended."""
+        if now >= self._until:
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Hand over what is decided by, if that has changed, and keep what is to be kept."""
+        now = self._now()
+        for keep in self.room.keeps():
+            assert self._keeper is not None
+            self._keeper.keep(keep.token, keep.record)
+        decided = self.room.decides_by(now)
+        self._until = self.room.decides_until(now)
+        if decided == self._followed:
+            return
+        before, self._followed = self._followed, decided
+        policy = decided.policy or self.room.library.floor
+        log.info(
+            "decides_by", extra={"versions": list(decided.versions), "ready": decided.policy is not None}
+        )
+        if before is None or policy != (before.policy or self.room.library.floor):
+            self._follow(api.Guidance(policy.emptied, policy.shed, policy.further, policy.rates))
+
+    def _done(self, token: int, failed: OSError | None) -> None:
+        if failed is None:
+            self.room.kept(self._now(), token)
+        else:
+            log.error("record_not_kept", extra={"error": str(failed)})
+            self.room.keep_failed(self._now(), token)
+        self._go_on()
+
+    def stop(self) -> None:
+        if self._keeper is not None:
+            self._keeper.stop()
+
+    # The operators' door
+
+    def page(self) -> Answer:
+        """What is in force here, as JSON."""
+        return Answer(
+            200, orjson.dumps(self._told(), option=orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS) + b"\n"
+        )
+
+    def _told(self) -> dict[str, Any]:
+        now = self._now()
+        decided = self.room.decides_by(now)
+        ends = self.room.decides_until(now)
+        told: dict[str, Any] = {
+            "versions": list(decided.versions),
+            "ready": decided.policy is not None,
+            "lease_left": round(ends - now, 3) if ends > now and ends < math.inf else None,
+            "policy": _builtins(decided.policy),
+            "troubles": [error.told() for error in self.room.troubles(now)],
+        }
+        if self._torn is not None:
+            told["troubles"].append(self._torn.told())
+        if self.ticket is not None:
+            told["change"] = {"version": self.ticket.ref.version, "state": self._state(self.ticket)}
+            if self.ticket.error is not None:
+                told["change"]["error"] = self.ticket.error.told()
+        return told
+
+    @staticmethod
+    def _state(ticket: Ticket) -> str:
+        return "under way" if ticket.open else "in force" if ticket.in_force else "refused"
+
+    def propose(self, body: bytes) -> Answer:
+        """A policy as TOML: 202 once it is under way, 409 where it can't be now, 400 where it is none."""
+        try:
+            self.ticket = self.room.propose(self._now(), _read(body))
+        except RefusedError as e:
+            return _said(409, e.told())
+        except InputError as e:
+            return _said(400, e.told())
+        self._go_on()
+        return _said(202, f"version {self.ticket.ref.version} is under way: ask for its state")
+
+    def found(self, body: bytes) -> Answer:
+        """By hand, the first time or where the voters' memory is lost: a policy with `epoch` beside it."""
+        try:
+            table = tomllib.loads(body.decode())
+            epoch = table.pop("epoch", None)
+            if not isinstance(epoch, int) or isinstance(epoch, bool):
+                raise InputError("must be a whole number that was never used before", "epoch")
+            self.room.found(self._now(), epoch, p.read(table))
+        except InputError as e:
+            return _said(400, e.told())
+        except ValueError as e:
+            return _said(400, str(e))
+        self._go_on()
+        return _said(202, f"epoch {epoch} is offered to the voters")
+
+
+def _read(body: bytes) -> p.Policy:
+    try:
+        return p.read(tomllib.loads(body.decode()))
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
+        raise InputError(str(e), "policy") from e
+
+
+def _builtins(policy: p.Policy | None) -> Any:
+    """A policy's rows by name, those that say nothing left out."""
+    if policy is None:
+        return None
+    rows = {name: getattr(policy, name) for name in policy.__struct_fields__}
+    return {name: msgspec.to_builtins(row) for name, row in rows.items() if row or name == "version"}
+
+
+def _said(status: int, text: str) -> Answer:
+    return Answer(status, text.encode() + b"\n")
--- a/ironrail/peers/accord/policy.py
+++ b/ironrail/peers/accord/policy.py
@@ -16,7 +16,7 @@
 from ironrail.peers.accord.errors import PolicyError
 from ironrail.peers.faces import MOST_HALLS
 
-MOST_DOCUMENT = 4096  # bytes on the wire: 20 datagrams or so, as each router has to fetch it
+MOST_DOCUMENT = 3584  # bytes on the wire: 16 datagrams, the most of one body; each router has to fetch it
 MOST_ROWS = 256  # titles, classes, regions or constants; more don't fit the bytes anyway
 DIGEST = 16  # bytes: nobody finds two documents of one digest by chance
 MOST_RATE = 1e9  # requests/s
@@ -48,7 +48,7 @@
     """What one router knows of itself, and checks each policy against."""
 
     classes: frozenset[str] = frozenset()
-    titles: frozenset[str] = frozenset()
+    titles: frozenset[str] | None = frozenset()  # None: any, as they come with requests
     halls: frozenset[str] = frozenset()
     regions: frozenset[str] = frozenset()
     constants: dict[str, Constant] = field(default_factory=dict)
@@ -138,7 +138,7 @@
     """Why this router can't work by it, or nothing."""
     halls = set(policy.emptied).union(*policy.steering.values())
     known: tuple[tuple[str, set[str], Any], ...] = (
-        ("rates", set(policy.rates), facts.titles),
+        ("rates", set(policy.rates), set(policy.rates) if facts.titles is None else facts.titles),
         ("shed", set(policy.shed), facts.classes),
         ("further", set(policy.further), facts.classes),
         ("halls", halls, facts.halls),
--- a/ironrail/peers/accord/room.py
+++ b/ironrail/peers/accord/room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -78,6 +79,11 @@
             return DecidedBy((), None)
         return DecidedBy((), self.library.strictest(known))
 
+    def decides_until(self, now: float) -> float:
+        """When `decides_by` may tell something else though nothing was heard: the lease ends."""
+        state = self.holder.decides(now)
+        return self.holder.end(state.scope) if state else math.inf
+
     def troubles(self, now: float) -> list[IronrailError]:
         """What an operator should know."""
         found: list[IronrailError] = []
