--- /dev/null
+++ b/ironrail/net/answers.py
@@ -0,0 +1,160 @@
+"""The requests that a router holds, and how each comes to its one final answer."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from ironrail.access.keep import Ended
+from ironrail.connections.room import Room
+from ironrail.door.figures import Figures
+from ironrail.net import memcache
+from ironrail.net.driving import Driver
+from ironrail.net.held import Held
+from ironrail.net.memcache import Command
+from ironrail.net.pool import Attempt, Connection, Pool
+from ironrail.net.system import System
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
+
+log = logging.getLogger(__name__)
+
+Note = Callable[[Command, float, Ended, int], None]  # of a request that ends: its seconds, its value's size
+STREAM_ROOM = 320 * 1024  # bytes of a long value on its way: one read, and what its client has not taken
+MOST_ROOM = 64 * 1024**2  # bytes for all long values where nobody says how much there is
+
+
+class Answers(Driver):
+    """Owes each request it holds one answer, and each attempt that is out its end; a subclass sends."""
+
+    def __init__(
+        self,
+        router: Router,
+        system: System,
+        returned: Callable[[], None],
+        room: Room | None,
+        note: Note | None,
+    ) -> None:
+        super().__init__(router, system, returned)
+        self._note = note
+        self.room = room or Room(MOST_ROOM)
+        self.figures = Figures(router.settings.classes)
+        self._ending = False
+        self._held: dict[str, Held] = {}
+        self._open: dict[tuple[str, int], tuple[Attempt, Pool]] = {}  # attempts without an outcome
+
+    def _on_deadline(self, name: str) -> None:
+        """The client stops waiting: nothing may stay out for the request, and its answer is due."""
+        if not self._settle(self._held[name]):
+            log.error("request_lost_sight_of", extra={"request": name})
+
+    def _settle(self, held: Held) -> bool:
+        """The time of a request is up: answered now, by the module unless it lost sight of it."""
+        name = held.request
+        self._notice_return()  # now: noticed further on, the module would hear of nothing any more
+        for attempt in held.attempts:
+            self._give_up(attempt.request, attempt.number, api.Status.TIMEOUT)
+        if self._catching_up:
+            self._end_unseen(name)
+        if name in self._held:  # it waits, and its own timer is due an instant later
+            self._feed(api.TimeUp(name))
+        if name in self._held:
+            self._lose(held)
+            return False
+        return True
+
+    def end_all(self) -> None:
+        """The router ends: all that is held gets its answer now, and nothing more is sent."""
+        self._ending = True
+        for held in list(self._held.values()):
+            if held.request in self._held:  # the end of another may have ended it
+                self._settle(held)
+
+    def _end_unseen(self, name: str) -> None:
+        """The module hears of nothing now: what concerns a request whose time is up it is told at once."""
+        self._hear_of(name)
+        if name in self._held:
+            self._handle(api.TimeUp(name))
+
+    def _failed_on(self, event: api.Event) -> None:
+        held = self._held.get(getattr(event, "request", ""))
+        if held is not None:
+            self._lose(held)
+
+    def _lose(self, held: Held) -> None:
+        """Fail a request that the module no longer looks after, and have it forgotten."""
+        self._finish(held, memcache.FAILED, self.figures.failure)
+        self._feed(api.ClientGone(held.request))
+
+    def _finish(self, held: Held, answer: bytes, counts: dict[str, int]) -> None:
+        """Give the one final answer of a request."""
+        self._close(held, counts)
+        held.answer(answer)
+
+    def _close(self, held: Held, counts: dict[str, int]) -> None:
+        """A request ends: it is counted, and owed nothing more."""
+        counts[held.command.fields["c"]] += 1
+        del self._held[held.request]
+        held.timer.cancel()
+        if self._note is not None:
+            figures = self.figures
+            served, refused = counts is figures.success, counts is figures.busy
+            ended = Ended.SERVED if served else Ended.REFUSED if refused else Ended.FAILED
+            self._note(
+                held.command, self._now() - held.taken_at, ended, 0 if held.command.write else held.length
+            )
+
+    # Attempts
+
+    def _on_outcome(self, attempt: Attempt, status: api.Status, body: bytes) -> None:
+        del self._open[attempt.request, attempt.number]
+        if attempt.lent:
+            self.room.give_back(attempt)
+        held = self._held.get(attempt.request)
+        latency = self._now() - attempt.sent_at
+        if held is not None and held.streaming is attempt:
+            latency = held.streams_since - attempt.sent_at  # what comes after is the client's own pace too
+            self._end_stream(held, status is api.Status.OK)
+            held = None
+        elif held is not None and status is api.Status.OK and held.streaming is None:
+            held.length = len(body)
+            self._finish(held, memcache.write_served(held.command, body), self.figures.success)
+            held = None
+        self._feed(api.Outcome(attempt.request, attempt.number, status, held is None, latency))
+
+    def _give_up(self, name: str, number: int, status: api.Status) -> None:
+        """Stop waiting for an attempt, if it is still out."""
+        if (name, number) in self._open:
+            attempt, pool = self._open[name, number]
+            pool.abandon(attempt, status)
+
+    # Long values
+
+    def _on_begun(self, attempt: Attempt, length: int, connection: Connection) -> None:
+        """An attempt is answered with a long value: the request is its own from now on."""
+        held = self._held.get(attempt.request)
+        passage = None if held is None or held.streaming is not None else held.passage
+        # guards memory against more long values at once than there is room for
+        if held is None or passage is None or not self.room.take(attempt, STREAM_ROOM):
+            self._give_up(attempt.request, attempt.number, api.Status.CANCELLED)
+            return
+        attempt.lent = True
+        held.streaming, held.streams_since, held.length = attempt, self._now(), length
+        held.timer.cancel()
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        passage.begin(memcache.write_opening(held.command.request_id, length), connection.hold)
+        self._feed(api.Streaming(attempt.request, attempt.number))
+
+    def _on_piece(self, attempt: Attempt, data: bytes) -> None:
+        held = self._held.get(attempt.request)
+        if held is not None and held.streaming is attempt and held.passage is not None:
+            held.passage.more(data)
+
+    def _end_stream(self, held: Held, whole: bool) -> None:
+        assert held.passage is not None
+        self._close(held, self.figures.success if whole else self.figures.failure)
+        if whole:
+            held.passage.finish()
+        else:
+            held.passage.cut()
--- /dev/null
+++ b/ironrail/net/held.py
@@ -0,0 +1,46 @@
+"""A request as a router holds it, and the way of its long value."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ironrail.net.memcache import Command
+from ironrail.net.pool import Attempt
+
+Answer = Callable[[bytes], None]
+
+
+class Passage(Protocol):
+    """Where a long value goes as it comes."""
+
+    def begin(self, head: bytes, hold: Callable[[bool], None]) -> None:
+        """Its head; `hold` is to be told when the client takes no more for now, or again."""
+
+    def more(self, data: bytes) -> None:
+        """A piece of it."""
+
+    def finish(self) -> None:
+        """It was whole."""
+
+    def cut(self) -> None:
+        """The rest will never come, and the client is to see that."""
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that is owed its one final answer."""
+
+    request: str
+    command: Command
+    answer: Answer
+    deadline: float
+    timer: asyncio.TimerHandle
+    passage: Passage | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    streaming: Attempt | None = None  # the one whose long value its client is given
+    streams_since: float = 0.0
+    taken_at: float = 0.0
+    length: int = 0  # bytes of the value that it was given
--- a/tests/mutants/another_value.py
+++ b/tests/mutants/another_value.py
@@ -21,4 +21,4 @@
         mixed = status is Status.OK and not attempt.command.write and other and next(count) % 40 == 0
         on_outcome(self, attempt, status, other if mixed else body)
 
-    Host._on_outcome = mixed_up  # type: ignore[method-assign]
+    Host._on_outcome = mixed_up  # type: ignore[method-assign, assignment]
--- a/tests/mutants/answers_twice.py
+++ b/tests/mutants/answers_twice.py
@@ -16,4 +16,4 @@
     def talkative(self: Host, held: Held, answer: bytes, counts: dict[str, int]) -> None:
         finish(self, held, answer * 2 if next(count) % 40 == 0 else answer, counts)
 
-    Host._finish = talkative  # type: ignore[method-assign]
+    Host._finish = talkative  # type: ignore[method-assign, assignment]
--- a/tests/mutants/drops_answer.py
+++ b/tests/mutants/drops_answer.py
@@ -18,4 +18,4 @@
             held.answer = lambda answer: None
         finish(self, held, answer, counts)
 
-    Host._finish = forgetful  # type: ignore[method-assign]
+    Host._finish = forgetful  # type: ignore[method-assign, assignment]
--- a/tests/mutants/holds_back.py
+++ b/tests/mutants/holds_back.py
@@ -25,4 +25,4 @@
         held.answer = later
         finish(self, held, answer, counts)
 
-    Host._finish = sly  # type: ignore[method-assign]
+    Host._finish = sly  # type: ignore[method-assign, assignment]
--- a/tests/mutants/sends_after_answer.py
+++ b/tests/mutants/sends_after_answer.py
@@ -25,4 +25,4 @@
         if not held.command.write and next(count) % 20 == 0:
             asyncio.get_running_loop().call_later(0.4, again, self, held)
 
-    Host._finish = restless  # type: ignore[method-assign]
+    Host._finish = restless  # type: ignore[method-assign, assignment]
--- a/tests/mutants/serves_from_memory.py
+++ b/tests/mutants/serves_from_memory.py
@@ -27,4 +27,4 @@
         return None
 
     Host.take = recall  # type: ignore[method-assign]
-    Host._on_outcome = remember  # type: ignore[method-assign]
+    Host._on_outcome = remember  # type: ignore[method-assign, assignment]
