--- /dev/null
+++ b/ironrail/net/replies.py
@@ -0,0 +1,110 @@
+"""What cache servers answer, parsed piece by piece as bytes arrive. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from ironrail.net.framing import SHORT, Buffer, FramingError, read_length
+
+
+class ReplyKind(Enum):
+    """What a cache server said."""
+
+    VALUE = "VA"
+    STORED = "HD"
+    MISS = "EN"
+    BUSY = "busy"
+    ERROR = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """A cache server's reply; `request_id` is None where the line carries none."""
+
+    kind: ReplyKind
+    request_id: bytes | None
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Opening:
+    """The head of a value that is too long to be kept whole: its pieces follow."""
+
+    request_id: bytes | None
+    length: int
+
+
+@dataclass(slots=True, frozen=True)
+class Piece:
+    """Some of a long value; the last one has nothing in it and tells that the value was whole."""
+
+    data: bytes
+    last: bool = False
+
+
+class ReplyParser:
+    """What cache servers answer."""
+
+    def __init__(self) -> None:
+        self._buffer = Buffer()
+        self._pending: tuple[int, bytes | None] | None = None  # length and id of a value still to come
+        self._rest: int | None = None  # of a long value that is passed on
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a reply has come."""
+        return self._pending is not None or self._rest is not None or len(self._buffer) > 0
+
+    def feed(self, data: bytes) -> Iterator[Reply | Opening | Piece]:
+        """Yield whole replies, and long values in pieces; raises FramingError on anything that is neither."""
+        self._buffer.add(data)
+        while (reply := self._next()) is not None:
+            yield reply
+
+    def _next_piece(self, rest: int) -> Piece | None:
+        if rest == 0:
+            if self._buffer.block(0) is None:
+                return None
+            self._rest = None
+            return Piece(b"", last=True)
+        data = self._buffer.some(rest)
+        self._rest = rest - len(data)
+        return Piece(data) if data else None
+
+    def _next(self) -> Reply | Opening | Piece | None:
+        if self._rest is not None:
+            return self._next_piece(self._rest)
+        if self._pending is None:
+            line = self._buffer.line()
+            if line is None:
+                return None
+            words = line.split(b" ")
+            if words[0] != b"VA" or len(words) < 2:
+                return _read_reply(line, words)
+            self._pending = read_length(words[1]), _flag(words[2:], b"O")
+        length, request_id = self._pending
+        if length > SHORT:
+            self._pending, self._rest = None, length
+            return Opening(request_id, length)
+        value = self._buffer.block(length)
+        if value is None:
+            return None
+        self._pending = None
+        return Reply(ReplyKind.VALUE, request_id, value)
+
+
+def _flag(words: list[bytes], letter: bytes) -> bytes | None:
+    return next((word[1:] for word in words if word[:1] == letter), None)
+
+
+def _read_reply(line: bytes, words: list[bytes]) -> Reply:
+    match words[0]:
+        case b"HD":
+            return Reply(ReplyKind.STORED, _flag(words[1:], b"O"), _flag(words[1:], b"c") or b"")
+        case b"EN":
+            return Reply(ReplyKind.MISS, _flag(words[1:], b"O"))
+        case b"SERVER_ERROR":
+            return Reply(ReplyKind.BUSY if words[1:2] == [b"busy"] else ReplyKind.ERROR, None)
+    raise FramingError(f"not a reply: {line[:80]!r}")
