--- a/ironrail/net/caches.py
+++ b/ironrail/net/caches.py
@@ -5,8 +5,8 @@
 from ironrail.connections import upstream
 from ironrail.connections.upstream import Link
 from ironrail.net import memcache
+from ironrail.net.connection import Attempt, Connection, Told
 from ironrail.net.memcache import Opening, Reply, ReplyKind
-from ironrail.net.pool import Attempt, Connection, Pool
 from ironrail.policy.interface import Status
 
 OUTCOMES = {
@@ -21,7 +21,7 @@
 class CacheConnection(Connection):
     """Speaks the meta commands; replies come in the order of the commands."""
 
-    def __init__(self, pool: Pool, link: Link) -> None:
+    def __init__(self, pool: Told, link: Link) -> None:
         super().__init__(pool, link)
         self._parser = memcache.ReplyParser()
 
--- a/ironrail/net/held.py
+++ b/ironrail/net/held.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ironrail.net.connection import Attempt
 from ironrail.net.memcache import Command
-from ironrail.net.pool import Attempt
 
 Answer = Callable[[bytes], None]
 
--- a/ironrail/net/origin.py
+++ b/ironrail/net/origin.py
@@ -8,8 +8,8 @@
 import h11
 
 from ironrail.connections.upstream import Link, Reply
+from ironrail.net.connection import Attempt, Connection, Told
 from ironrail.net.memcache import MAX_VALUE, SHORT, Command, is_printable
-from ironrail.net.pool import Attempt, Connection, Pool
 from ironrail.policy.interface import Status
 
 SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
@@ -19,7 +19,7 @@
 class OriginConnection(Connection):
     """Carries one request at a time."""
 
-    def __init__(self, pool: Pool, link: Link) -> None:
+    def __init__(self, pool: Told, link: Link) -> None:
         super().__init__(pool, link)
         self._http = h11.Connection(h11.CLIENT)
         self._response: h11.Response | None = None
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -5,96 +5,23 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Callable
 from typing import Any, cast
 
 from ironrail.connections import upstream
 from ironrail.connections.upstream import Link, Reply, Upstream
-from ironrail.net.memcache import SHORT, Command
+from ironrail.net.connection import Attempt, Connection
 from ironrail.net.patience import patience
 from ironrail.net.system import REAL, Address, System
 from ironrail.policy.interface import Status
 
+__all__ = ["Attempt", "Connection", "Pool"]
+
 log = logging.getLogger(__name__)
 
 WARN_EVERY = 5.0  # seconds between warnings about one server
 
 
-@dataclass(slots=True, eq=False)
-class Attempt(upstream.Attempt):
-    """One attempt of a request, from its send to its one outcome."""
-
-    command: Command
-    report: Callable[[Attempt, Status, bytes], None] | None
-    begun: Callable[[Attempt, int, Connection], None] | None = None  # a long value comes in pieces
-    piece: Callable[[Attempt, bytes], None] | None = None
-    timer: asyncio.TimerHandle | None = None
-    lent: bool = False  # it has room for a long value
-
-    def end(self, status: Status, body: bytes) -> None:
-        """Report the outcome; whatever comes later has nobody left to hear it."""
-        report, self.report = self.report, None
-        if self.timer is not None:
-            self.timer.cancel()
-        if report is not None:
-            report(self, status, body)
-        if self.command.value and len(self.command.value) > SHORT:  # guards memory: it waits for its reply
-            self.command = replace(self.command, value=b"")
-
-
-class Connection(asyncio.Protocol):
-    """One connection: attempts in the order written. Subclasses write and parse."""
-
-    transport: asyncio.Transport
-
-    def __init__(self, pool: Pool, link: Link) -> None:
-        self.pool, self.link = pool, link
-        self._unread: Callable[[], bool] = lambda: False
-        self._held = False  # nothing is read for now
-
-    @property
-    def attempts(self) -> Sequence[Attempt]:
-        """Written and not replied to, given up ones among them; the oldest is first."""
-        return cast(Sequence[Attempt], self.link.out)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self._unread = self.pool.system.unread(self.transport)
-        # high water at 0 tells at once whether the last byte is out: until then the attempt never ran
-        self.transport.set_write_buffer_limits(high=0)
-
-    def pause_writing(self) -> None:
-        self.link.held_back = True
-
-    def resume_writing(self) -> None:
-        self.link.held_back = False
-
-    def quiet(self) -> bool:
-        """Whether nothing has come since the last reply: a second copy would pass for the next one."""
-        return not self.transport.is_closing() and not self._unread()
-
-    def encode(self, attempt: Attempt) -> list[bytes]:
-        raise NotImplementedError
-
-    def hold(self, full: bool) -> None:
-        """The client of a long value takes no more for now, or again: what it does not take is not read."""
-        if self._held is not full and not self.transport.is_closing():
-            self._held = full
-            self.pool.taken(self.link, full)
-            if full:
-                self.transport.pause_reading()
-            else:
-                self.transport.resume_reading()
-
-    def settle(self, replies: list[Reply], part: bool, fault: object = None) -> None:
-        """Tell what one read brought: whole replies in order, a part of another, or what is none."""
-        self.pool.read(self.link, replies, part, fault)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.pool.ended(self.link)
-
-
 class Pool:
     """Carries out what is decided about the connections to one server, and tells what becomes of it."""
 
