No file imports itself by way of others; recorded load stands above the kit

Three circles (virtual world, grid cache, clients) are broken by protocols of what one part knows of another; `rehearse` stands above kit and recorded load.

--- a/ironrail/cli.py
+++ b/ironrail/cli.py
@@ -13,10 +13,11 @@
     import click  # noqa: PLC0415
 
     from ironrail.recorded.command import trace  # noqa: PLC0415
-    from ironrail.rehearsal.command import pipeline_report, rehearse  # noqa: PLC0415
+    from ironrail.rehearsal.command import pipeline_report  # noqa: PLC0415
     from ironrail.rehearsal.experiments.command import experiment  # noqa: PLC0415
     from ironrail.rehearsal.fleet.command import fleet  # noqa: PLC0415
     from ironrail.rehearsal.virtual.command import explore  # noqa: PLC0415
+    from ironrail.rehearse import rehearse  # noqa: PLC0415
 
     @click.group(
         context_settings={"help_option_names": ["-h", "--help"]},
--- a/ironrail/rehearsal/standins/cacheconnection.py
+++ b/ironrail/rehearsal/standins/cacheconnection.py
@@ -4,14 +4,29 @@
 
 from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from ironrail.rehearsal.account.record import Attempt, Ended
 from ironrail.rehearsal.standins.door import Door, DoorConnection
 from ironrail.rehearsal.standins.meta import CommandReader, MetaCommand, NotMeta
+from ironrail.rehearsal.standins.world import World
 
-if TYPE_CHECKING:
-    from ironrail.rehearsal.standins.gridcache import GridCache
+
+class Cache(Protocol):
+    """The grid cache, to the connections that come up at its doors."""
+
+    world: World
+    name: str
+    id: str
+
+    def opened(self, connection: CacheConnection) -> None:
+        """One has come up."""
+
+    def take(self, turn: Turn) -> None:
+        """A whole command has come."""
+
+    def lost(self, connection: CacheConnection) -> None:
+        """One has ended."""
 
 
 @dataclass(slots=True, eq=False)
@@ -33,7 +48,7 @@
 class CacheConnection(DoorConnection):
     """One connection of a router: answers come in the order of the commands."""
 
-    def __init__(self, door: Door, cache: GridCache) -> None:
+    def __init__(self, door: Door, cache: Cache) -> None:
         super().__init__(door)
         self._cache = cache
         self._reader = CommandReader()
--- a/ironrail/rehearsal/standins/clientpool.py
+++ b/ironrail/rehearsal/standins/clientpool.py
@@ -4,19 +4,32 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 from ironrail.rehearsal.account.record import Given, Outcome, Try, value_digest
 from ironrail.rehearsal.standins.meta import Answer, AnswerReader, NotMeta
-
-if TYPE_CHECKING:
-    from ironrail.rehearsal.standins.clients import Clients
+from ironrail.rehearsal.standins.world import World
 
 CONNECT_PATIENCE = 0.5  # seconds for a connection to come up
 OUTCOMES = {"VA": Outcome.SERVED, "HD": Outcome.SERVED, "busy": Outcome.REFUSED}
 MOST_BEHIND = 3  # commands behind one that is held: routers take more
 
 
+class Asking(Protocol):
+    """Those whose tries go out on these connections."""
+
+    world: World
+
+    def ended(self, one: Try, retry_after: float | None) -> None:
+        """It has its answer."""
+
+    def closed(self, one: Try, uses: int) -> None:
+        """The connection ended without an answer."""
+
+    def unconnected(self, one: Try) -> None:
+        """No connection came up."""
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client, with one request out at a time, or some behind each other."""
 
@@ -111,7 +124,7 @@
 class ClientPool:
     """The connections of all clients to one router."""
 
-    def __init__(self, clients: Clients, router: str, address: tuple[str, int], most: int) -> None:
+    def __init__(self, clients: Asking, router: str, address: tuple[str, int], most: int) -> None:
         self.clients, self.router = clients, router
         self._address, self._most = address, most
         self._idle: deque[ClientConnection] = deque()
--- a/ironrail/rehearsal/virtual/datagrams.py
+++ b/ironrail/rehearsal/virtual/datagrams.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 from ironrail.rehearsal.links.exchange import Exchange
+from ironrail.rehearsal.virtual.faces import Address, Owner
 from ironrail.rehearsal.virtual.loop import PROCESS, VirtualLoop
-from ironrail.rehearsal.virtual.process import Process
 
-Address = tuple[str, int]
 MOST_WAITING = 256  # datagrams that a process has not read: the usual buffer of a socket holds about as many
 LATENCY = 0.0003  # seconds one way, as the network's usual
 
@@ -24,12 +23,12 @@
 
     inbox = b""  # bytes that the process holds: the system holds them here
 
-    def __init__(self, datagrams: Datagrams, process: Process, address: Address, protocol: Any) -> None:
+    def __init__(self, datagrams: Datagrams, process: Owner, address: Address, protocol: Any) -> None:
         super().__init__({"sockname": address})
         self._datagrams, self._address, self._protocol = datagrams, address, protocol
         self._context: contextvars.Context = process.context
         self._process, self._waiting = process, 0
-        process.opened(self)  # type: ignore[arg-type]
+        process.opened(self)
 
     def unsent(self) -> int:
         return 0
@@ -56,7 +55,7 @@
     def close(self) -> None:
         if not self.is_closing():
             del self._datagrams.endpoints[self._address]
-            self._process.closed(self)  # type: ignore[arg-type]
+            self._process.closed(self)
             if self._process.alive:
                 self._datagrams.loop.call_soon(self._protocol.connection_lost, None, context=self._context)
 
--- a/ironrail/rehearsal/virtual/loop.py
+++ b/ironrail/rehearsal/virtual/loop.py
@@ -14,21 +14,17 @@
 import random
 import signal
 from collections.abc import Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ironrail.rehearsal.draws import stream
-
-if TYPE_CHECKING:
-    from ironrail.rehearsal.virtual.datagrams import Datagrams
-    from ironrail.rehearsal.virtual.network import Network
-    from ironrail.rehearsal.virtual.process import Process
+from ironrail.rehearsal.virtual.faces import Connects, Owner, Posts
 
 START = 1000.0  # seconds on the clock when a world begins: no moment of it is near 0
 CANCELLED_SHARE = 0.5  # of all timers, beyond which the heap is rid of them
 LEAST_TIMERS = 100
 MOST_TURNS = 200_000  # of the loop at one instant: guards against a world that never moves on
 
-PROCESS: contextvars.ContextVar[Process | None] = contextvars.ContextVar("process", default=None)
+PROCESS: contextvars.ContextVar[Owner | None] = contextvars.ContextVar("process", default=None)
 
 
 class Standstill(RuntimeError):
@@ -43,8 +39,8 @@
         self._now = START
         self._ties: random.Random = stream(seed, "virtual.ties")
         self._turns = 0
-        self.network: Network
-        self.datagrams: Datagrams  # in worlds whose routers have addresses for them
+        self.network: Connects
+        self.datagrams: Posts  # in worlds whose routers have addresses for them
         self.outside = contextvars.Context()  # of no process: the network's and the stand-ins'
         self._of_the_dead: list[Any] = []
         self.unwinding = False  # the world is over: all that is left runs to its end, whoever it belongs to
@@ -189,6 +185,6 @@
         assert process is not None, "only processes have signals here"
         process.handlers[signal.Signals(sig)] = lambda: callback(*args)
 
-    def start(self, work: Coroutine[Any, Any, Any], process: Process) -> asyncio.Task[Any]:
+    def start(self, work: Coroutine[Any, Any, Any], process: Owner) -> asyncio.Task[Any]:
         """Begin a task of a process."""
         return self.create_task(work, context=process.context)
--- a/ironrail/rehearsal/virtual/process.py
+++ b/ironrail/rehearsal/virtual/process.py
@@ -5,15 +5,11 @@
 import contextvars
 import signal
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from ironrail.rehearsal.virtual.faces import Held
 from ironrail.rehearsal.virtual.loop import PROCESS, VirtualLoop
 
-if TYPE_CHECKING:
-    from ironrail.rehearsal.virtual.socket import Listener, VirtualSocket
-
-    Held = VirtualSocket | Listener
-
 OWN_DESCRIPTORS = 8  # of a process without a connection: the standard streams, the loop's own
 
 
--- a/ironrail/rehearsal/virtual/socket.py
+++ b/ironrail/rehearsal/virtual/socket.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextvars
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-if TYPE_CHECKING:
-    from ironrail.rehearsal.virtual.network import Network
-    from ironrail.rehearsal.virtual.process import Process
+from ironrail.rehearsal.virtual.faces import Owner
 
 MOST_READ = 256 * 1024  # bytes that one read takes, as uvloop's do
 
@@ -20,10 +20,38 @@
     """Nobody wants to know."""
 
 
+class Carrier(Protocol):
+    """A network, to the ends of its connections."""
+
+    window: int  # bytes under way and unread together
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """That all runs on."""
+
+    def context_now(self) -> contextvars.Context:
+        """The context that callbacks asked for now are to run in."""
+
+    def carry(self, sender: VirtualSocket, data: bytes) -> None:
+        """Bytes are under way."""
+
+    def carry_end(self, sender: VirtualSocket) -> None:
+        """It sends no more."""
+
+    def carry_reset(self, sender: VirtualSocket) -> None:
+        """It ends with a reset."""
+
+    def reset_destroys(self) -> bool:
+        """Whether what was not read is gone with a reset."""
+
+    def unlisten(self, listener: Listener) -> None:
+        """Nobody listens there any more."""
+
+
 class VirtualSocket:
     """One end."""
 
-    def __init__(self, network: Network, process: Process | None, name: str, own: Any, other: Any) -> None:
+    def __init__(self, network: Carrier, process: Owner | None, name: str, own: Any, other: Any) -> None:
         self.network, self.process, self.name = network, process, name
         self.own, self.other = own, other  # addresses
         self.peer: VirtualSocket | None = None
@@ -142,7 +170,7 @@
 class Listener:
     """A listening socket: connections come up by themselves, as far as its queue goes."""
 
-    def __init__(self, network: Network, process: Process | None, address: Any, backlog: int) -> None:
+    def __init__(self, network: Carrier, process: Owner | None, address: Any, backlog: int) -> None:
         self.network, self.process, self.address = network, process, address
         self.backlog = backlog
         self.queue: list[VirtualSocket] = []
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -13,9 +13,9 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from ironrail.rehearsal.command import rehearse
 from ironrail.rehearsal.lateness import Lateness
 from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearse import rehearse
 
 ROOT = Path(__file__).parent.parent.parent
 TINY = """
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -1,5 +1,6 @@
 """House rules: the module's size and words, and the README's example."""
 
+import ast
 import re
 import tomllib
 from pathlib import Path
@@ -78,6 +79,48 @@
     assert send.request == "r1" and send.server in ("cache-1", "cache-2")
 
 
+def files_imported(root: Path) -> dict[str, set[str]]:
+    """Of each file under `root`/ironrail those it imports, wherever in it: for types or late as well."""
+    paths = {
+        ".".join(path.relative_to(root).with_suffix("").parts).removesuffix(".__init__"): path
+        for path in (root / "ironrail").rglob("*.py")
+    }
+    found: dict[str, set[str]] = {name: set() for name in paths}
+    for name, path in paths.items():
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Import):
+                asked = [alias.name for alias in node.names]
+            elif isinstance(node, ast.ImportFrom):
+                assert not node.level, f"{path}: imports are by whole names"
+                whole = [f"{node.module}.{alias.name}" for alias in node.names]
+                asked = [file if file in paths else str(node.module) for file in whole]
+            else:
+                continue
+            found[name].update(paths.keys() & set(asked))
+    return found
+
+
+def circles(imported: dict[str, set[str]]) -> set[str]:
+    """The files that import themselves by way of others, and those that import one of these."""
+    left = {name: set(others) for name, others in imported.items()}
+    while free := {name for name, others in left.items() if not others & left.keys()}:
+        left = {name: others for name, others in left.items() if name not in free}
+    return set(left)
+
+
+def test_no_file_imports_itself_by_way_of_others() -> None:
+    assert circles({"a": {"b"}, "b": {"c"}, "c": {"b"}, "d": set()}) == {"a", "b", "c"}
+    imported = files_imported(ROOT)
+    assert "ironrail.net.pool" in imported["ironrail.net.host"]
+    assert not circles(imported)
+
+
+def test_recorded_load_stands_above_the_kit() -> None:
+    for name, others in files_imported(ROOT).items():
+        if name.startswith("ironrail.rehearsal"):
+            assert not [other for other in others if other.startswith("ironrail.recorded")], name
+
+
 def imports_of(folder: str) -> set[str]:
     text = "\n".join(path.read_text() for path in (ROOT / "ironrail" / folder).rglob("*.py"))
     return set(re.findall(r"^\s*(?:from|import) (ironrail[\w.]*)", text, re.MULTILINE))
