--- a/ironrail/recorded/sources.py
+++ b/ironrail/recorded/sources.py
@@ -13,8 +13,9 @@
 import zstandard
 
 from ironrail.recorded.entry import Malformed, Place, Raw
-from ironrail.recorded.fields import LONGEST, iso_time, split_target
+from ironrail.recorded.fields import split_target
 from ironrail.recorded.formats import SECRET
+from ironrail.recorded.times import LONGEST, iso_time
 
 LONGEST_LINE = 64 * 1024  # bytes: longer ones are malformed, and passed over unread
 PIECE = 256 * 1024  # bytes read at once
--- /dev/null
+++ b/tests/connections/upstream_host.py
@@ -0,0 +1,86 @@
+"""A host of the decisions about one server that has no socket, and keeps the books."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ironrail.connections.upstream import (
+    Abort,
+    Action,
+    Attempt,
+    Close,
+    Dial,
+    End,
+    Link,
+    Look,
+    Upstream,
+    Write,
+)
+from ironrail.policy.interface import Status
+
+ADDRESS = ("a", 1)
+
+
+class Host:
+    """Carries actions out on connections that are none, and keeps the books of what was done."""
+
+    def __init__(self, most: int = 2, streams: int = 100, idle: float = 8.0) -> None:
+        self.upstream = Upstream(ADDRESS, most=most, streams=streams, idle=idle)
+        self.now = 0.0
+        self.dialling: list[Link] = []
+        self.links: list[Link] = []  # up, and not told to end
+        self.leaving: list[Link] = []  # told to end, and not yet ended
+        self.noisy: set[Link] = set()
+        self.written: dict[Attempt, Link] = {}
+        self.outcomes: dict[Attempt, Status] = {}
+        self.attempts: list[Attempt] = []
+
+    def do(self, actions: list[Action]) -> None:
+        todo = deque(actions)
+        while todo:
+            match todo.popleft():
+                case Look(link) as look:
+                    quiet = link in self.links and link not in self.noisy
+                    todo.extendleft(reversed(self.upstream.looked(self.now, look, quiet)))
+                case Write(link, attempt):
+                    assert link in self.links and attempt not in self.written, "written twice, or nowhere"
+                    assert attempt not in self.outcomes
+                    self.written[attempt] = link
+                case End(attempt, status):
+                    assert attempt not in self.outcomes, "a second outcome"
+                    self.outcomes[attempt] = status
+                case Dial(link):
+                    self.dialling.append(link)
+                case Close(link) | Abort(link):
+                    if link in self.links:
+                        self.links.remove(link)
+                        self.leaving.append(link)
+
+    def want(self, patience: float = 5.0, alone: bool = False) -> Attempt:
+        attempt = Attempt(f"r{len(self.attempts)}", 0, self.now, self.now + patience)
+        attempt.alone = alone
+        self.attempts.append(attempt)
+        self.do(self.upstream.want(self.now, attempt))
+        return attempt
+
+    def up(self, closing: bool = False) -> Link:
+        link = self.dialling.pop(0)
+        self.links.append(link)
+        self.do(self.upstream.up(self.now, link, closing))
+        return link
+
+    def down(self) -> None:
+        self.do(self.upstream.down(self.now, self.dialling.pop(0)))
+
+    def read(self, link: Link, *replies: Status, part: bool = False, fault: object = None) -> None:
+        self.do(self.upstream.read(self.now, link, [(status, b"") for status in replies], part, fault))
+
+    def lose(self, link: Link) -> None:
+        (self.links if link in self.links else self.leaving).remove(link)
+        self.do(self.upstream.ended(self.now, link))
+
+    def abandon(self, attempt: Attempt, status: Status = Status.TIMEOUT) -> None:
+        self.do(self.upstream.abandon(self.now, attempt, status))
+
+    def status(self, *attempts: Attempt) -> list[Status | None]:
+        return [self.outcomes.get(attempt) for attempt in attempts]
--- a/tests/rehearsal/list_stage.py
+++ b/tests/rehearsal/list_stage.py
@@ -14,7 +14,7 @@
 from ironrail.rehearsal.virtual.ground import VirtualGround
 from ironrail.rehearsal.virtual.loop import VirtualLoop
 from tests.rehearsal.facts import scenario
-from tests.rehearsal.test_standins import Wire, ask, wire
+from tests.rehearsal.stage import Wire, ask, wire
 
 R, CACHE = "router-1", "cache-1"
 ASKED = '[registry]\nasked = true\nrate = 2.0\nmust_ask = "10 s"\n'
--- a/tests/rehearsal/test_client_days.py
+++ b/tests/rehearsal/test_client_days.py
@@ -8,7 +8,7 @@
 from ironrail.rehearsal.virtual.play import Virtual, play_virtual
 from tests.peers import scenario
 from tests.rehearsal.facts import planned
-from tests.rehearsal.test_standins import FAST, client_of, plan_of, stage
+from tests.rehearsal.stage import FAST, client_of, plan_of, stage
 
 RESTART = """
 summary = "a router is told to end"
--- a/tests/rehearsal/test_list_clock.py
+++ b/tests/rehearsal/test_list_clock.py
@@ -11,7 +11,7 @@
 from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.rows import Row, write_list
 from tests.rehearsal.list_stage import ASKED, ListStage, on_stage
-from tests.rehearsal.test_standins import ask
+from tests.rehearsal.stage import ask
 
 DRAINS = "terminating"
 
--- a/tests/rehearsal/test_new_days.py
+++ b/tests/rehearsal/test_new_days.py
@@ -20,8 +20,8 @@
 from ironrail.rehearsal.virtual.play import play_virtual
 from ironrail.rehearsal.virtual.trace import Trace
 from tests.peers import scenario
+from tests.rehearsal.stage import R, stage, until, wire
 from tests.rehearsal.test_mutants import FOLDER
-from tests.rehearsal.test_standins import R, stage, until, wire
 
 CONNECTIONS = 12
 
