--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -3,85 +3,41 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import signal
 import tempfile
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
-from ironrail.rehearsal.account.record import Record, RouterFacts, Try
-from ironrail.rehearsal.account.rules import Violation, violations
-from ironrail.rehearsal.account.service import Service, account
+from ironrail.rehearsal.account.record import RouterFacts, Try
+from ironrail.rehearsal.account.rules import violations
+from ironrail.rehearsal.account.service import account
 from ironrail.rehearsal.faults import plan as faults
 from ironrail.rehearsal.faults.carry import Carrier
-from ironrail.rehearsal.ground import Ground, RealGround, Router, ready, says_yes, takes_signals
+from ironrail.rehearsal.ground import Ground, RealGround, ready
 from ironrail.rehearsal.lateness import Lateness
 from ironrail.rehearsal.load.schedule import Planned, digest, make_schedule
-from ironrail.rehearsal.losses.lay import Laid
-from ironrail.rehearsal.routers import OWN_ROUTER, Exit
+from ironrail.rehearsal.processes import Processes
+from ironrail.rehearsal.result import Result, Sample
+from ironrail.rehearsal.routers import OWN_ROUTER
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, hall_of, router_names
-from ironrail.rehearsal.settings import config_of
 from ironrail.rehearsal.standins.archive import Archive
 from ironrail.rehearsal.standins.clients import Clients
 from ironrail.rehearsal.standins.fleet import Fleet, make_caches, rows_of
 from ironrail.rehearsal.standins.front import Front, Seen
 from ironrail.rehearsal.standins.registry import Registry
 from ironrail.rehearsal.standins.world import World
-from ironrail.rehearsal.verdicts import Verdict, judge
+from ironrail.rehearsal.verdicts import judge
 
 START = 0.2  # seconds between the last router's being ready and the first request
 SAMPLE = 0.25  # seconds between looks at the state of everything
-DOOR = 19000  # port of the first process's door for operators; of those that replace it the next ones
-PORT = 11211  # of every router, each at a loopback address of its own
 END_PATIENCE = 10.0  # seconds for what is out after the last fault: every request has a deadline before that
-STOP_PATIENCE = 8.0  # seconds from SIGTERM until a router is killed
 
-Progress = Callable[[float, str], None]
-
-
-@dataclass(frozen=True, slots=True)
-class Sample:
-    """The state of everything at one moment."""
-
-    at: float
-    waiting: int  # requests whose answer clients await
-    archive: int  # requests at the archive
-    in_caches: int  # jobs at all caches
-    connections: int  # to all caches
-    memory: int  # bytes of the largest router
-    descriptors: int
-
-
-@dataclass(slots=True)
-class Result:
-    """What came of a run."""
+__all__ = ["Progress", "Rehearsal", "Result"]
 
-    scenario: Scenario
-    seed: int
-    schedule: list[Planned]
-    schedule_digest: str
-    plan: list[faults.Planned]
-    record: Record
-    service: Service
-    broken: list[Violation]
-    verdicts: list[Verdict]
-    lateness: Lateness
-    samples: list[Sample]
-    no_verdict: str = ""  # why the run tells nothing
-    digest: str = ""  # of all events, in virtual time
-    logs: dict[str, str] = field(default_factory=dict)
-    began: float = 0.0  # the load that counts, on the clock of the loop
-    laid: Laid | None = None  # what was lost by cause, in virtual time
-
-    @property
-    def kept(self) -> bool:
-        return all(verdict.kept for verdict in self.verdicts)
+Progress = Callable[[float, str], None]
 
 
-class Rehearsal:
+class Rehearsal(Processes):
     """One run."""
 
     def __init__(
@@ -95,16 +51,12 @@
         schedule: list[Planned] | None = None,
     ) -> None:
         """`schedule`: what clients ask for, in place of what the scenario would have drawn."""
-        self._scenario, self._seed = scenario, seed
-        self._ground: Ground = ground if ground is not None else RealGround(OWN_ROUTER)
+        super().__init__(scenario, seed, ground if ground is not None else RealGround(OWN_ROUTER))
         self._progress, self._at_rest = progress, at_rest
         self._schedule = make_schedule(scenario, seed) if schedule is None else schedule
         self._plan = faults.make_plan(scenario, seed)
-        self._record, self._lateness = Record(), Lateness()
+        self._lateness = Lateness()
         self._samples: list[Sample] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._ending = False
-        self._replaced: list[Router] = []  # processes that another one has taken over from, or is to
 
     async def run(self) -> Result:
         """Play it to its end. Whatever happens no process and no port is left."""
@@ -132,7 +84,6 @@
         self._registry = Registry(self._world, rows, names)
         self._fleet = Fleet(self._world, caches, self._registry)
         self._front = Front(scenario.routers.front_notice, {n: Seen(halls[n]) for n in names})
-        self._routers: dict[str, Router] = {}
         self._folder = folder
         for name in names:
             self._record.routers[name] = RouterFacts()
@@ -152,36 +103,9 @@
         )
         self._clients.excused = self._excuse
 
-    def _make_router(self, name: str, turn: int) -> Router:
-        """A process for a router; `turn` counts those that replace one another."""
-        number, ground = router_names(self._scenario).index(name), self._ground
-        address = ground.address_of(number)
-        config = config_of(
-            self._scenario,
-            self._seed,
-            number,
-            name,
-            f"{address}:{PORT}",
-            self._registry.agents[name].door.address,
-            [row.told(name) for row in self._rows],
-            f"{address}:{DOOR + turn}",
-        )
-        return ground.make_router(name, config, self._folder, self._record.routers[name], self._on_exit)
-
-    def _told_at_start(self, name: str) -> None:
-        """It begins from nothing, with the list that its configuration has: that is what it knows."""
-        for row in self._rows:
-            self._record.tell(name, row.id, row.state, self._world.now())
-        self._registry.agents[name].started()
-
     def _excuse(self, one: Try) -> str:
         return self._carrier.excuse(one.router, one.sent_at, self._world.now())
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     # The run
 
     async def _play(self) -> str:
@@ -235,77 +159,6 @@
         self._ending = True
         await asyncio.gather(*(self._stop(router) for router in self._routers.values()))
 
-    async def _stop(self, router: Router) -> None:
-        if not router.running:
-            return
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        router.signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(STOP_PATIENCE):
-                await router.ended()
-        except TimeoutError:
-            return  # a verdict; it is killed with what else is left
-        router.facts.stopped_in = loop.time() - began
-
-    def _reconfigure(self, name: str, discovery: str) -> None:
-        """Tell every process of this name that the list is told at another address."""
-        there = [self._routers[name], *(r for r in self._replaced if r.name == name)]
-        for router in dict.fromkeys(there):
-            router.configure(discovery=discovery)
-            if router.running:
-                self._spawn(self._hang_up(router))
-
-    async def _hang_up(self, router: Router) -> None:
-        """SIGHUP once it can take one: a process that is only starting would end, and reads the file."""
-        if await takes_signals(router) and not self._ending:
-            router.signal(signal.SIGHUP, asked=False)
-
-    async def _restart(self, name: str, patience: float) -> None:
-        """Start it again once it has ended; it is killed after so many seconds."""
-        router = self._routers[name]
-        if patience:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(patience):
-                    await router.ended()
-        await router.kill()
-        if self._ending:
-            return
-        self._told_at_start(name)
-        await router.start()
-        if await ready(router):
-            self._front.ready(name)
-            self._carrier.recovered(name)
-        else:
-            router.facts.ready = False
-
-    async def _replace(self, name: str) -> None:
-        """Start another process beside the one that serves, and end that once the new one says yes."""
-        old = self._routers[name]
-        turn = 1 + sum(router.name == name for router in self._replaced)
-        new = self._make_router(name, turn)
-        self._replaced.append(new)  # until it serves, to be ended with the others whatever happens
-        await new.start()
-        if not await says_yes(new):
-            if not self._ending:
-                new.facts.crashed = "the process that was to take over never said yes"
-            return
-        self._replaced[self._replaced.index(new)] = old
-        self._routers[name] = new
-        await self._stop(old)
-        if old.running and not self._ending:
-            old.facts.crashed = "it did not end after another process had taken over"
-
-    def _on_exit(self, router: Router, end: Exit) -> None:
-        facts = router.facts
-        if end.asked:
-            facts.stop_code = end.code
-            if end.code not in (0, -signal.SIGKILL):
-                facts.crashed = f"{end} on SIGTERM"
-        else:
-            facts.crashed = str(end)
-            self._front.died(router.name, self._world.now())
-
     async def _sample(self) -> None:
         while not self._ending:
             usage = [u for r in self._routers.values() if (u := r.sample()) is not None]
