--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -42,16 +42,10 @@
         self.policies: Policies | None = None
         if peers.voters:
             place = Place(me, start, system.now(), config.seed)
-            keeps = store or (FolderStore(_folder(peers.keep, me)) if peers.keep else None)
-            self.policies = Policies(
-                place,
-                config.settings,
-                peers,
-                keeps if me in peers.voters else None,
-                guide,
-                system.now,
-                self._go_on,
-            )
+            keeps = store if me in peers.voters else None
+            if keeps is None and peers.keep and me in peers.voters:
+                keeps = FolderStore(folder_of(peers.keep, me))
+            self.policies = Policies(place, config.settings, peers, keeps, guide, system.now, self._go_on)
             self.peering.add(self.policies.room)
         self._meet = [voter for voter in peers.voters if voter != me]
 
@@ -97,7 +91,8 @@
         self.peering.go_on()
 
 
-def _folder(path: str, me: int) -> Path:
+def folder_of(path: str, me: int) -> Path:
+    """Where a voter of this number keeps its record; OperatorError if there is no such folder."""
     folder = Path(path.replace("{index}", str(me)))
     if not folder.is_dir():
         raise OperatorError("is no folder", str(folder))
--- a/ironrail/rehearsal/links/disk.py
+++ b/ironrail/rehearsal/links/disk.py
@@ -8,21 +8,11 @@
 import resource
 import time
 from collections.abc import Callable
-from typing import Protocol
 
+from ironrail.net.store import Store
 from ironrail.rehearsal.links.switch import Slot, Switch
 
 
-class Store(Protocol):
-    """What a router keeps on disk, by name."""
-
-    def write(self, name: str, data: bytes) -> None:
-        """Keep it, whole or not at all. OSError if the disk does not take it."""
-
-    def read(self, name: str) -> bytes:
-        """What was kept last. FileNotFoundError if nothing was, another OSError if the disk fails."""
-
-
 def _refuse(number: int) -> OSError:
     return OSError(number, os.strerror(number))
 
@@ -45,7 +35,7 @@
             raise _refuse(errno.ENOSPC)
         self._store.write(name, data)
 
-    def read(self, name: str) -> bytes:
+    def read(self, name: str) -> bytes | None:
         self._trouble()
         return self._store.read(name)
 
--- a/ironrail/rehearsal/links/launch.py
+++ b/ironrail/rehearsal/links/launch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import random
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -14,8 +15,11 @@
 from ironrail import __main__ as daemon
 from ironrail.net.config import Config
 from ironrail.net.node import Node
+from ironrail.net.store import FolderStore
 from ironrail.net.system import REAL
+from ironrail.net.together import folder_of
 from ironrail.operator_file import Operator
+from ironrail.rehearsal.links.disk import FaultyStore
 from ironrail.rehearsal.links.switch import Drifting, Switch
 
 
@@ -27,7 +31,13 @@
 async def serve(config: Config, operator: Operator) -> None:
     """Run until told to stop."""
     switch = Switch.at(switch_path(Path(os.environ["NODE_CONFIG"])))
-    await Node(config, operator, Drifting(REAL, switch)).serve()
+    store = None
+    me = config.settings.index
+    if operator.peers is not None and operator.peers.keep and me in operator.peers.voters:
+        store = FaultyStore(
+            FolderStore(folder_of(operator.peers.keep, me)), switch, random.Random(config.seed)
+        )
+    await Node(config, operator, Drifting(REAL, switch), store=store).serve()
 
 
 def main(arguments: Sequence[str] = ()) -> int:
