--- /dev/null
+++ b/ironrail/peers/latency/evidence.py
@@ -0,0 +1,71 @@
+"""All that one router sees itself, and what of it is its own doing rather than a link's. Pure.
+
+Round trips that are late everywhere at once waited in this router: the least excess among the halls
+heard from within a second is taken off every sample. Losses count only while somebody answers.
+"""
+
+from __future__ import annotations
+
+import math
+
+from ironrail.peers.latency.sight import Link, Sight
+
+TOGETHER = 1.0  # seconds in which samples of several halls tell of the same state of this router
+OTHERS = 2  # halls that must be late with one to lay it to this router; its own hall is proof alone
+HEARING = 2.0  # seconds in which somebody's answer shows that a loss is the link's
+
+
+class Evidence:
+    """Sights of a router in hall `own`, by the number of the other hall."""
+
+    def __init__(self, own: int) -> None:
+        self._own = own
+        self.sights: dict[int, Sight] = {}
+        self.unusable = 0  # durations that are none
+
+    def observe(self, now: float, hall: int, seconds: float) -> int | None:
+        """A round trip of so many seconds. Returns the hall if a window of its closed."""
+        if not 0.0 < seconds < math.inf:
+            self.unusable += 1
+            return None
+        closed = self._close_if_due(now, hall)
+        self.sights[hall].answered(now, seconds)
+        return closed
+
+    def lost(self, now: float, hall: int) -> int | None:
+        """One that never came back. Returns the hall if a window of its closed."""
+        closed = self._close_if_due(now, hall)
+        self.sights[hall].lost(now)
+        return closed
+
+    def close_due(self, now: float) -> list[int]:
+        """End the windows that are over; the halls they were of."""
+        return [hall for hall in self.sights if self._close_if_due(now, hall) is not None]
+
+    def due(self) -> float:
+        """When the next window ends, infinite if none is open."""
+        return min((sight.window_at for sight in self.sights.values()), default=math.inf)
+
+    def state(self, hall: int) -> Link:
+        return self.sights[hall].state if hall in self.sights else Link.UNKNOWN
+
+    def _close_if_due(self, now: float, hall: int) -> int | None:
+        sight = self.sights.setdefault(hall, Sight())
+        if now < sight.window_at:
+            return None
+        sight.close(now, self._own_share(now, hall), self._deaf(now, hall))
+        return hall
+
+    def _own_share(self, now: float, hall: int) -> float:
+        late = {h: s.excess for h, s in self.sights.items() if h != hall and now - s.answered_at <= TOGETHER}
+        if len(late) >= OTHERS or self._own in late:
+            return max(0.0, min(late.values()))
+        return 0.0
+
+    def _deaf(self, now: float, hall: int) -> bool:
+        """Whether what is lost is lost everywhere: so it is when this router itself is cut off."""
+        others = [(h, s) for h, s in self.sights.items() if h != hall]
+        if any(now - s.answered_at <= HEARING for _, s in others):
+            return False
+        silent = [h for h, s in others if now - s.lost_at <= HEARING]
+        return len(silent) >= OTHERS or self._own in silent
