--- a/ironrail/peers/latency/evidence.py
+++ b/ironrail/peers/latency/evidence.py
@@ -7,19 +7,21 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from ironrail.peers.latency.sight import Link, Sight
 
 TOGETHER = 1.0  # seconds in which samples of several halls tell of the same state of this router
 OTHERS = 2  # halls that must be late with one to lay it to this router; its own hall is proof alone
-HEARING = 2.0  # seconds in which somebody's answer shows that a loss is the link's
+HEARING = 0.25  # seconds in which somebody's answer shows that a loss is the link's
 
 
 class Evidence:
     """Sights of a router in hall `own`, by the number of the other hall."""
 
-    def __init__(self, own: int) -> None:
-        self._own = own
+    def __init__(self, own: int, suspected: Callable[[float, int], bool] = lambda now, hall: False) -> None:
+        """`suspected`: whether others in this hall lately called the link to that one slow or cut."""
+        self._own, self._suspected = own, suspected
         self.sights: dict[int, Sight] = {}
         self.unusable = 0  # durations that are none
 
@@ -40,7 +42,8 @@
 
     def close_due(self, now: float) -> list[int]:
         """End the windows that are over; the halls they were of."""
-        return [hall for hall in self.sights if self._close_if_due(now, hall) is not None]
+        due = [hall for hall, sight in self.sights.items() if sight.window_at <= now]
+        return [hall for hall in due if self._close_if_due(now, hall) is not None]
 
     def due(self) -> float:
         """When the next window ends, infinite if none is open."""
@@ -50,10 +53,13 @@
         return self.sights[hall].state if hall in self.sights else Link.UNKNOWN
 
     def _close_if_due(self, now: float, hall: int) -> int | None:
-        sight = self.sights.setdefault(hall, Sight())
+        sight = self.sights.get(hall)
+        if sight is None:
+            sight = self.sights[hall] = Sight()
         if now < sight.window_at:
             return None
-        sight.close(now, self._own_share(now, hall), self._deaf(now, hall))
+        suspected = sight.close_to_verdict and self._suspected(now, hall)
+        sight.close(now, self._own_share(now, hall), self._deaf(now, hall), suspected)
         return hall
 
     def _own_share(self, now: float, hall: int) -> float:
@@ -65,7 +71,8 @@
     def _deaf(self, now: float, hall: int) -> bool:
         """Whether what is lost is lost everywhere: so it is when this router itself is cut off."""
         others = [(h, s) for h, s in self.sights.items() if h != hall]
-        if any(now - s.answered_at <= HEARING for _, s in others):
+        heard = max((s.answered_at for _, s in others), default=-math.inf)
+        if now - heard <= HEARING:
             return False
-        silent = [h for h, s in others if now - s.lost_at <= HEARING]
+        silent = [h for h, s in others if s.lost_at > heard]
         return len(silent) >= OTHERS or self._own in silent
--- a/ironrail/peers/latency/room.py
+++ b/ironrail/peers/latency/room.py
@@ -49,7 +49,7 @@
         self._me, self._start, self._draws = me, start, draws
         self._hall, self._routers, self._halls = hall_of[me], len(hall_of), len(halls)
         self.table = Table(hall_of, len(halls))
-        self.evidence = Evidence(self._hall)
+        self.evidence = Evidence(self._hall, self._suspected)
         self._spread = Spread(self.table)
         self._facts = Facts(halls[self._hall], halls)
         self._sequences: dict[int, int] = {}
@@ -118,6 +118,9 @@
         """What the map says of a link between any two halls."""
         return self.table.estimate(now, hall, to)
 
+    def _suspected(self, now: float, hall: int) -> bool:
+        return self.table.suspected(now, self._hall, hall, self._me)
+
     def _consider(self, now: float, hall: int) -> None:
         """New evidence: is it worth telling before its renewal?"""
         sight = self.evidence.sights[hall]
--- a/ironrail/peers/latency/sight.py
+++ b/ironrail/peers/latency/sight.py
@@ -1,9 +1,9 @@
 """What one router sees of the link from its hall to another, and what it makes of it. Pure.
 
 Samples are taken by windows, the quickest of each: ten answers that waited behind one another are one piece
-of news. A window is bad if nothing came back or if it came much later than usual. Two sums of log likelihoods
-(CUSUM, Page 1954) weigh runs of bad and of good windows against the share of bad ones that is usual here, so
-that a link that always loses half needs a longer run than one that never does.
+of news. Two questions are asked of each: did anything come back, and if so, much later than usual? Runs of
+yes and of no are weighed by sums of log likelihoods (CUSUM, Page 1954) against what is usual here: a link
+that always loses half needs a longer run to count as cut, and no longer one to count as slow.
 """
 
 from __future__ import annotations
@@ -20,13 +20,14 @@
 TIMES = 3.0  # slower than usual is bad: halls differ by less from hour to hour, a tenfold fault by more
 LEAST_LATER = 0.002  # seconds later than usual to be bad: less is the loop of a busy router
 EVIDENCE = 8.5  # log of the odds at which a verdict falls: 3 bad windows where 0.05 are, 14 where half are
-FEW, MOST = 0.05, 0.6  # bounds on the usual share of bad windows; beyond, a run is no evidence
+SECONDED = EVIDENCE * 2 / 3  # where others in the hall suspect the link too: 2 windows, and 9
+FEW, MOST = 0.05, 0.6  # bounds on the usual share of bad windows; beyond, no run is worth much
 IN_FAULT = 0.95  # share of bad windows of a link that is slow or cut
+OWN_TIMES = 2.0  # of what waited in this router is let off: no two samples wait alike
 LEAST_WINDOWS = 4  # before any verdict
 DWELL = 2.0  # seconds at least that a link stays slow or cut
 FLAPPING = 120.0  # seconds in which each verdict of slow or cut doubles the next stay
 MOST_DWELL = 64.0  # seconds
-GONE, ANSWERS = 0.9, 0.7  # share of windows without an answer: above, cut; below, slow again
 
 
 class Link(IntEnum):
@@ -38,6 +39,25 @@
     CUT = 3
 
 
+class Runs:
+    """Two sums on one question: the worse grows with what is bad, the better with what isn't."""
+
+    __slots__ = ("_usual", "better", "worse")
+
+    def __init__(self) -> None:
+        self._usual = Fading(USUAL, 2)
+        self.worse = self.better = 0.0
+
+    def add(self, now: float, bad: bool) -> None:
+        weight = self._usual.weight(now)
+        seldom = (self._usual.share(1) * weight + 1.0) / (weight + 2.0)  # Laplace's: a new link may be bad
+        seldom = min(MOST, max(FEW, seldom))
+        step = math.log(IN_FAULT / seldom) if bad else math.log((1 - IN_FAULT) / (1 - seldom))
+        self.worse = min(EVIDENCE, max(0.0, self.worse + step))
+        self.better = min(EVIDENCE, max(0.0, self.better - step))
+        self._usual.add(now, int(bad))
+
+
 class Sight:
     """Evidence of one link."""
 
@@ -48,10 +68,10 @@
         self.answered_at = self.lost_at = -math.inf
         self.window_at = math.inf  # when the open window ends; infinite if none is open
         self._quickest = math.inf
-        self._usual, self._bad = Fading(USUAL), Fading(USUAL, 2)
-        self._recent, self._lost, self._gone = Fading(RECENT), Fading(RECENT, 2), Fading(RECENT, 2)
-        self._worse, self._better = 0.0, 0.0  # the two sums
-        self._tail: deque[tuple[int | None, bool]] = deque(maxlen=3)  # windows that a verdict falls by
+        self._usual = Fading(USUAL)
+        self._gone, self._late = Runs(), Runs()  # no answer; an answer that came late
+        self._recent, self._lost = Fading(RECENT), Fading(RECENT, 2)
+        self._tail: deque[int | None] = deque(maxlen=3)  # the latest windows, by which a verdict falls
         self._windows = 0
         self._changed_at = -math.inf
         self._falls: deque[float] = deque(maxlen=8)
@@ -62,6 +82,11 @@
         code = self._usual.quantile(0.5)
         return math.inf if code is None else seconds_of(code)
 
+    @property
+    def close_to_verdict(self) -> bool:
+        """Whether the next window may bring it, if others suspect the link too."""
+        return self.state < Link.CUT and self._gone.worse + self._late.worse > 0.0
+
     def answered(self, now: float, seconds: float) -> None:
         self._open(now)
         self.answered_at = now
@@ -78,57 +103,44 @@
         if self.window_at == math.inf:
             self.window_at, self._quickest = now + WINDOW, math.inf
 
-    def close(self, now: float, own: float, deaf: bool) -> None:
-        """The window is over. `own`: seconds of it that are this router's; `deaf`: nobody answered it."""
+    def close(self, now: float, own: float, deaf: bool, suspected: bool = False) -> None:
+        """The window is over.
+
+        `own`: seconds of it that are this router's, as far as others tell; `deaf`: nobody answered it at all;
+        `suspected`: others in this hall lately called the link slow or cut.
+        """
         self.window_at = math.inf
         gone = self._quickest == math.inf
         if gone and deaf:
             return
         self.at = now
-        usual = self.usual
-        bad, code = gone, None
+        self._gone.add(now, gone)
         if not gone:
-            net = max(0.0, self._quickest - own)
-            bad = usual < math.inf and net > max(TIMES * usual, usual + LEAST_LATER)
-            code = code_of(net)
+            usual = self.usual
             self.excess = self._quickest - usual if usual < math.inf else 0.0
-            self._usual.add(now, code)
-        self._weigh(now, bad)
-        self._gone.add(now, int(gone))
-        self._tail.append((code, gone))
-        self._judge(now)
-
-    def _weigh(self, now: float, bad: bool) -> None:
-        weight = self._bad.weight(now)
-        seldom = (self._bad.share(1) * weight + 1.0) / (
-            weight + 2.0
-        )  # Laplace's: a new link may be a bad one
-        seldom = min(MOST, max(FEW, seldom))
-        step = math.log(IN_FAULT / seldom) if bad else math.log((1 - IN_FAULT) / (1 - seldom))
-        self._worse = min(EVIDENCE, max(0.0, self._worse + step))
-        self._better = min(EVIDENCE, max(0.0, self._better - step))
-        self._bad.add(now, int(bad))
+            self._late.add(now, self.excess > max((TIMES - 1.0) * usual, LEAST_LATER) + OWN_TIMES * own)
+            if own <= LEAST_LATER:
+                self._usual.add(now, code_of(self._quickest))
+        self._tail.append(None if gone else code_of(self._quickest))
         self._windows += 1
-
-    def _judge(self, now: float) -> None:
-        if self._windows < LEAST_WINDOWS:
-            return
-        if self.state <= Link.WELL:
-            if self._worse >= EVIDENCE:
+        if self._windows >= LEAST_WINDOWS:
+            self._judge(now, SECONDED if suspected else EVIDENCE)
+
+    def _judge(self, now: float, needed: float) -> None:
+        if self._gone.worse >= needed:
+            worst = Link.CUT
+        elif self._late.worse >= needed:
+            worst = Link.SLOW
+        else:
+            worst = Link.WELL if self.usual < math.inf else Link.UNKNOWN
+        if worst > self.state:
+            if worst > Link.WELL:
                 self._falls.append(now)
-                lost = sum(gone for _, gone in self._tail)
-                self._turn(now, Link.CUT if lost > len(self._tail) / 2 else Link.SLOW)
-            elif self.usual < math.inf:
-                self.state = Link.WELL
-        elif self._better >= EVIDENCE:
-            if now - self._changed_at >= self.dwell(now):
-                self._turn(now, Link.WELL)
-        elif now - self._changed_at >= DWELL:
-            gone = self._gone.share(1)
-            if self.state is Link.SLOW and gone >= GONE and self._gone.weight(now) >= len(self._tail):
-                self._turn(now, Link.CUT)
-            elif self.state is Link.CUT and gone <= ANSWERS:
-                self._turn(now, Link.SLOW)
+            self._turn(now, worst)
+        elif worst < self.state and now - self._changed_at >= self.dwell(now):
+            runs = self._gone if self.state is Link.CUT else self._late
+            if runs.better >= EVIDENCE:
+                self._turn(now, worst)
 
     def dwell(self, now: float) -> float:
         """Seconds that the present stay in slow or cut lasts at least: doubled by each lately before it."""
@@ -137,14 +149,14 @@
 
     def _turn(self, now: float, state: Link) -> None:
         """What was seen before the turn is of another link, in effect: the present starts with the run."""
+        if state is not Link.WELL or self.state is not Link.UNKNOWN:
+            self._recent.clear()
+            self._lost.clear()
+            for code in self._tail:
+                self._lost.add(now, int(code is None))
+                if code is not None:
+                    self._recent.add(now, code)
         self.state, self._changed_at = state, now
-        for faded in (self._recent, self._lost, self._gone):
-            faded.clear()
-        for code, gone in self._tail:
-            self._gone.add(now, int(gone))
-            self._lost.add(now, int(gone))
-            if code is not None:
-                self._recent.add(now, code)
 
     def told(self) -> tuple[int, int, float]:
         """Buckets of the low and the typical round trip at present, and the share lost.
--- a/ironrail/peers/latency/table.py
+++ b/ironrail/peers/latency/table.py
@@ -21,6 +21,7 @@
 WITNESSES = 5  # kept of a link: two liars or sick ones are outvoted
 LEAST_RENEWAL = 20.0  # seconds after which unchanged evidence is told anew
 RENEWALS = 40.0  # a second, of all links and witnesses together: half of what 2 kB/s carry to everybody
+LATELY = 5.0  # seconds for which a suspicion makes others in its hall quicker to share it
 STALE, EXPIRED = 3.0, 6.0  # renewals missed before others take a witness's place, and before it is forgotten
 
 
@@ -145,9 +146,9 @@
         )
 
     def suspected(self, now: float, hall: int, to: int, but: int) -> bool:
-        """Whether a witness other than `but` said within a renewal's time that the link is slow or cut."""
+        """Whether a witness other than `but` lately said that the link is slow or cut."""
         return any(
-            h.values >> 16 > Link.WELL and now - h.born <= LEAST_RENEWAL and self._counts(now, w, h)
+            h.values >> 16 > Link.WELL and now - h.born <= LATELY and self._counts(now, w, h)
             for w, h in self.links.get((hall, to), {}).items()
             if w != but
         )
