--- a/ironrail/peers/latency/spread.py
+++ b/ironrail/peers/latency/spread.py
@@ -19,6 +19,7 @@
 OVERHEAD = 60  # bytes of a message beyond its body: 28 of IP and UDP, the rest for the wire
 QUIET = 0.5  # of RATE while no rumour is under way
 MOST_RUMOURS = 1024  # under way; a hall of fifty that is cut off makes 490
+MOST_SHORT = 7  # messages of changes of state alone, which go sooner and to more, before a full one
 MOST_PICKED = MOST_BODY // 7  # a word takes 6 bytes at the least, and one more from its 128th on
 TELL = 1.5  # times the log2 of the routers that a change of state is passed on: with 30% lost still to all
 FEWER = {Change.STATE: 1.0, Change.VALUES: 0.5, Change.RENEWED: 0.25}  # of that for smaller changes
@@ -35,6 +36,7 @@
         self._rumours = {change: OrderedDict[tuple[int, int], int]() for change in FEWER}
         self._round: Iterator[tuple[int, int]] = iter(())
         self._sent_at, self._price = -math.inf, 0.0
+        self._in_short = 0  # messages in a row that held changes of state alone
 
     def note(self, witness: int, to: int, change: Change) -> None:
         """A word that changed something here."""
@@ -55,8 +57,9 @@
 
     def compose(self, now: float) -> bytes:
         """The next message, empty if there is nothing to tell."""
-        urgent = self._rumours[Change.STATE]
-        kinds = {Change.STATE: urgent} if urgent else self._rumours  # short messages go sooner and to more
+        urgent = bool(self._rumours[Change.STATE]) and self._in_short < MOST_SHORT
+        self._in_short = self._in_short + 1 if urgent else 0
+        kinds = {Change.STATE: self._rumours[Change.STATE]} if urgent else self._rumours
         picked = [(key, change) for change, told in kinds.items() for key in islice(told, MOST_PICKED)]
         keys = dict(picked[:MOST_PICKED])
         rumours = len(keys)
--- a/ironrail/peers/latency/table.py
+++ b/ironrail/peers/latency/table.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Estimate:
-    """What the witnesses of a link say together: the lower median of each figure."""
+    """What the witnesses of a link say together: the median of each figure."""
 
     state: Link
     low: float  # seconds, infinite where nothing is answered
@@ -70,9 +70,12 @@
 
 
 def agreed(values: list[float]) -> float:
-    """The lower median: of two the one that says less ill; with three or more, whatever one of them says, a
-    figure among what the others say."""
-    return sorted(values)[(len(values) - 1) // 2]
+    """The median, of an even number the worse one; of two the better one.
+
+    Whatever one of three or more says, this is a figure among what the others say. Of two neither can be told
+    to be wrong: one can hide an ill, but not invent it.
+    """
+    return sorted(values)[len(values) // 2 if len(values) > 2 else 0]
 
 
 class Table:
