--- a/ironrail/peers/latency/facts.py
+++ b/ironrail/peers/latency/facts.py
@@ -12,6 +12,7 @@
 STEP = 1.5  # times longer or shorter than handed out: the scale's own steps are 1.21
 LEAST_STEP = 0.0005  # seconds; less decides nothing
 LOST_STEP = 0.2  # of round trips, more or fewer
+AGE_STEP = 60.0  # seconds by which the evidence is younger than handed out: else ages would mislead
 REST = 2.0  # seconds at least between two tables for the sake of figures alone
 CALM = 2.0  # seconds that a link must look better before that is told; worse is told at once
 
@@ -67,7 +68,7 @@
             if better and now - since < CALM:
                 continue  # the figures go with the state that is told
             rested = now - self._handed_at >= REST
-            due = due or estimate.state is not link.state or (rested and _matters(link, estimate))
+            due = due or estimate.state is not link.state or (rested and _matters(link, estimate, now))
             links[number] = HallLink(
                 link.hall, estimate.state, estimate.low, estimate.typical, estimate.lost,
                 now - estimate.age, estimate.witnesses,
@@ -79,10 +80,10 @@
         return self.seen
 
 
-def _matters(link: HallLink, estimate: Estimate) -> bool:
+def _matters(link: HallLink, estimate: Estimate, now: float) -> bool:
     if estimate is NOTHING:
         return False
     pairs = ((link.low, estimate.low), (link.typical, estimate.typical))
-    if abs(link.lost - estimate.lost) >= LOST_STEP:
+    if abs(link.lost - estimate.lost) >= LOST_STEP or link.age(now) - estimate.age >= AGE_STEP:
         return True
     return any(a != b and abs(a - b) >= max(LEAST_STEP, (STEP - 1.0) * min(a, b)) for a, b in pairs)
--- a/ironrail/peers/latency/table.py
+++ b/ironrail/peers/latency/table.py
@@ -42,7 +42,7 @@
     low: float  # seconds, infinite where nothing is answered
     typical: float  # seconds, likewise
     lost: float  # share of round trips
-    age: float  # seconds since the evidence
+    age: float  # seconds since the evidence, of those who say this state
     witnesses: int
 
 
@@ -139,12 +139,14 @@
             return NOTHING
         states, lows, typicals, losses = zip(*(unpack(h.values) for h in words), strict=True)
         low, typical = int(agreed(list(lows))), int(agreed(list(typicals)))
+        state = Link(int(agreed(list(states))))
+        ages = [now - h.born for h in words if h.values >> 16 == state]
         return Estimate(
-            Link(int(agreed(list(states)))),
+            state,
             math.inf if low == FARTHEST else seconds_of(low),
             math.inf if typical == FARTHEST else seconds_of(typical),
             agreed(list(losses)),
-            max(0.0, agreed([now - h.born for h in words])),
+            max(0.0, agreed(ages)),
             len(words),
         )
 
