--- a/ironrail/peers/latency/room.py
+++ b/ironrail/peers/latency/room.py
@@ -15,7 +15,7 @@
 from ironrail.peers.latency.spread import Spread
 from ironrail.peers.latency.table import Estimate, Table
 
-RETOLD = 5.0  # seconds at least between two reports of a link for the sake of figures alone
+RETOLD = 0.25  # of a renewal at least between two reports of a link for the sake of figures alone
 LOOK = 0.25  # seconds between two looks at the map for the facts
 SWEEP = 5.0  # seconds between two looks for what is to be renewed or let go
 EARLIER = 0.25  # of a renewal by which it may come early, drawn: routers that start together don't renew so
@@ -134,7 +134,7 @@
             elif held.values >> 16 != sight.state:
                 due = True
             else:
-                due = now - self._told_at[hall] >= RETOLD and differ(held.values, values)
+                due = now - self._told_at[hall] >= RETOLD * self.table.renewal and differ(held.values, values)
             if not due:
                 return
         self._report(now, hall)
--- a/ironrail/peers/latency/sight.py
+++ b/ironrail/peers/latency/sight.py
@@ -17,6 +17,7 @@
 WINDOW = 0.1  # seconds whose quickest sample counts: shorter than any run worth telling, longer than a burst
 USUAL = 600.0  # seconds, half-life of what counts as usual: a link slow for as long is usual by then
 RECENT = 10.0  # seconds, half-life of what is told as present; cleared when the verdict changes
+SHARE = 30.0  # seconds, the same of the share lost, which takes more samples to tell: 85 of 2 a second
 TIMES = 3.0  # slower than usual is bad: halls differ by less from hour to hour, a tenfold fault by more
 LEAST_LATER = 0.002  # seconds later than usual to be bad: less is the loop of a busy router
 EVIDENCE = 8.5  # log of the odds at which a verdict falls: 3 bad windows where 0.05 are, 14 where half are
@@ -70,7 +71,7 @@
         self._quickest = math.inf
         self._usual = Fading(USUAL)
         self._gone, self._late = Runs(), Runs()  # no answer; an answer that came late
-        self._recent, self._lost = Fading(RECENT), Fading(RECENT, 2)
+        self._recent, self._lost = Fading(RECENT), Fading(SHARE, 2)
         self._tail: deque[int | None] = deque(maxlen=3)  # the latest windows, by which a verdict falls
         self._windows = 0
         self._changed_at = -math.inf
