--- a/ironrail/peers/latency/table.py
+++ b/ironrail/peers/latency/table.py
@@ -19,6 +19,7 @@
 from ironrail.peers.latency.sight import Link
 
 WITNESSES = 5  # kept of a link: two liars or sick ones are outvoted
+ILL = 2  # witnesses that must call a link slow or cut: one liar invents no ill, and one of five hides none
 LEAST_RENEWAL = 20.0  # seconds after which unchanged evidence is told anew
 RENEWALS = 40.0  # a second, of all links and witnesses together: half of what 2 kB/s carry to everybody
 LATELY = 5.0  # seconds for which a suspicion makes others in its hall quicker to share it
@@ -139,7 +140,7 @@
             return NOTHING
         states, lows, typicals, losses = zip(*(unpack(h.values) for h in words), strict=True)
         low, typical = int(agreed(list(lows))), int(agreed(list(typicals)))
-        state = Link(int(agreed(list(states))))
+        state = Link(sorted(states)[max(0, len(states) - ILL)])
         ages = [now - h.born for h in words if h.values >> 16 == state]
         return Estimate(
             state,
