--- a/tests/peers/latency/test_evidence.py
+++ b/tests/peers/latency/test_evidence.py
@@ -72,6 +72,14 @@
     assert watch.turns == watch.turns[:1]
 
 
+def test_one_or_two_good_windows_end_no_cut() -> None:
+    watch = watching()
+    for _ in range(10):
+        watch.feed(3.0, CUT)
+        watch.feed(0.2, WELL)
+        assert watch.state is Link.CUT
+
+
 def test_a_link_that_always_loses_half_is_well_and_its_cut_is_still_seen() -> None:
     watch = Watch()
     watch.feed(120.0, WELL, lost=0.5)
--- a/tests/peers/latency/test_room.py
+++ b/tests/peers/latency/test_room.py
@@ -8,7 +8,7 @@
 
 from ironrail.errors import InputError
 from ironrail.peers.faces import Heard
-from ironrail.peers.latency.facts import HallsSeen
+from ironrail.peers.latency.facts import HallLink, HallsSeen
 from ironrail.peers.latency.reports import Report, encode, pack
 from ironrail.peers.latency.room import LatencyRoom
 from ironrail.peers.latency.sight import Link
@@ -129,7 +129,7 @@
 def test_a_hall_nobody_speaks_of_is_handed_out_as_unknown_and_far() -> None:
     table = told(alone(), 1.0, word(3, 1, 0))
     assert table is not None
-    for link in (table.links[0], table.links[2]):
+    for link in (table.links[0], table.links[2], HallLink("before anything was heard")):
         assert link.state is Link.UNKNOWN and link.typical == link.low == math.inf
         assert link.lost == 1.0 and link.age(1.0) == math.inf
     assert min(table.links, key=lambda link: link.typical).hall == "h1"
