--- a/tests/peers/latency/test_merge.py
+++ b/tests/peers/latency/test_merge.py
@@ -185,7 +185,7 @@
 
 
 def test_a_message_that_breaks_off_is_refused() -> None:
-    body, _ = encode([report(0, 20)])
+    body, _ = encode([report(0, 20), report(0, 20)._replace(to=0)])
     for end in range(1, len(body)):
         with pytest.raises(ReportError):
             decode(body[:end], len(HALL_OF), 2)
