--- a/tests/peers/accord/accord_walk.py
+++ b/tests/peers/accord/accord_walk.py
@@ -34,7 +34,7 @@
     """Something happens."""
     me = draw.randrange(world.routers)
     lost = sum(v not in world.nodes or not world.nodes[v].room.voter.standing for v in world.voters)
-    match draw.choice(("propose", "propose", "propose", "cut", "cut", "mend", "crash", "pause", "disk")):
+    match draw.choice(("propose", "propose", "propose", "cut", "cut", "mend", "crash", "pause", "twin", "disk")):
         case "propose":
             for _ in range(draw.choice((1, 1, 2))):
                 # sometimes another document under the same version
@@ -50,14 +50,16 @@
                 world.crash(me, forget, draw.choice((0.0, 0.5, 6.0)))
         case "pause" if me in world.nodes:
             world.nodes[me].paused_until = world.now + draw.choice((0.5, 2.0, 3.2, 10.0))
+        case "twin" if me not in world.voters:
+            world.twin(me)
         case "disk":
-            world.keep_fails = draw.choice((0.0, 0.0, 0.5))
+            world.keep_fails, world.keep_slow = draw.choice((0.0, 0.0, 0.5)), draw.choice((0.02, 0.3))
     return version
 
 
 def calm(world: World, version: int) -> None:
     """All is well again: within a stated time all decide by one policy, and the next change takes hold."""
-    world.cut, world.loss, world.slow, world.keep_fails = set(), 0.0, 0.01, 0.0
+    world.cut, world.loss, world.slow, world.keep_fails, world.keep_slow = set(), 0.0, 0.01, 0.0, 0.02
     world.run(QUIET)
     scopes = world.scopes()
     if len(scopes) < world.routers or len(set(scopes.values())) > 1 or len(scopes[0]) != 1:
--- a/tests/peers/accord/accord_world.py
+++ b/tests/peers/accord/accord_world.py
@@ -79,7 +79,9 @@
         self.askers: list[tuple[Ticket, Node]] = []
         self.sent = 0
         self.bytes = 0
-        self.keep_fails = 0.0
+        self.keep_fails, self.keep_slow = 0.0, 0.02
+        self.ghosts: list[Node] = []  # stopped, and another process has their place
+        self.documents: dict[bytes, p.Policy] = {}
         self.nodes: dict[int, Node] = {}
         for me in range(routers):
             self.start(me)
@@ -101,6 +103,13 @@
             node.died = self.now
             self.at(back_in, lambda: None if me in self.nodes else self.start(me, None if forget else node.disk) and None)
 
+    def twin(self, me: int) -> None:
+        """Another process is started in the place of one that was only stopped."""
+        if node := self.nodes.pop(me, None):
+            self.ghosts.append(node)
+            node.died = self.now  # nothing reaches it any more
+            self.start(me)
+
     def clock(self, node: Node) -> float:
         """Its own."""
         return node.offset + node.rate * self.now
@@ -113,7 +122,7 @@
         """Carry out what a room wants."""
         room = node.room
         for keep in room.keeps():
-            self.at(self.random.uniform(0.001, 0.02), lambda k=keep: self.keep(node, k))  # type: ignore[misc]
+            self.at(self.random.uniform(0.0, self.keep_slow), lambda k=keep: self.keep(node, k))  # type: ignore[misc]
         for say in room.say():
             self.send(node, say.to, say.body)
         wake = room.wake_at()
@@ -191,12 +200,37 @@
 
     def scopes(self) -> dict[int, m.Scope]:
         """Who decides by what."""
-        found = {me: node.room.decides_by(self.clock(node)) for me, node in self.nodes.items()}
-        return {me: decided.scope for me, decided in found.items() if decided.scope}
+        processes = [*self.nodes.items(), *((-1 - i, ghost) for i, ghost in enumerate(self.ghosts))]
+        found = {}
+        for me, node in processes:
+            by = node.room.decides_by(self.clock(node))
+            if by.scope:
+                found[me] = by.scope
+                for version in by.scope:
+                    document = self.documents[self.digests[divmod(version, m.EPOCH)]]
+                    if by.policy.rates["fonts"] > document.rates["fonts"]:
+                        raise Broken(f"router {me} in {by.scope} allows more than {document}")
+        return found
+
+    def backed(self, node: Node, scope: m.Scope) -> bool:
+        """Whether a majority of voters keeps others from what is apart from this process's scope."""
+        backing = 0
+        for voter in self.voters:
+            if (other := self.nodes.get(voter)) is None:
+                backing += 1  # when it is back it waits until this lease has run out
+                continue
+            part, now = other.room.voter, self.clock(other)
+            entry = part.grants.entries.get((node.conf.me, node.conf.start))
+            holds = entry is not None and scope in entry.scopes and now < entry.until
+            backing += holds or now < part.quiet_until
+        return backing > len(self.voters) // 2
 
     def watch(self) -> None:
         """No two routers decide by what is apart, nor by what was told not to come."""
         scopes = self.scopes()
+        for me, scope in scopes.items():
+            if not self.backed(self.ghosts[-1 - me] if me < 0 else self.nodes[me], scope):
+                raise Broken(f"at {self.now}: router {me} decides by {scope} without a majority's lease")
         if len(set(scopes.values())) > 1:
             for (a, one), (b, other) in itertools.combinations(scopes.items(), 2):
                 if apart(one, other):
@@ -218,6 +252,7 @@
             ticket: Ticket = node.room.propose(self.clock(node), wanted, deadline)
         except RefusedError:
             return None
+        self.documents[ticket.ref.digest] = wanted
         self.tickets.append(ticket)
         self.askers.append((ticket, node))
         self.settle(node)
@@ -226,6 +261,7 @@
     def found(self, me: int, epoch: int, wanted: p.Policy) -> None:
         """The operator's hand."""
         node = self.nodes[me]
+        self.documents[p.digest(wanted)] = wanted
         node.room.found(self.clock(node), epoch, wanted)
         self.settle(node)
 
