--- a/ironrail/peers/accord/core.py
+++ b/ironrail/peers/accord/core.py
@@ -120,6 +120,8 @@
     def _aim(self, now: float) -> None:
         """Go on to the state that is known, once its documents are here and can be worked by."""
         before = (self.holder.at, self.holder.next)
+        if self.known is self.holder.at:
+            return
         if self.known and not self.library.missing([self.known]) and not self.library.refusal(self.known):
             self.holder.aim(self.known, now)
         if before != (self.holder.at, self.holder.next):
--- a/ironrail/peers/accord/library.py
+++ b/ironrail/peers/accord/library.py
@@ -58,8 +58,11 @@
     def strictest(self, states: Iterable[State | None]) -> p.Policy:
         """The floor met with all that is known of these states and fits."""
         refs = {ref.digest: ref for state in states if state for ref in state.refs()}
-        known = [self._documents[digest] for digest in sorted(refs) if digest in self._documents]
-        return self._meet([self.floor, *(d for d in known if p.check(d, self.facts) is None)])
+        key = (b"", *sorted(refs.keys() & self._documents.keys()))
+        if key not in self._met:
+            known = [self._documents[digest] for digest in key[1:]]
+            self._met[key] = self._meet([self.floor, *(d for d in known if p.check(d, self.facts) is None)])
+        return self._met[key]
 
     def _meet(self, policies: list[p.Policy]) -> p.Policy:
         return reduce(lambda one, other: p.meet(one, other, self.facts), policies)
@@ -67,4 +70,4 @@
     def keep_only(self, digests: set[bytes]) -> None:
         """Forget what no state takes any more."""
         self._documents = {d: policy for d, policy in self._documents.items() if d in digests}
-        self._met = {key: met for key, met in self._met.items() if set(key) <= digests}
+        self._met = {key: met for key, met in self._met.items() if set(key) <= digests | {b""}}
--- a/ironrail/peers/accord/messages.py
+++ b/ironrail/peers/accord/messages.py
@@ -145,7 +145,7 @@
 
     sequence: Whole
     low: Note | None
-    high: Note | None
+    high: Note | None  # and by this one, once a majority grants it
     knows: Whole  # highest step that it knows to be decided
     refuses: tuple[Whole, str] | None = None  # a version (with its epoch), and why
 
--- a/ironrail/peers/accord/policy.py
+++ b/ironrail/peers/accord/policy.py
@@ -90,7 +90,7 @@
         }
     except msgspec.ValidationError as error:
         raise PolicyError(str(error), "policy") from None
-    return _sound(Policy(**fields))
+    return normal(Policy(**fields))
 
 
 def _sound(policy: Policy) -> Policy:
@@ -114,6 +114,18 @@
     return _ENCODER.encode(policy)
 
 
+def normal(policy: Policy) -> Policy:
+    """As every other router will read it.
+
+    Raises:
+        PolicyError: a field is out of its bounds.
+    """
+    try:
+        return _sound(_DECODER.decode(encode(policy)))
+    except (msgspec.MsgspecError, TypeError) as error:
+        raise PolicyError(str(error), "policy") from None
+
+
 def digest(policy: Policy) -> bytes:
     """The name of the document on the wire."""
     return hashlib.blake2b(encode(policy), digest_size=DIGEST).digest()
--- a/ironrail/peers/accord/register.py
+++ b/ironrail/peers/accord/register.py
@@ -186,33 +186,31 @@
         if self.standing or report.nonce != self.nonce or sender == self.me:
             return
         self.reports[sender] = Reply(start, report.seen, report)
-        told = {
-            v: r for v, r in self.reports.items() if isinstance(r.message, m.Report) and r.message.standing
-        }
+        told = self._told(True)
         epoch = max((_vouched(r).promised.epoch for r in told.values()), default=0)
-        group = sound(
-            {v: r for v, r in told.items() if _vouched(r).promised.epoch == epoch}, self.voters, self.need
-        )
+        latest = {v: r for v, r in told.items() if _vouched(r).promised.epoch == epoch}
+        group = sound(latest, self.voters, self.need)
         if group:
             best = max((_vouched(told[v]) for v in group), key=lambda v: v.ballot)
             promised = max(_vouched(told[v]).promised for v in group)
             self._stand(m.Vouched(promised, best.ballot, best.accepted))
         elif self.offer:
-            self._found()
+            self._found(self.offer)
 
-    def _found(self) -> None:
-        same = {
-            v: r
-            for v, r in self.reports.items()
-            if isinstance(r.message, m.Report) and not r.message.standing and r.message.offer == self.offer
+    def _told(self, standing: bool) -> dict[int, Reply]:
+        told = {v: (r, r.message) for v, r in self.reports.items()}
+        return {
+            v: r for v, (r, word) in told.items() if isinstance(word, m.Report) and word.standing == standing
         }
-        own = Reply(
-            self.seen[self.me], self.seen_now(), m.Report(self.nonce, False, self.seen_now(), m.Vouched())
-        )
-        group = sound({**same, self.me: own}, self.voters, self.need)
-        if self.me in group and self.offer:
-            starts = tuple(self.seen[v] if v in group else 0 for v in self.voters)
-            message = m.Founded(self.offer, starts)
+
+    def _found(self, offer: m.State) -> None:
+        lost = self._told(False).items()
+        same = {v: r for v, r in lost if isinstance(r.message, m.Report) and r.message.offer == offer}
+        seen = self.seen_now()
+        same[self.me] = Reply(self.seen[self.me], seen, m.Report(self.nonce, False, seen, m.Vouched(), offer))
+        group = sound(same, self.voters, self.need)
+        if self.me in group:
+            message = m.Founded(offer, tuple(self.seen[v] if v in group else 0 for v in self.voters))
             self.out += [(voter, message) for voter in self.voters if voter != self.me]
             self.founded(message)
 
@@ -243,10 +241,7 @@
 
     def is_lost(self) -> bool:
         """Whether too many voters lost their memory for this one to learn where things stand."""
-        lost = 1 + sum(
-            isinstance(r.message, m.Report) and not r.message.standing for r in self.reports.values()
-        )
-        return not self.standing and lost > len(self.voters) - self.need
+        return not self.standing and 1 + len(self._told(False)) > len(self.voters) - self.need
 
 
 def _vouched(reply: Reply) -> m.Vouched:
--- a/ironrail/peers/accord/room.py
+++ b/ironrail/peers/accord/room.py
@@ -38,15 +38,13 @@
 
         Raises:
             RefusedError: a change is under way here, or this router doesn't know where the register stands.
-            PolicyError: this router itself can't work by it.
+            PolicyError: it is no policy, or this router itself can't work by it.
         """
         if self.proposer.change:
             raise errors.BusyError("a change is under way here", "policy")
         if self.known is None or self.holder.decides(now) is None:
             raise errors.UnreadyError("holds no lease", f"router {self.conf.me}")
-        if error := p.check(policy, self.library.facts):
-            raise error
-        ref = self.library.add(policy)
+        ref = self._taken(policy)
         ticket = Ticket(ref)
         self.proposer.begin(now, Change(Goal.JOIN, ref, ticket, deadline=now + deadline))
         self._settle(now)
@@ -59,13 +57,17 @@
         """
         if not 0 < epoch < 2**20:
             raise InputError("must be from 1 to 2**20", "epoch")
-        if error := p.check(policy, self.library.facts):
-            raise error
-        ref = self.library.add(policy)
+        ref = self._taken(policy)
         self._to_voters(m.Offer(m.State(epoch * m.EPOCH, ref, tried=ref.version)))
-        self._to_voters(m.Document(p.encode(policy)))
+        self._to_voters(m.Document(self.library.get(ref.digest) or b""))
         self._settle(now)
 
+    def _taken(self, policy: p.Policy) -> m.Ref:
+        policy = p.normal(policy)
+        if error := p.check(policy, self.library.facts):
+            raise error
+        return self.library.add(policy)
+
     def decides_by(self, now: float) -> DecidedBy:
         """What to act by at this very time; ask anew for each decision, with a clock that counts pauses."""
         state = self.holder.decides(now)
--- a/ironrail/peers/accord/stages.py
+++ b/ironrail/peers/accord/stages.py
@@ -69,8 +69,8 @@
         self.sequence += 1
         self._asked[self.sequence] = (now, scopes)
         self._asked.pop(self.sequence - MOST_ASKED, None)
-        notes = [note(state) if state else None for state in (low, high)]
-        return Ask(self.sequence, notes[0], notes[1], knows, refuses)
+        further = note(high) if high and high is not low else None
+        return Ask(self.sequence, note(low) if low else None, further, knows, refuses)
 
     def _keep_only(self, scopes: tuple[Scope, ...]) -> None:
         """A voter's entry holds only what was last asked: an older grant of the rest is worth nothing."""
@@ -117,9 +117,10 @@
         if ask.sequence <= entry.sequence:
             return None
         entry.sequence, entry.refusal, entry.heard = ask.sequence, ask.refuses, now
-        if not ask.low or not ask.high or min(ask.low.step, ask.high.step) < least:
+        notes = [wish for wish in (ask.low, ask.high) if wish]
+        if not notes or min(wish.step for wish in notes) < least:
             return False
-        entry.scopes, entry.until = tuple({ask.low.scope, ask.high.scope}), now + self.wait
+        entry.scopes, entry.until = tuple(wish.scope for wish in notes), now + self.wait
         return True
 
     def against(self, now: float, scope: Scope) -> list[int]:
--- a/tests/peers/accord/accord_explorer.py
+++ b/tests/peers/accord/explorer.py
@@ -7,35 +7,21 @@
 
 from __future__ import annotations
 
-import pickle
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from accord_world import FACTS, FLOOR, Broken, policy
-
 from ironrail.errors import RefusedError
-from ironrail.peers.accord import core, proposer, register
 from ironrail.peers.accord import messages as m
 from ironrail.peers.accord.conf import Conf
 from ironrail.peers.accord.errors import OpenError
-from ironrail.peers.accord.room import AccordRoom
 from ironrail.peers.accord.stages import apart
 from ironrail.peers.faces import Heard
+from tests.peers.accord.still import DRIFT, LEASE, Saved, Still
+from tests.peers.accord.watching import FACTS, FLOOR, Broken, policy
 
 Mail = tuple[int, int, int, bytes]  # from, its start, to, body
-LEASE, DRIFT = 2.0, 0.1
-EVERY_TICK = {(core, "RENEWALS"): 2, (core, "FETCH_EVERY"): 1.0, (core, "UNSETTLED"): 4.0, (core, "LEFT_BEHIND"): 0.3,
-              (proposer, "AGAIN"): 0.9, (register, "RECOVER_EVERY"): 0.9}  # fmt: skip
-
-
-class Still(AccordRoom):
-    """Without chance; it remembers its tickets."""
-
-    tickets: tuple[Any, ...] = ()
-
-    def _draw(self) -> float:
-        return 0.0
+Done = tuple[int, tuple[Mail, ...], tuple[bytes, ...], tuple[int, ...]]
 
 
 class State(NamedTuple):
@@ -61,7 +47,8 @@
     ticks: int = 8
     faults: int = 1
     slips: int = 0
-    proposals: tuple[tuple[int, int, int], ...] = ((1, 3, 2), (2, 0, 3))  # tick at the earliest, router, version
+    # tick at the earliest, router, version
+    proposals: tuple[tuple[int, int, int], ...] = ((1, 3, 2), (2, 0, 3))
     routers: int = 4
     disk: bool = False
     most: int = 10**7  # states
@@ -75,38 +62,29 @@
     def __init__(self, bounds: Bounds, room: Callable[..., Any] = Still) -> None:
         self.bounds, self.room = bounds, room
         self.voters = (0, 1, 2)
-        self.blobs: list[bytes] = [b""]
-        self.ids: dict[bytes, int] = {b"": 0}
-        self.memo: dict[tuple[int, int, Any], tuple[int, tuple[Mail, ...], tuple[bytes, ...], tuple[int, ...]]] = {}
+        self.rooms = Saved()
+        self.memo: dict[tuple[int, int, Any], Done] = {}
         self.scope: dict[tuple[int, int], m.Scope] = {}
         self.seen: set[State] = set()
-        self.states = 0
         self.ended: dict[str, int] = {}
 
     def clock(self, me: int, tick: int) -> float:
         """Voters' clocks are as fast as may be, others' as slow: a lease lasts longest."""
         return tick * (1 + DRIFT if me in self.voters else 1 - DRIFT)
 
-    def _save(self, room: Any) -> int:
-        blob = pickle.dumps(room, 5)
-        found = self.ids.get(blob)
-        if found is None:
-            found = self.ids[blob] = len(self.blobs)
-            self.blobs.append(blob)
-        return found
-
-    def local(self, me: int, node: int, tick: int, event: Any) -> tuple[int, tuple[Mail, ...], tuple[bytes, ...], tuple[int, ...]]:
+    def local(self, me: int, node: int, tick: int, event: Any) -> Done:
         """What a room does: its next state, what it sends, decides, and which tickets ended in vain."""
         key = (node, tick, event)
         if key in self.memo:
             return self.memo[key]
         now = self.clock(me, tick)
         if event[0] == "start":
-            conf = Conf(me, event[1], self.bounds.routers, self.voters, LEASE, DRIFT, self.bounds.disk and me in self.voters)
+            disk = self.bounds.disk and me in self.voters
+            conf = Conf(me, event[1], self.bounds.routers, self.voters, LEASE, DRIFT, disk)
             room = self.room(conf, FACTS, FLOOR, now, record=event[2])
             room.tickets = ()
         else:
-            room = pickle.loads(self.blobs[node])
+            room = self.rooms.load(node)
         match event:
             case ("hear", sender, start, body):
                 room.hear(now, Heard(sender, start, body))
@@ -132,7 +110,7 @@
                 name = type(t.error).__name__ if t.error else "in force"
                 self.ended[name] = self.ended.get(name, 0) + 1
         room.tickets = done
-        self.memo[key] = (self._save(room), out, decided, refused)
+        self.memo[key] = (self.rooms.save(room), out, decided, refused)
         return self.memo[key]
 
     def apply(self, state: State, me: int, event: Any) -> State:
@@ -161,7 +139,7 @@
             if node:
                 key = (node, state.tick)
                 if key not in self.scope:
-                    room = pickle.loads(self.blobs[node])
+                    room = self.rooms.load(node)
                     self.scope[key] = room.decides_by(self.clock(me, state.tick)).scope
                 scopes.add(self.scope[key])
         scopes.discard(())
@@ -206,7 +184,7 @@
 
     def restart(self, state: State, me: int, forget: bool) -> State:
         """At once, as another process."""
-        record = None if forget else getattr(pickle.loads(self.blobs[state.nodes[me]]), "record", None)
+        record = None if forget else getattr(self.rooms.load(state.nodes[me]), "record", None)
         state = state._replace(starts=state.starts + 1)
         return self.apply(state, me, ("start", state.starts, record))
 
@@ -229,7 +207,9 @@
             ticked = self.tick(state)
             calls = self.bounds.proposals[state.calls :]
             if calls and state.tick - self.bounds.up >= calls[0][0] and not state.away[calls[0][1]]:
-                yield self.apply(ticked._replace(calls=state.calls + 1), calls[0][1], ("propose", calls[0][2]))
+                yield self.apply(
+                    ticked._replace(calls=state.calls + 1), calls[0][1], ("propose", calls[0][2])
+                )
             else:
                 yield ticked
             if state.faults:
--- a/tests/peers/accord/accord_mistakes.py
+++ b/tests/peers/accord/mistakes.py
@@ -9,12 +9,11 @@
 import pytest
 
 from ironrail.peers.accord import messages as m
-from ironrail.peers.accord import proposer, register, stages
+from ironrail.peers.accord import proposer, register
 from ironrail.peers.accord.conf import Conf
 from ironrail.peers.accord.library import Library
 from ironrail.peers.accord.proposer import Goal, Proposer
 from ironrail.peers.accord.register import Voter
-from ironrail.peers.accord.room import AccordRoom
 from ironrail.peers.accord.stages import Grants, Holder
 
 Patch = pytest.MonkeyPatch
@@ -185,4 +184,3 @@
     moves_without_grant, no_meet, told_before_kept, old_life_replaced, no_acknowledgements, forgets_leases,
     skips_joint, ballot_again, others_go_forward, wait_without_drift, lower_ballot,
 ]  # fmt: skip
-assert stages and AccordRoom
--- /dev/null
+++ b/tests/peers/accord/still.py
@@ -0,0 +1,73 @@
+"""Rooms without chance, in a form that many states of a world can share."""
+
+from __future__ import annotations
+
+import pickle
+from typing import Any
+
+from ironrail.peers.accord import core, proposer, register
+from ironrail.peers.accord.library import Library
+from ironrail.peers.accord.room import AccordRoom
+from tests.peers.accord.watching import FACTS, FLOOR
+
+LEASE, DRIFT = 2.0, 0.1
+EVERY_TICK = {
+    (core, "RENEWALS"): 2,
+    (core, "FETCH_EVERY"): 1.0,
+    (core, "UNSETTLED"): 4.0,
+    (core, "LEFT_BEHIND"): 0.3,
+    (proposer, "AGAIN"): 0.9,
+    (register, "RECOVER_EVERY"): 0.9,
+}
+
+
+class Still(AccordRoom):
+    """Without chance; it remembers its tickets."""
+
+    tickets: tuple[Any, ...] = ()
+
+    def _draw(self) -> float:
+        return 0.0
+
+
+class Shelf(Library):
+    """It has every document."""
+
+    def missing(self, states: Any) -> list[bytes]:
+        """Nothing."""
+        return []
+
+
+class Bare(AccordRoom):
+    """Without leases and chance."""
+
+    def __init__(self, *given: Any, **named: Any) -> None:
+        super().__init__(*given, **named)
+        self.library = Shelf(FACTS, FLOOR)
+
+    def _draw(self) -> float:
+        return 0.0
+
+    def _renew(self, now: float) -> None:
+        """No leases here."""
+
+
+class Saved:
+    """Each state of a room once, by its number; 0 is none."""
+
+    def __init__(self) -> None:
+        self.blobs: list[bytes] = [b""]
+        self.ids: dict[bytes, int] = {b"": 0}
+
+    def save(self, room: Any) -> int:
+        """Its number."""
+        blob = pickle.dumps(room, 5)
+        found = self.ids.get(blob)
+        if found is None:
+            found = self.ids[blob] = len(self.blobs)
+            self.blobs.append(blob)
+        return found
+
+    def load(self, number: int) -> Any:
+        """A room of its own."""
+        return pickle.loads(self.blobs[number])
--- a/tests/peers/accord/accord_votes.py
+++ b/tests/peers/accord/votes.py
@@ -6,49 +6,23 @@
 
 from __future__ import annotations
 
-import pickle
-import random
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from accord_world import FACTS, FLOOR, Broken, policy
-
 import msgspec
 
 from ironrail.peers.accord import messages as m
 from ironrail.peers.accord import policy as p
 from ironrail.peers.accord.conf import Conf
-from ironrail.peers.accord.library import Library
 from ironrail.peers.accord.proposer import Change, Goal, Ticket
-from ironrail.peers.accord.room import AccordRoom
 from ironrail.peers.faces import Heard
+from tests.peers.accord.still import Bare, Saved
+from tests.peers.accord.watching import FACTS, FLOOR, Broken, policy
 
 BEFORE, NOW = -9.0, 0.0  # leases of before have run out
 VOTERS = (0, 1, 2)
 
 
-class Shelf(Library):
-    """It has every document."""
-
-    def missing(self, states: Any) -> list[bytes]:
-        """Nothing."""
-        return []
-
-
-class Bare(AccordRoom):
-    """Without leases and chance."""
-
-    def __init__(self, *given: Any, **named: Any) -> None:
-        super().__init__(*given, **named)
-        self.library = Shelf(FACTS, FLOOR)
-
-    def _draw(self) -> float:
-        return 0.0
-
-    def _renew(self, now: float) -> None:
-        """No leases here."""
-
-
 class State(NamedTuple):
     """Of the whole world. `deaf`: of each router, starts that it never hears again."""
 
@@ -64,14 +38,21 @@
 class Votes:
     """`again`, `crashes`: bounds; `askers`: the routers that propose, each another version."""
 
-    def __init__(self, again: int, crashes: int, askers: tuple[int, ...] = (0, 1), most: int = 10**7,
-                 room: Callable[..., Any] = Bare, victims: tuple[int, ...] = VOTERS, disk: bool = False) -> None:  # fmt: skip
+    def __init__(
+        self,
+        again: int,
+        crashes: int,
+        askers: tuple[int, ...] = (0, 1),
+        most: int = 10**7,
+        room: Callable[..., Any] = Bare,
+        victims: tuple[int, ...] = VOTERS,
+        disk: bool = False,
+    ) -> None:
         self.victims, self.disk = victims, disk
         self.bounds, self.askers, self.most, self.room = (again, crashes), askers, most, room
-        self.blobs: list[bytes] = []
-        self.ids: dict[bytes, int] = {}
+        self.rooms = Saved()
         self.memo: dict[tuple[int, Any], tuple[int, tuple[Any, ...], tuple[bytes, ...]]] = {}
-        self.voids: dict[tuple[int, bytes], bool] = {}
+        self.voids: dict[tuple[int, tuple[int, int, int, bytes]], bool] = {}
         self.busy: dict[int, bool] = {}
         self.seen: set[State] = set()
 
@@ -89,19 +70,11 @@
         room.proposer.begin(NOW, Change(Goal.JOIN, ref, Ticket(ref)))
         room._settle(NOW)
 
-    def save(self, room: Any) -> int:
-        """Its number."""
-        blob = pickle.dumps(room, 5)
-        if blob not in self.ids:
-            self.ids[blob] = len(self.blobs)
-            self.blobs.append(blob)
-        return self.ids[blob]
-
     def local(self, me: int, node: int, event: Any) -> tuple[int, tuple[Any, ...], tuple[bytes, ...]]:
         """What a room does."""
         key = (node, event)
         if key not in self.memo:
-            room = pickle.loads(self.blobs[node])
+            room = self.rooms.load(node)
             match event:
                 case ("hear", sender, start, body):
                     room.hear(NOW, Heard(sender, start, body))
@@ -115,13 +88,18 @@
                 case ("crash", start):
                     room = self.start(me, start, room.record)
                     room.wake(BEFORE)
+                    if (
+                        room.voter and room.voter.standing
+                    ):  # leases aren't asked for here, by which others hear of it
+                        room._to_voters(m.Recover(0))
+                        room._settle(NOW)
                     if me in self.askers:  # and it is asked again, for something else
                         self.propose(room, 12 + me)
             room.writing = (*room.writing, *room.keeps())
             out = tuple((me, room.conf.start, say.to, say.body) for say in room.say())
             decided = tuple(mail[3] for mail in out if isinstance(m.decode(mail[3]), m.Decided))
             sent = tuple(mail for mail in out if not isinstance(m.decode(mail[3]), (m.Decided, m.Outvoted)))
-            self.memo[key] = (self.save(room), sent, decided)
+            self.memo[key] = (self.rooms.save(room), sent, decided)
         return self.memo[key]
 
     def apply(self, state: State, me: int, event: Any) -> State:
@@ -136,16 +114,21 @@
                 if steps.setdefault(message.state.step, message.state) != message.state:
                     raise Broken(f"decided twice: {message.state} and {steps[message.state.step]}")
         nodes = (*state.nodes[:me], node, *state.nodes[me + 1 :])
-        mail = frozenset(m for m in state.mail.union(sent) if not self.void(nodes[m[2]], state.deaf[m[2]], m))
+        spared = self.victims if state.crashes else ()  # whoever forgets may take again what it was above
+        mail = frozenset(
+            m
+            for m in state.mail.union(sent)
+            if m[2] in spared or not self.void(nodes[m[2]], state.deaf[m[2]], m)
+        )
         return state._replace(nodes=nodes, mail=mail, decided=told)
 
     def void(self, node: int, deaf: frozenset[int], mail: tuple[int, int, int, bytes]) -> bool:
         """Whether it can never matter again: ballots of a voter and of a proposer only grow."""
         if mail[1] in deaf:
             return True
-        key = (node, mail[3])
+        key = (node, mail)
         if key not in self.voids:
-            room, message = pickle.loads(self.blobs[node]), m.decode(mail[3])
+            room, message = self.rooms.load(node), m.decode(mail[3])
             voter, change = room.voter, room.proposer.change
             match message:
                 case m.Promise():
@@ -155,7 +138,8 @@
                 case m.Prepare() | m.Accept():
                     void = voter.standing and message.ballot < voter.vouched.promised
                 case m.Report():
-                    void = voter.standing or message.nonce != voter.nonce
+                    heard = voter.seen[mail[0]] == mail[1]
+                    void = heard and (voter.standing or message.nonce != voter.nonce)
                 case _:
                     void = False
             self.voids[key] = void
@@ -163,24 +147,28 @@
 
     def after(self, state: State) -> Iterator[State]:
         """All that may come next."""
-        for sender, start, to, body in state.mail:
+        for sender, start, to, body in sorted(state.mail):
             if start in state.deaf[to]:
                 continue
             after = self.apply(state, to, ("hear", sender, start, body))
-            if sender in VOTERS:  # that the process is alive is proven: older ones are never heard again
-                older = {s for v, s, _, _ in state.mail if v == sender and s < start}
-                if older - after.deaf[to]:
-                    deaf = after.deaf[to] | older
-                    after = after._replace(deaf=(*after.deaf[:to], deaf, *after.deaf[to + 1 :]))
+            # that the process is alive is proven: older ones are never heard again
+            older = {s for v, s, _, _ in state.mail if v == sender and s < start}
+            if older - after.deaf[to]:
+                deaf = after.deaf[to] | older
+                after = after._replace(deaf=(*after.deaf[:to], deaf, *after.deaf[to + 1 :]))
             yield after
         for me in VOTERS if self.disk else ():
             if self.writing(state.nodes[me]):
                 yield self.apply(state, me, ("kept",))
-        for me in set(self.askers) if state.again else ():
+        for me in self.askers if state.again else ():
             yield self.apply(state._replace(again=state.again - 1), me, ("again",))
         for me in self.victims if state.crashes else ():
             start = state.starts + 1
-            dead = {s for v, s, _, _ in state.mail if v != me and s < 10 + state.starts and self._dead(state, v, s)}
+            dead = {
+                s
+                for v, s, _, _ in state.mail
+                if v != me and s < 10 + state.starts and self._dead(state, v, s)
+            }
             spent = state._replace(starts=start, crashes=state.crashes - 1)
             spent = spent._replace(deaf=(*state.deaf[:me], frozenset(dead), *state.deaf[me + 1 :]))
             yield self.apply(spent, me, ("crash", start))
@@ -188,11 +176,11 @@
     def writing(self, node: int) -> bool:
         """Whether a record isn't on the disk yet."""
         if node not in self.busy:
-            self.busy[node] = bool(pickle.loads(self.blobs[node]).writing)
+            self.busy[node] = bool(self.rooms.load(node).writing)
         return self.busy[node]
 
     def _dead(self, state: State, router: int, start: int) -> bool:
-        return bool(pickle.loads(self.blobs[state.nodes[router]]).conf.start != start)
+        return bool(self.rooms.load(state.nodes[router]).conf.start != start)
 
     def begin(self) -> State:
         """The voters stand, have heard each other, and are asked at once."""
@@ -213,7 +201,7 @@
             room.writing = tuple(room.keeps())
             rooms.append(room)
         mail = frozenset((r.conf.me, r.conf.start, say.to, say.body) for r in rooms for say in r.say())
-        nodes = tuple(self.save(r) for r in rooms)
+        nodes = tuple(self.rooms.save(r) for r in rooms)
         return State(nodes, (frozenset(),) * len(rooms), mail, len(rooms), *self.bounds, frozenset())
 
     def run(self) -> int:
@@ -231,12 +219,20 @@
             level = following
         return len(self.seen)
 
-    def roam(self, paths: int, steps: int = 60) -> None:
-        """Far into where there is too much to look through: paths drawn by number."""
-        for seed in range(paths):
-            draw, state = random.Random(seed), self.begin()
-            for _ in range(steps):
-                nexts = [after for after in self.after(state) if after != state]
-                if not nexts:
+    def follow(self, plan: str) -> int:
+        """One run, message by message: `3>2 Prepare`, `2 crash`; what was never sent is passed over."""
+        state, taken = self.begin(), 0
+        for step in plan.split(", "):
+            where, what = step.split()
+            if what == "crash":
+                spent = state._replace(starts=state.starts + 1)
+                state = self.apply(spent, int(where), ("crash", state.starts + 1))
+                taken += 1
+                continue
+            sender, to = (int(part) for part in where.split(">"))
+            for mail in sorted(sorted(state.mail), key=lambda mail: -mail[1]):  # of the latest process
+                if (mail[0], mail[2], type(m.decode(mail[3])).__name__) == (sender, to, what):
+                    state = self.apply(state, to, ("hear", *mail[:2], mail[3]))
+                    taken += 1
                     break
-                state = draw.choice(nexts)
+        return taken
--- a/tests/peers/accord/accord_walk.py
+++ b/tests/peers/accord/walk.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any
 
-from accord_world import Broken, World, policy
+from tests.peers.accord.world import Broken, World, policy
 
 QUIET = 90.0  # seconds in which all is well again after the worst: two leases, a change that was left behind
 AT_ONCE = 12.0  # and a change among routers that are all there
@@ -34,11 +34,17 @@
     """Something happens."""
     me = draw.randrange(world.routers)
     lost = sum(v not in world.nodes or not world.nodes[v].room.voter.standing for v in world.voters)
-    match draw.choice(("propose", "propose", "propose", "cut", "cut", "mend", "crash", "pause", "twin", "disk")):
+    match draw.choice(
+        ("propose", "propose", "propose", "cut", "cut", "mend", "crash", "pause", "twin", "disk")
+    ):
         case "propose":
             for _ in range(draw.choice((1, 1, 2))):
                 # sometimes another document under the same version
-                world.propose(draw.randrange(world.routers), policy(version, draw.choice((0.0, 7.0))), draw.choice((5.0, 20.0)))
+                world.propose(
+                    draw.randrange(world.routers),
+                    policy(version, draw.choice((0.0, 7.0))),
+                    draw.choice((5.0, 20.0)),
+                )
             version += draw.choice((0, 1, 1))
         case "cut":
             world.cut |= {frozenset((me, other)) for other in range(world.routers) if draw.random() < 0.7}
@@ -46,7 +52,11 @@
             world.cut = set()
         case "crash":
             # no more lose their memory than can be
-            if not (forget := not disk or draw.random() < 0.3) or me not in world.voters or lost < (len(world.voters) - 1) // 2:
+            if (
+                not (forget := not disk or draw.random() < 0.3)
+                or me not in world.voters
+                or lost < (len(world.voters) - 1) // 2
+            ):
                 world.crash(me, forget, draw.choice((0.0, 0.5, 6.0)))
         case "pause" if me in world.nodes:
             world.nodes[me].paused_until = world.now + draw.choice((0.5, 2.0, 3.2, 10.0))
--- /dev/null
+++ b/tests/peers/accord/watching.py
@@ -0,0 +1,119 @@
+"""The promises, watched at every instant of a world."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironrail.peers.accord import messages as m
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.errors import OpenError
+from ironrail.peers.accord.proposer import Ticket
+from ironrail.peers.accord.stages import apart
+
+FACTS = p.Facts(titles=frozenset({"fonts"}), halls=frozenset({"north"}))
+FLOOR = p.Policy(version=1, rates={"fonts": 1.0})
+
+
+def policy(version: int, rate: float = 0.0) -> p.Policy:
+    """One that differs by its version."""
+    return p.Policy(version=version, rates={"fonts": rate or 100.0 + version})
+
+
+class Broken(AssertionError):
+    """A promise was."""
+
+
+@dataclass
+class Node:
+    """A process at a router's place."""
+
+    conf: Conf
+    room: Any  # an AccordRoom, or what a test puts in its place
+    rate: float
+    offset: float
+    born: float
+    died: float = math.inf
+    paused_until: float = 0.0
+    disk: bytes | None = None
+    proven: dict[int, int] = field(default_factory=dict)
+    replaced: set[int] = field(default_factory=set)
+    waking: float = math.inf  # its wake is scheduled for
+
+
+class Watch:
+    """What a world is watched by."""
+
+    voters: tuple[int, ...]
+    now: float
+
+    def __init__(self) -> None:
+        self.nodes: dict[int, Node] = {}
+        self.ghosts: list[Node] = []  # stopped, and another process has their place
+        self.documents: dict[bytes, p.Policy] = {}
+        self.decided: dict[int, m.State] = {}
+        self.digests: dict[tuple[int, int], bytes] = {}
+        self.tickets: list[Ticket] = []
+        self.askers: list[tuple[Ticket, Node]] = []
+
+    def clock(self, node: Node) -> float:
+        """Its own."""
+        return node.offset + node.rate * self.now
+
+    def watch_sent(self, node: Node, body: bytes) -> None:
+        """Each step is decided once, and each version means one document."""
+        message = m.decode(body)
+        if isinstance(message, m.Decided):
+            state = message.state
+            if self.decided.setdefault(state.step, state) != state:
+                raise Broken(f"step {state.step} decided twice: {self.decided[state.step]} and {state}")
+            for ref in state.refs():
+                key = (state.step // m.EPOCH, ref.version)
+                if self.digests.setdefault(key, ref.digest) != ref.digest:
+                    raise Broken(f"version {key} has two documents")
+
+    def scopes(self) -> dict[int, m.Scope]:
+        """Who decides by what."""
+        processes = [*self.nodes.items(), *((-1 - i, ghost) for i, ghost in enumerate(self.ghosts))]
+        found = {}
+        for me, node in processes:
+            by = node.room.decides_by(self.clock(node))
+            if by.scope:
+                found[me] = by.scope
+                for version in by.scope:
+                    document = self.documents[self.digests[divmod(version, m.EPOCH)]]
+                    if by.policy.rates["fonts"] > document.rates["fonts"]:
+                        raise Broken(f"router {me} in {by.scope} allows more than {document}")
+        return found
+
+    def backed(self, node: Node, scope: m.Scope) -> bool:
+        """Whether a majority of voters keeps others from what is apart from this process's scope."""
+        backing = 0
+        for voter in self.voters:
+            if (other := self.nodes.get(voter)) is None:
+                backing += 1  # when it is back it waits until this lease has run out
+                continue
+            part, now = other.room.voter, self.clock(other)
+            entry = part.grants.entries.get((node.conf.me, node.conf.start))
+            holds = entry is not None and scope in entry.scopes and now < entry.until
+            backing += holds or now < part.quiet_until
+        return backing > len(self.voters) // 2
+
+    def watch(self) -> None:
+        """No two routers decide by what is apart, nor by what was told not to come."""
+        scopes = self.scopes()
+        for me, scope in scopes.items():
+            if not self.backed(self.ghosts[-1 - me] if me < 0 else self.nodes[me], scope):
+                raise Broken(f"at {self.now}: router {me} decides by {scope} without a majority's lease")
+        if len(set(scopes.values())) > 1:
+            for (a, one), (b, other) in itertools.combinations(scopes.items(), 2):
+                if apart(one, other):
+                    raise Broken(f"at {self.now}: router {a} decides by {one}, {b} by {other}")
+        alive = {t.ref for t in self.tickets if t.error is None or isinstance(t.error, OpenError)}
+        dead = {t.ref.digest for t in self.tickets if t.ref not in alive}
+        for me, scope in scopes.items():
+            if len(scope) == 1 and self.digests.get(divmod(scope[0], m.EPOCH)) in dead:
+                raise Broken(f"router {me} decides by {scope} whose ticket was refused")
