--- a/benchmarks/accord_check.py
+++ b/benchmarks/accord_check.py
@@ -62,9 +62,7 @@
             size += len(body) + sum(len(say.body) for say in node.room.say())
     spent = time.process_time() - began
     share = spent / seconds
-    print(
-        f"{routers} routers renewing once a second: {share:.1%} of a CPU, {size / seconds / routers:.0f} B each"
-    )
+    print(f"{routers} renewals a second: {share:.1%} of a CPU, {size / seconds / routers:.0f} B each")
     began = time.process_time()
     for _ in range(100_000):
         node.room.decides_by(now)
