--- a/ironrail/peers/regions/__init__.py
+++ b/ironrail/peers/regions/__init__.py
@@ -1,1 +1,1 @@
-"""Where each region's readers are best served: who arrives together, how long answers take them, rows of steering."""
+"""Where each region's readers are best served, and how they are brought there."""
--- a/ironrail/peers/regions/regions.py
+++ b/ironrail/peers/regions/regions.py
@@ -56,7 +56,9 @@
             raise RegionsError(f"{len(owners)} ranges, where at most {MOST_RANGES} may be", "regions")
         self._starts, self._owners = _flat(owners)
         told = "\n".join((*self.names, *sorted(f"{network} {number}" for network, number in owners.items())))
-        self.digest = hashlib.blake2b(told.encode(), digest_size=4).digest()  # routers of other files don't mix
+        self.digest = hashlib.blake2b(
+            told.encode(), digest_size=4
+        ).digest()  # routers of other files don't mix
         self._kept: dict[str, int] = {}
 
     def number(self, address: str) -> int:
@@ -68,7 +70,7 @@
             except ValueError:
                 return 0  # not kept: whoever sends rubbish as an address wins no place by it
             if len(self._kept) >= KEPT:
-                self._kept.clear()  # cheaper than an order of use; a busy front is back with its next connection
+                self._kept.clear()  # cheaper than an order of use, and busy fronts are soon back
             self._kept[address] = found
         return found
 
--- a/ironrail/peers/regions/sketch.py
+++ b/ironrail/peers/regions/sketch.py
@@ -1,7 +1,7 @@
 """Durations at the reader on a logarithmic scale, and distributions of them that fade with time. Pure.
 
-As the map of latency has it (DDSketch's buckets, forward decay), on a scale of its own: to a reader less than a
-millisecond decides nothing, so 6 bits reach 4.4 s at an error of 7 %.
+As the map of latency has it (DDSketch's buckets, forward decay), on a scale of its own: to a reader less than
+a millisecond decides nothing, so 6 bits reach 4.4 s at an error of 7 %.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 _TOP = LEAST * RATIO ** (BUCKETS - 1)
 _MOST_GROWTH = 40.0  # half-lives that weights may grow before they are scaled down
 RATE_LEAST, _LOG_RATE = 0.01, math.log(1.25)  # requests/s and the ratio of their codes: up to 10,000/s
+PART_LEAST, _LOG_PART = 0.004, math.log(1.0 / 0.004) / 14  # the last code is all
 
 
 def code_of(seconds: float) -> int:
@@ -40,6 +41,15 @@
     return RATE_LEAST * math.exp(code * _LOG_RATE)
 
 
+def part_code(share: float) -> int:
+    """Of a share: 4 bits, within a quarter from 0.4 % up, as it matters whether 1 or 4 of 100 are late."""
+    return 0 if share < PART_LEAST / 1.5 else min(15, 1 + round(math.log(share / PART_LEAST) / _LOG_PART))
+
+
+def part_of(code: float) -> float:
+    return min(1.0, PART_LEAST * math.exp((code - 1) * _LOG_PART)) if code else 0.0
+
+
 class Fading:
     """Counts by bucket, each worth half as much after every half-life. 8 bytes a bucket."""
 
--- /dev/null
+++ b/ironrail/peers/regions/steer.py
@@ -0,0 +1,270 @@
+"""Rows of steering: of each region the shares of halls, changed by little where much is gained. Pure.
+
+The same rows come of the same evidence at every router: everything is gone through in one order. Where a hall
+is closed its readers are brought away, as far as there is room; where one has more than it can do, those go who
+lose least; then whoever gains most goes to where it is better served. No hall is brought over its room.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ironrail.peers.regions.expected import Expected, Hall, Standing
+from ironrail.peers.regions.regions import UNKNOWN
+
+UNITS = 64  # of a region's readers, moved whole: 1/64 is written exactly
+Rows = Mapping[str, Mapping[str, float]]  # region -> hall -> share, as in a policy
+
+
+class Reason(Enum):
+    """Why rows are proposed, the most pressing one, or why none are."""
+
+    CLOSED = "readers are brought away from halls that are closed"
+    CROWDED = "halls have more than they can do"
+    BETTER = "readers are better served elsewhere"
+    EXPLORED = "halls of which nothing is known get the share that the operator allowed"
+    NO_GAIN = "nothing would be gained"
+    LITTLE_GAIN = "less would be gained than a change is worth"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a proposal keeps to. Shares are of requests/s."""
+
+    most_moved: float = 0.10  # of all requests, but for those at closed halls: a wrong row harms no more
+    most_of_region: float = 0.25  # of each region's, likewise: even where its rate is told wrong
+    most_taken: float = 0.20  # of its room that a hall gets more, so that what this does to it is seen first
+    full: float = 0.80  # of its room up to which a hall is filled
+    crowded: float = 0.90  # of its room from which on it is relieved down to `full`
+    least_gain: float = 0.20  # of a reader's time: evidence is coded within 7 %
+    least_seconds: float = 0.010  # of a reader's time
+    least_total: float = 0.002  # of all readers' time: less is not worth a decision
+    most_bytes: int = 3000  # of rows in the document, whose 4,096 hold other things too
+    explore: float = 0.0  # of a region's readers to halls of which nothing is known: the operator's consent
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """`rows` is None if nothing is to be changed. What sums to less than 1 found no room anywhere."""
+
+    rows: dict[str, dict[str, float]] | None
+    reason: Reason
+    moved: float = 0.0  # requests/s
+    gain: float = 0.0  # seconds of readers' time, worth weighed, a second
+    unplaced: dict[str, float] = field(default_factory=dict)  # region -> share
+
+
+Steps = Collection[tuple[str, str, int]]  # (region, hall, 1 or -1): what was lately raised or lowered
+
+
+def time_left(left: float, way_back: float | None) -> float:
+    """Seconds in which an answer has to be ready; 0 or less: it can't arrive in time, so give it up at once.
+
+    Of an unknown region nothing is taken off: nobody is refused for want of evidence.
+    """
+    return left - (way_back or 0.0)
+
+
+class Steering:
+    """One proposal's work."""
+
+    def __init__(
+        self,
+        in_force: Rows,
+        expected: Expected,
+        rates: Mapping[tuple[str, str], float],
+        halls: Mapping[str, Hall],
+        worths: Mapping[str, float],
+        lately: Steps = (),
+        bounds: Bounds = Bounds(),
+    ) -> None:
+        """`rates`: requests/s by region and hall as seen; `worths` by region, 1 if absent; `lately`: within
+        the dwell."""
+        self._bounds, self._lately = bounds, frozenset(lately)
+        self._halls = {name: halls[name] for name in sorted(halls)}
+        self._load = {name: hall.load for name, hall in self._halls.items()}
+        self._taken = dict.fromkeys(self._halls, 0.0)
+        self._rate, self._units, self._time, self._worth = {}, {}, {}, {}
+        self._left: dict[str, float] = {}
+        seen: dict[str, dict[str, float]] = {}
+        told = dict.fromkeys(self._halls, 0.0)
+        for (region, hall), rate in sorted(rates.items()):
+            if hall in told:
+                told[hall] += rate
+                seen.setdefault(region, {})[hall] = rate
+        for region in sorted(set(seen) - {UNKNOWN}):
+            # no more than the hall is known to have, whatever witnesses say
+            here = {h: r * min(1.0, self._load[h] / told[h]) for h, r in seen[region].items() if told[h]}
+            rate = sum(here.values())
+            row = in_force.get(region) or {h: r / rate for h, r in here.items() if rate}
+            units = {h: n for h, n in _units(row).items() if h in self._halls}
+            if not rate or not units:
+                continue
+            mix = expected.mix(region)
+            self._rate[region], self._units[region] = rate / UNITS, units
+            self._worth[region] = worths.get(region, 1.0)
+            self._time[region] = {h: expected.seconds(region, h, mix) for h in self._halls}
+            self._left[region] = int(bounds.most_of_region * UNITS)
+        self._before = {region: dict(units) for region, units in self._units.items()}
+        self._in_force = {r: dict(row) for r, row in sorted(in_force.items())}
+        self._budget = bounds.most_moved * sum(self._load.values())
+        self._pairs: set[tuple[str, str]] = set()
+        self._why: set[Reason] = set()
+        self._moved = self._gain = 0.0
+
+    def propose(self) -> Proposal:
+        self._leave_closed()
+        self._relieve()
+        pressed = bool(self._why)
+        spent = sum(
+            self._rate[r] * self._worth[r] * n * self._time[r][h]
+            for r, units in self._units.items()
+            for h, n in units.items()
+            if math.isfinite(self._time[r][h])
+        )
+        self._better()
+        if self._bounds.explore:
+            self._explore()
+        changed = [r for r in self._units if self._units[r] != self._before[r]]
+        if not changed:
+            return Proposal(None, Reason.NO_GAIN)
+        if self._why == {Reason.BETTER} and not pressed and self._gain < self._bounds.least_total * spent:
+            return Proposal(None, Reason.LITTLE_GAIN)
+        rows = dict(self._in_force)
+        unplaced = {}
+        for region in changed:
+            rows[region] = {h: n / UNITS for h, n in sorted(self._units[region].items()) if n}
+            lost = sum(self._before[region].values()) - sum(self._units[region].values())
+            if lost:
+                unplaced[region] = lost / UNITS
+        reason = next(reason for reason in Reason if reason in self._why)
+        return Proposal(dict(sorted(rows.items())), reason, self._moved, self._gain, unplaced)
+
+    def _leave_closed(self) -> None:
+        """The dearest first, each to the best hall with room: they can't stay, so no other bound holds them."""
+        for region in sorted(self._units, key=lambda r: (-self._worth[r], r)):
+            for hall in sorted(self._units[region]):
+                if self._halls[hall].standing is not Standing.CLOSED:
+                    continue
+                self._why.add(Reason.CLOSED)
+                for to in sorted(self._time[region], key=lambda h: (self._time[region][h], h)):
+                    n = min(self._units[region].get(hall, 0), self._room(region, to, free=True))
+                    if n and math.isfinite(self._time[region][to]):
+                        self._move(region, hall, to, n, Reason.CLOSED, free=True)
+                self._units[region].pop(hall, None)  # the rest has nowhere to go
+
+    def _relieve(self) -> None:
+        for hall, state in self._halls.items():
+            if state.standing is Standing.CLOSED or self._load[hall] <= self._bounds.crowded * state.room:
+                continue
+            rows = []
+            for region, units in self._units.items():
+                here = self._time[region][hall]
+                for to, there in self._time[region].items():
+                    if units.get(hall) and to != hall and math.isfinite(there):
+                        rows.append(
+                            (self._worth[region] * (there - here if here < math.inf else there), region, to)
+                        )
+            for _, region, to in sorted(rows):
+                over = self._load[hall] - self._bounds.full * state.room
+                if over <= 0.0:
+                    break
+                n = min(math.ceil(over / self._rate[region]), self._most(region, hall, to))
+                if n > 0 and (region, to, -1) not in self._lately:
+                    self._move(region, hall, to, n, Reason.CROWDED)
+
+    def _better(self) -> None:
+        bounds = self._bounds
+        rows = []
+        for region, units in self._units.items():
+            for hall in units:
+                here = self._time[region][hall]
+                for to, there in self._time[region].items():
+                    gain = here - there
+                    if here < math.inf and gain >= max(bounds.least_seconds, bounds.least_gain * here):
+                        rows.append((-gain * self._worth[region], region, hall, to))
+        heapq.heapify(rows)
+        while rows:
+            _, region, hall, to = heapq.heappop(rows)
+            if (region, hall, 1) in self._lately or (region, to, -1) in self._lately:
+                continue
+            n = self._most(region, hall, to)
+            if n > 0:
+                self._move(region, hall, to, n, Reason.BETTER)
+
+    def _explore(self) -> None:
+        """One unit of each region a period, to the least loaded hall of which it knows nothing."""
+        for region, units in self._units.items():
+            unknown = [h for h, seconds in self._time[region].items() if seconds == math.inf]
+            known = [h for h in units if h not in unknown]
+            out = sum(units.get(h, 0) for h in unknown)
+            if not known or out + 1 > self._bounds.explore * UNITS:
+                continue
+            hall = max(known, key=lambda h: (units[h], h))
+            for to in sorted(unknown, key=lambda h: (self._load[h] / max(self._halls[h].room, 1e-9), h)):
+                if not units.get(to) and self._most(region, hall, to) >= 1:
+                    self._move(region, hall, to, 1, Reason.EXPLORED)
+                    break
+
+    def _room(self, region: str, to: str, free: bool = False) -> int:
+        """Units of the region that the hall may still get."""
+        hall, bounds = self._halls[to], self._bounds
+        if hall.standing is not Standing.OPEN:
+            return 0
+        room = bounds.full * hall.room - self._load[to]
+        if not free:
+            room = min(room, bounds.most_taken * hall.room - self._taken[to])
+        return max(0, math.floor(room / self._rate[region]))
+
+    def _most(self, region: str, hall: str, to: str) -> int:
+        """Units that may go this way within all bounds."""
+        if (to, hall) in self._pairs:
+            return 0  # a circle: one of the two is better for nobody
+        budget = math.floor(self._budget / self._rate[region])
+        return int(min(self._units[region].get(hall, 0), self._room(region, to), budget, self._left[region]))
+
+    def _move(self, region: str, hall: str, to: str, n: int, why: Reason, free: bool = False) -> None:
+        units, rate = self._units[region], self._rate[region]
+        if not self._fits(region, to):
+            return
+        units[hall] -= n
+        if not units[hall]:
+            del units[hall]
+        units[to] = units.get(to, 0) + n
+        self._load[hall] -= n * rate
+        self._load[to] += n * rate
+        self._taken[to] += n * rate
+        self._moved += n * rate
+        if not free:
+            self._budget -= n * rate
+            self._left[region] -= n
+        here, there = self._time[region][hall], self._time[region][to]
+        if math.isfinite(here - there):
+            self._gain += n * rate * self._worth[region] * (here - there)
+        self._pairs.add((hall, to))
+        self._why.add(why)
+
+    def _fits(self, region: str, to: str) -> bool:
+        """Whether the document still holds the row with one hall more."""
+        rows = {r: u for r, u in self._units.items() if r in self._in_force or u != self._before[r]}
+        rows[region] = {**self._units[region], to: 1}
+        return sum(size_of(r, u) for r, u in rows.items()) <= self._bounds.most_bytes
+
+
+def size_of(region: str, row: Mapping[str, object]) -> int:
+    """Bytes of a row in a policy document, at most."""
+    return len(region.encode()) + 5 + sum(len(hall.encode()) + 11 for hall in row)
+
+
+def _units(row: Mapping[str, float]) -> dict[str, int]:
+    """Shares as whole units, the largest remainders rounded up; what isn't 1 in sum stays so."""
+    total = min(UNITS, round(UNITS * sum(row.values())))
+    found = {hall: int(UNITS * share) for hall, share in sorted(row.items())}
+    rest = sorted(row, key=lambda hall: (found[hall] - UNITS * row[hall], hall))
+    for hall in rest[: max(0, total - sum(found.values()))]:
+        found[hall] += 1
+    return {hall: n for hall, n in found.items() if n}
