--- a/ironrail/peers/regions/expected.py
+++ b/ironrail/peers/regions/expected.py
@@ -10,7 +10,7 @@
 from ironrail.peers.regions.table import Cell, agreed
 
 FRESH = 300.0  # seconds by which a region's own figures of service may be older than the hall's youngest
-TAIL = 0.125  # of the way from median to tail that the mean lies at: 0.10 to 0.16 in lognormals of sigma 0.5 to 1
+TAIL = 0.125  # of the way from median to tail where the mean lies: 0.10 to 0.16 in lognormals, sigma 0.5 to 1
 MISSED = 0.5  # seconds that a request not answered in its wanted time counts as, beyond those it took
 LEAST_WITNESSES = 2  # of a hall to which somebody is moved, where it has that many routers
 
@@ -50,6 +50,9 @@
         return rest + sum(share * self.titles.get(title, 1.0) for title, share in sorted(reads.items()))
 
 
+EQUAL = Worth()
+
+
 class Expected:
     """Seconds to the reader: way to the hall, way from there to its caches, service, and what comes late."""
 
--- a/ironrail/peers/regions/model.py
+++ b/ironrail/peers/regions/model.py
@@ -45,7 +45,7 @@
         """A request's end: `seconds` of service, answered in its wanted time or not, or its client went.
 
         The time of one whose client went says only that service would have taken longer. It is counted among
-        those not served in time, not among the times: else clients that give up soon would make a hall look quick.
+        those not served in time, not among the times: else clients that give up soon make a hall look quick.
         """
         seen = self._of(region)
         times, arrivals = seen.classes.get(cls) or seen.classes.setdefault(
--- a/ironrail/peers/regions/reports.py
+++ b/ironrail/peers/regions/reports.py
@@ -48,7 +48,7 @@
         return (head | mask).to_bytes(4, "big") + rows
 
     def differs(self, other: Summary) -> int:
-        """By how much they tell another story: buckets of duration; 2 of 100 more late ones are as much as one."""
+        """By how much they tell another story: buckets of duration; 2 of 100 more late ones are one."""
         late = round(abs(part_of(self.late) - part_of(other.late)) / 0.02)
         most = max(abs(self.rtt - other.rtt), late, abs(self.rate - other.rate) // 2)
         theirs = {cls: typical for cls, typical, *_ in other.classes}
--- a/ironrail/peers/regions/steer.py
+++ b/ironrail/peers/regions/steer.py
@@ -1,65 +1,20 @@
 """Rows of steering: of each region the shares of halls, changed by little where much is gained. Pure.
 
 The same rows come of the same evidence at every router: everything is gone through in one order. Where a hall
-is closed its readers are brought away, as far as there is room; where one has more than it can do, those go who
-lose least; then whoever gains most goes to where it is better served. No hall is brought over its room.
+is closed its readers are brought away, as far as there is room; where one has more than it can do, those go
+who lose least; then whoever gains most goes to where it is better served. No hall is brought over its room.
 """
 
 from __future__ import annotations
 
 import heapq
 import math
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
-from enum import Enum
+from collections.abc import Mapping
 
 from ironrail.peers.regions.expected import Expected, Hall, Standing
+from ironrail.peers.regions.proposal import UNITS, USUAL, Bounds, Proposal, Reason, Rows, Steps
 from ironrail.peers.regions.regions import UNKNOWN
 
-UNITS = 64  # of a region's readers, moved whole: 1/64 is written exactly
-Rows = Mapping[str, Mapping[str, float]]  # region -> hall -> share, as in a policy
-
-
-class Reason(Enum):
-    """Why rows are proposed, the most pressing one, or why none are."""
-
-    CLOSED = "readers are brought away from halls that are closed"
-    CROWDED = "halls have more than they can do"
-    BETTER = "readers are better served elsewhere"
-    EXPLORED = "halls of which nothing is known get the share that the operator allowed"
-    NO_GAIN = "nothing would be gained"
-    LITTLE_GAIN = "less would be gained than a change is worth"
-
-
-@dataclass(frozen=True, slots=True)
-class Bounds:
-    """What a proposal keeps to. Shares are of requests/s."""
-
-    most_moved: float = 0.10  # of all requests, but for those at closed halls: a wrong row harms no more
-    most_of_region: float = 0.25  # of each region's, likewise: even where its rate is told wrong
-    most_taken: float = 0.20  # of its room that a hall gets more, so that what this does to it is seen first
-    full: float = 0.80  # of its room up to which a hall is filled
-    crowded: float = 0.90  # of its room from which on it is relieved down to `full`
-    least_gain: float = 0.20  # of a reader's time: evidence is coded within 7 %
-    least_seconds: float = 0.010  # of a reader's time
-    least_total: float = 0.002  # of all readers' time: less is not worth a decision
-    most_bytes: int = 3000  # of rows in the document, whose 4,096 hold other things too
-    explore: float = 0.0  # of a region's readers to halls of which nothing is known: the operator's consent
-
-
-@dataclass(frozen=True, slots=True)
-class Proposal:
-    """`rows` is None if nothing is to be changed. What sums to less than 1 found no room anywhere."""
-
-    rows: dict[str, dict[str, float]] | None
-    reason: Reason
-    moved: float = 0.0  # requests/s
-    gain: float = 0.0  # seconds of readers' time, worth weighed, a second
-    unplaced: dict[str, float] = field(default_factory=dict)  # region -> share
-
-
-Steps = Collection[tuple[str, str, int]]  # (region, hall, 1 or -1): what was lately raised or lowered
-
 
 def time_left(left: float, way_back: float | None) -> float:
     """Seconds in which an answer has to be ready; 0 or less: it can't arrive in time, so give it up at once.
@@ -80,16 +35,16 @@
         halls: Mapping[str, Hall],
         worths: Mapping[str, float],
         lately: Steps = (),
-        bounds: Bounds = Bounds(),
+        bounds: Bounds = USUAL,
     ) -> None:
-        """`rates`: requests/s by region and hall as seen; `worths` by region, 1 if absent; `lately`: within
-        the dwell."""
+        """`rates`: requests/s by region and hall as seen; `worths` by region; `lately`: within the dwell."""
         self._bounds, self._lately = bounds, frozenset(lately)
         self._halls = {name: halls[name] for name in sorted(halls)}
-        self._load = {name: hall.load for name, hall in self._halls.items()}
+        # that comes once all follow the rows in force, and what is to be reckoned with where there must be room
+        self._coming = {name: hall.load for name, hall in self._halls.items()}
         self._taken = dict.fromkeys(self._halls, 0.0)
         self._rate, self._units, self._time, self._worth = {}, {}, {}, {}
-        self._left: dict[str, float] = {}
+        self._left: dict[str, int] = {}
         seen: dict[str, dict[str, float]] = {}
         told = dict.fromkeys(self._halls, 0.0)
         for (region, hall), rate in sorted(rates.items()):
@@ -98,22 +53,28 @@
                 seen.setdefault(region, {})[hall] = rate
         for region in sorted(set(seen) - {UNKNOWN}):
             # no more than the hall is known to have, whatever witnesses say
-            here = {h: r * min(1.0, self._load[h] / told[h]) for h, r in seen[region].items() if told[h]}
+            here = {
+                h: r * min(1.0, self._halls[h].load / told[h]) for h, r in seen[region].items() if told[h]
+            }
             rate = sum(here.values())
             row = in_force.get(region) or {h: r / rate for h, r in here.items() if rate}
             units = {h: n for h, n in _units(row).items() if h in self._halls}
             if not rate or not units:
                 continue
+            for hall in self._halls:
+                self._coming[hall] += units.get(hall, 0) * rate / UNITS - here.get(hall, 0.0)
             mix = expected.mix(region)
             self._rate[region], self._units[region] = rate / UNITS, units
             self._worth[region] = worths.get(region, 1.0)
             self._time[region] = {h: expected.seconds(region, h, mix) for h in self._halls}
             self._left[region] = int(bounds.most_of_region * UNITS)
+        self._load = {name: max(hall.load, self._coming[name]) for name, hall in self._halls.items()}
         self._before = {region: dict(units) for region, units in self._units.items()}
         self._in_force = {r: dict(row) for r, row in sorted(in_force.items())}
-        self._budget = bounds.most_moved * sum(self._load.values())
+        self._budget = bounds.most_moved * sum(hall.load for hall in self._halls.values())
         self._pairs: set[tuple[str, str]] = set()
         self._why: set[Reason] = set()
+        self._unplaced: dict[str, float] = {}
         self._moved = self._gain = 0.0
 
     def propose(self) -> Proposal:
@@ -135,31 +96,33 @@
         if self._why == {Reason.BETTER} and not pressed and self._gain < self._bounds.least_total * spent:
             return Proposal(None, Reason.LITTLE_GAIN)
         rows = dict(self._in_force)
-        unplaced = {}
         for region in changed:
-            rows[region] = {h: n / UNITS for h, n in sorted(self._units[region].items()) if n}
-            lost = sum(self._before[region].values()) - sum(self._units[region].values())
-            if lost:
-                unplaced[region] = lost / UNITS
+            rows[region] = {h: n / UNITS for h, n in sorted(self._units[region].items())}
         reason = next(reason for reason in Reason if reason in self._why)
-        return Proposal(dict(sorted(rows.items())), reason, self._moved, self._gain, unplaced)
+        return Proposal(dict(sorted(rows.items())), reason, self._moved, self._gain, self._unplaced)
 
     def _leave_closed(self) -> None:
         """The dearest first, each to the best hall with room: they can't stay, so no other bound holds them."""
         for region in sorted(self._units, key=lambda r: (-self._worth[r], r)):
-            for hall in sorted(self._units[region]):
-                if self._halls[hall].standing is not Standing.CLOSED:
-                    continue
+            units = self._units[region]
+            closed = [h for h in sorted(units) if self._halls[h].standing is Standing.CLOSED]
+            away = UNITS - sum(units.values())  # those for whom there was no room before
+            if not (away or closed) or not self._fits(region, ""):
+                continue
+            away += sum(units.pop(hall) for hall in closed)
+            for to in sorted(self._time[region], key=lambda h: (self._time[region][h], h)):
+                n = min(away, self._room(region, to, free=True))
+                if n and math.isfinite(self._time[region][to]):
+                    away -= n
+                    self._bring(region, to, n, Reason.CLOSED)
+            if closed:
                 self._why.add(Reason.CLOSED)
-                for to in sorted(self._time[region], key=lambda h: (self._time[region][h], h)):
-                    n = min(self._units[region].get(hall, 0), self._room(region, to, free=True))
-                    if n and math.isfinite(self._time[region][to]):
-                        self._move(region, hall, to, n, Reason.CLOSED, free=True)
-                self._units[region].pop(hall, None)  # the rest has nowhere to go
+            if away:
+                self._unplaced[region] = away / UNITS
 
     def _relieve(self) -> None:
         for hall, state in self._halls.items():
-            if state.standing is Standing.CLOSED or self._load[hall] <= self._bounds.crowded * state.room:
+            if state.standing is Standing.CLOSED or self._coming[hall] <= self._bounds.crowded * state.room:
                 continue
             rows = []
             for region, units in self._units.items():
@@ -170,7 +133,7 @@
                             (self._worth[region] * (there - here if here < math.inf else there), region, to)
                         )
             for _, region, to in sorted(rows):
-                over = self._load[hall] - self._bounds.full * state.room
+                over = self._coming[hall] - self._bounds.full * state.room
                 if over <= 0.0:
                     break
                 n = min(math.ceil(over / self._rate[region]), self._most(region, hall, to))
@@ -225,27 +188,32 @@
         if (to, hall) in self._pairs:
             return 0  # a circle: one of the two is better for nobody
         budget = math.floor(self._budget / self._rate[region])
-        return int(min(self._units[region].get(hall, 0), self._room(region, to), budget, self._left[region]))
+        return min(self._units[region].get(hall, 0), self._room(region, to), budget, self._left[region])
 
-    def _move(self, region: str, hall: str, to: str, n: int, why: Reason, free: bool = False) -> None:
-        units, rate = self._units[region], self._rate[region]
+    def _move(self, region: str, hall: str, to: str, n: int, why: Reason) -> None:
         if not self._fits(region, to):
             return
+        units, part = self._units[region], n * self._rate[region]
         units[hall] -= n
         if not units[hall]:
             del units[hall]
-        units[to] = units.get(to, 0) + n
-        self._load[hall] -= n * rate
-        self._load[to] += n * rate
-        self._taken[to] += n * rate
-        self._moved += n * rate
-        if not free:
-            self._budget -= n * rate
-            self._left[region] -= n
+        self._bring(region, to, n, why)
+        self._load[hall] -= part
+        self._coming[hall] -= part
+        self._budget -= part
+        self._left[region] -= n
         here, there = self._time[region][hall], self._time[region][to]
         if math.isfinite(here - there):
-            self._gain += n * rate * self._worth[region] * (here - there)
+            self._gain += part * self._worth[region] * (here - there)
         self._pairs.add((hall, to))
+
+    def _bring(self, region: str, to: str, n: int, why: Reason) -> None:
+        part = n * self._rate[region]
+        self._units[region][to] = self._units[region].get(to, 0) + n
+        self._load[to] += part
+        self._coming[to] += part
+        self._taken[to] += part
+        self._moved += part
         self._why.add(why)
 
     def _fits(self, region: str, to: str) -> bool:
