--- a/ironrail/peers/regions/proposal.py
+++ b/ironrail/peers/regions/proposal.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+STEP = 4  # units moved at once, before it is looked again at who gains most
 UNITS = 64  # of a region's readers, moved whole: 1/64 is written exactly
 Rows = Mapping[str, Mapping[str, float]]  # region -> hall -> share, as in a policy
 DWELL = 600.0  # seconds for which a share that was raised is not lowered for gain alone, nor the other way
@@ -33,7 +34,7 @@
     crowded: float = 0.90  # of its room from which on it is relieved down to `full`
     least_gain: float = 0.20  # of a reader's time: evidence is coded within 7 %
     least_seconds: float = 0.010  # of a reader's time
-    least_total: float = 0.002  # of all readers' time: less is not worth a decision
+    least_total: float = 0.01  # of all readers' cost: less is not worth a decision
     most_bytes: int = 3000  # of rows in the document, whose 4,096 hold other things too
     explore: float = 0.0  # of a region's readers to halls of which nothing is known: the operator's consent
 
@@ -79,3 +80,18 @@
 
     def lately(self, now: float) -> Steps:
         return frozenset(step for step, at in self._steps.items() if now - at <= self._dwell)
+
+
+def size_of(region: str, row: Mapping[str, object]) -> int:
+    """Bytes of a row in a policy document, at most."""
+    return len(region.encode()) + 5 + sum(len(hall.encode()) + 11 for hall in row)
+
+
+def units_of(row: Mapping[str, float]) -> dict[str, int]:
+    """Shares as whole units, the largest remainders rounded up; what isn't 1 in sum stays so."""
+    total = min(UNITS, round(UNITS * sum(row.values())))
+    found = {hall: int(UNITS * share) for hall, share in sorted(row.items())}
+    rest = sorted(row, key=lambda hall: (found[hall] - UNITS * row[hall], hall))
+    for hall in rest[: max(0, total - sum(found.values()))]:
+        found[hall] += 1
+    return {hall: n for hall, n in found.items() if n}
--- a/ironrail/peers/regions/room.py
+++ b/ironrail/peers/regions/room.py
@@ -13,7 +13,7 @@
 
 from ironrail.errors import InputError
 from ironrail.peers.faces import MOST_HALLS, MOST_ROUTERS, Heard, Priority, Say, Topic
-from ironrail.peers.regions.expected import EQUAL, Expected, Hall, Worth
+from ironrail.peers.regions.expected import EQUAL, NOWHERE, Expected, Hall, Worth
 from ironrail.peers.regions.model import Own
 from ironrail.peers.regions.proposal import USUAL, Bounds, Past, Proposal, Rows
 from ironrail.peers.regions.regions import Regions
@@ -61,7 +61,7 @@
         classes: Sequence[str],
         draws: random.Random,
     ) -> None:
-        """`start`: of this process, above those before it. `hall_of`: each router's hall by number. `classes`: in an
+        """`start`: above those before it. `hall_of`: each router's hall by number. `classes`: in an
         order that all routers share; only the first six are told of."""
         if len(set(halls)) < len(halls) or not 0 < len(halls) <= MOST_HALLS or len(hall_of) > MOST_ROUTERS:
             raise RoomError(f"{len(halls)} halls, {len(hall_of)} routers", "peers")
@@ -147,9 +147,9 @@
         worth: Worth = EQUAL,
         bounds: Bounds = USUAL,
     ) -> Proposal:
-        """Rows in place of those in force. `halls` not named are closed to all; `links`: see `Expected`."""
+        """Rows in place of those in force. Halls not named are closed; `links`: see `Expected`."""
         cells = self.cells(now)
-        known = {name: halls[name] for name in self._halls if name in halls}
+        known = {name: halls.get(name, NOWHERE) for name in self._halls}
         expected = Expected(cells, links, known, self._classes, worth)
         rates = {key: cell.rate for key, cell in cells.items()}
         worths = {name: worth.of(name) for name in self._regions.names}
--- a/ironrail/peers/regions/steer.py
+++ b/ironrail/peers/regions/steer.py
@@ -11,8 +11,19 @@
 import math
 from collections.abc import Mapping
 
-from ironrail.peers.regions.expected import Expected, Hall, Standing
-from ironrail.peers.regions.proposal import UNITS, USUAL, Bounds, Proposal, Reason, Rows, Steps
+from ironrail.peers.regions.expected import NO_WAY, Expected, Hall, Standing
+from ironrail.peers.regions.proposal import (
+    STEP,
+    UNITS,
+    USUAL,
+    Bounds,
+    Proposal,
+    Reason,
+    Rows,
+    Steps,
+    size_of,
+    units_of,
+)
 from ironrail.peers.regions.regions import UNKNOWN
 
 
@@ -40,10 +51,10 @@
         """`rates`: requests/s by region and hall as seen; `worths` by region; `lately`: within the dwell."""
         self._bounds, self._lately = bounds, frozenset(lately)
         self._halls = {name: halls[name] for name in sorted(halls)}
-        # that comes once all follow the rows in force, and what is to be reckoned with where there must be room
+        # what comes once all follow the rows in force
         self._coming = {name: hall.load for name, hall in self._halls.items()}
         self._taken = dict.fromkeys(self._halls, 0.0)
-        self._rate, self._units, self._time, self._worth = {}, {}, {}, {}
+        self._rate, self._units, self._ways, self._worth = {}, {}, {}, {}
         self._left: dict[str, int] = {}
         seen: dict[str, dict[str, float]] = {}
         told = dict.fromkeys(self._halls, 0.0)
@@ -58,7 +69,7 @@
             }
             rate = sum(here.values())
             row = in_force.get(region) or {h: r / rate for h, r in here.items() if rate}
-            units = {h: n for h, n in _units(row).items() if h in self._halls}
+            units = {h: n for h, n in units_of(row).items() if h in self._halls}
             if not rate or not units:
                 continue
             for hall in self._halls:
@@ -66,7 +77,7 @@
             mix = expected.mix(region)
             self._rate[region], self._units[region] = rate / UNITS, units
             self._worth[region] = worths.get(region, 1.0)
-            self._time[region] = {h: expected.seconds(region, h, mix) for h in self._halls}
+            self._ways[region] = {h: expected.way(region, h, mix) for h in self._halls}
             self._left[region] = int(bounds.most_of_region * UNITS)
         self._load = {name: max(hall.load, self._coming[name]) for name, hall in self._halls.items()}
         self._before = {region: dict(units) for region, units in self._units.items()}
@@ -82,10 +93,10 @@
         self._relieve()
         pressed = bool(self._why)
         spent = sum(
-            self._rate[r] * self._worth[r] * n * self._time[r][h]
+            self._rate[r] * self._worth[r] * n * cost
             for r, units in self._units.items()
             for h, n in units.items()
-            if math.isfinite(self._time[r][h])
+            if (cost := self._cost(r, h)) < math.inf
         )
         self._better()
         if self._bounds.explore:
@@ -110,9 +121,9 @@
             if not (away or closed) or not self._fits(region, ""):
                 continue
             away += sum(units.pop(hall) for hall in closed)
-            for to in sorted(self._time[region], key=lambda h: (self._time[region][h], h)):
+            for to in sorted(self._halls, key=lambda h: (self._cost(region, h), h)):
                 n = min(away, self._room(region, to, free=True))
-                if n and math.isfinite(self._time[region][to]):
+                if n and self._cost(region, to) < math.inf:
                     away -= n
                     self._bring(region, to, n, Reason.CLOSED)
             if closed:
@@ -126,12 +137,11 @@
                 continue
             rows = []
             for region, units in self._units.items():
-                here = self._time[region][hall]
-                for to, there in self._time[region].items():
-                    if units.get(hall) and to != hall and math.isfinite(there):
-                        rows.append(
-                            (self._worth[region] * (there - here if here < math.inf else there), region, to)
-                        )
+                here = self._ways[region][hall].fixed
+                for to, there in self._ways[region].items():
+                    if units.get(hall) and to != hall and there is not NO_WAY:
+                        loss = self._cost(region, to) - (here if here < math.inf else 0.0)
+                        rows.append((self._worth[region] * loss, region, to))
             for _, region, to in sorted(rows):
                 over = self._coming[hall] - self._bounds.full * state.room
                 if over <= 0.0:
@@ -141,28 +151,45 @@
                     self._move(region, hall, to, n, Reason.CROWDED)
 
     def _better(self) -> None:
-        bounds = self._bounds
+        """A step at a time, as each makes the hall it goes to dearer."""
         rows = []
         for region, units in self._units.items():
             for hall in units:
-                here = self._time[region][hall]
-                for to, there in self._time[region].items():
-                    gain = here - there
-                    if here < math.inf and gain >= max(bounds.least_seconds, bounds.least_gain * here):
+                for to in self._halls:
+                    gain = self._gains(region, hall, to)
+                    if (
+                        gain
+                        and (region, hall, 1) not in self._lately
+                        and (region, to, -1) not in self._lately
+                    ):
                         rows.append((-gain * self._worth[region], region, hall, to))
         heapq.heapify(rows)
         while rows:
             _, region, hall, to = heapq.heappop(rows)
-            if (region, hall, 1) in self._lately or (region, to, -1) in self._lately:
+            gain = self._gains(region, hall, to)  # of now
+            row = (-gain * self._worth[region], region, hall, to)
+            n = min(STEP, self._most(region, hall, to))
+            if not gain or n <= 0:
                 continue
-            n = self._most(region, hall, to)
-            if n > 0:
-                self._move(region, hall, to, n, Reason.BETTER)
+            if rows and row > rows[0] or self._move(region, hall, to, n, Reason.BETTER):
+                heapq.heappush(rows, row)
+
+    def _gains(self, region: str, hall: str, to: str) -> float:
+        """Seconds of each request that goes this way, 0 if they are less than the least."""
+        here, there = self._cost(region, hall), self._cost(region, to)
+        if not here < math.inf or here - there < max(
+            self._bounds.least_seconds, self._bounds.least_gain * here
+        ):
+            return 0.0
+        return here - there
+
+    def _cost(self, region: str, hall: str) -> float:
+        return self._ways[region][hall].marginal(self._load[hall], self._halls[hall].room)
 
     def _explore(self) -> None:
         """One unit of each region a period, to the least loaded hall of which it knows nothing."""
         for region, units in self._units.items():
-            unknown = [h for h, seconds in self._time[region].items() if seconds == math.inf]
+            unknown = [h for h, way in self._ways[region].items() if way is NO_WAY]
             known = [h for h in units if h not in unknown]
             out = sum(units.get(h, 0) for h in unknown)
             if not known or out + 1 > self._bounds.explore * UNITS:
@@ -190,9 +217,10 @@
         budget = math.floor(self._budget / self._rate[region])
         return min(self._units[region].get(hall, 0), self._room(region, to), budget, self._left[region])
 
-    def _move(self, region: str, hall: str, to: str, n: int, why: Reason) -> None:
+    def _move(self, region: str, hall: str, to: str, n: int, why: Reason) -> bool:
         if not self._fits(region, to):
-            return
+            return False
+        gain = self._cost(region, hall) - self._cost(region, to)
         units, part = self._units[region], n * self._rate[region]
         units[hall] -= n
         if not units[hall]:
@@ -202,10 +230,10 @@
         self._coming[hall] -= part
         self._budget -= part
         self._left[region] -= n
-        here, there = self._time[region][hall], self._time[region][to]
-        if math.isfinite(here - there):
-            self._gain += part * self._worth[region] * (here - there)
+        if math.isfinite(gain):
+            self._gain += part * self._worth[region] * gain
         self._pairs.add((hall, to))
+        return True
 
     def _bring(self, region: str, to: str, n: int, why: Reason) -> None:
         part = n * self._rate[region]
@@ -221,18 +249,3 @@
         rows = {r: u for r, u in self._units.items() if r in self._in_force or u != self._before[r]}
         rows[region] = {**self._units[region], to: 1}
         return sum(size_of(r, u) for r, u in rows.items()) <= self._bounds.most_bytes
-
-
-def size_of(region: str, row: Mapping[str, object]) -> int:
-    """Bytes of a row in a policy document, at most."""
-    return len(region.encode()) + 5 + sum(len(hall.encode()) + 11 for hall in row)
-
-
-def _units(row: Mapping[str, float]) -> dict[str, int]:
-    """Shares as whole units, the largest remainders rounded up; what isn't 1 in sum stays so."""
-    total = min(UNITS, round(UNITS * sum(row.values())))
-    found = {hall: int(UNITS * share) for hall, share in sorted(row.items())}
-    rest = sorted(row, key=lambda hall: (found[hall] - UNITS * row[hall], hall))
-    for hall in rest[: max(0, total - sum(found.values()))]:
-        found[hall] += 1
-    return {hall: n for hall, n in found.items() if n}
--- a/ironrail/peers/regions/table.py
+++ b/ironrail/peers/regions/table.py
@@ -1,8 +1,8 @@
 """What witnesses say of regions at halls, whatever order and repeats it came in. Pure.
 
 A join of semilattices as the map of latency has it: of each witness the greatest (start, sequence, values);
-of a cell's witnesses the first few by a rank that no word changes. A replaced process's word keeps its place but is
-not read. Kept packed, 38 bytes a word, as there are up to 256 x 50 cells.
+of a cell's witnesses the first few by a rank that no word changes. A replaced process's word keeps its place
+but is not read. Kept packed, 38 bytes a word, as there are up to 256 x 50 cells.
 """
 
 from __future__ import annotations
