--- a/ironrail/peers/regions/steer.py
+++ b/ironrail/peers/regions/steer.py
@@ -51,8 +51,7 @@
         """`rates`: requests/s by region and hall as seen; `worths` by region; `lately`: within the dwell."""
         self._bounds, self._lately = bounds, frozenset(lately)
         self._halls = {name: halls[name] for name in sorted(halls)}
-        # what comes once all follow the rows in force
-        self._coming = {name: hall.load for name, hall in self._halls.items()}
+        self._coming = {name: hall.load for name, hall in self._halls.items()}  # once all follow the rows
         self._taken = dict.fromkeys(self._halls, 0.0)
         self._rate, self._units, self._ways, self._worth = {}, {}, {}, {}
         self._left: dict[str, int] = {}
@@ -63,7 +62,7 @@
                 told[hall] += rate
                 seen.setdefault(region, {})[hall] = rate
         for region in sorted(set(seen) - {UNKNOWN}):
-            # no more than the hall is known to have, whatever witnesses say
+            # no more than the hall is known to have
             here = {
                 h: r * min(1.0, self._halls[h].load / told[h]) for h, r in seen[region].items() if told[h]
             }
@@ -91,7 +90,6 @@
     def propose(self) -> Proposal:
         self._leave_closed()
         self._relieve()
-        pressed = bool(self._why)
         spent = sum(
             self._rate[r] * self._worth[r] * n * cost
             for r, units in self._units.items()
@@ -101,19 +99,21 @@
         self._better()
         if self._bounds.explore:
             self._explore()
-        changed = [r for r in self._units if self._units[r] != self._before[r]]
-        if not changed:
-            return Proposal(None, Reason.NO_GAIN)
-        if self._why == {Reason.BETTER} and not pressed and self._gain < self._bounds.least_total * spent:
+        if self._why == {Reason.BETTER} and self._gain < self._bounds.least_total * spent:
             return Proposal(None, Reason.LITTLE_GAIN)
         rows = dict(self._in_force)
-        for region in changed:
-            rows[region] = {h: n / UNITS for h, n in sorted(self._units[region].items())}
+        for region, units in self._units.items():
+            if units != self._before[region]:
+                rows[region] = {h: n / UNITS for h, n in sorted(units.items())}
+                if not units:
+                    del rows[region]  # of a region that has no room at all its fronts dispose
+        if rows == self._in_force:
+            return Proposal(None, Reason.NO_GAIN, unplaced=self._unplaced)
         reason = next(reason for reason in Reason if reason in self._why)
         return Proposal(dict(sorted(rows.items())), reason, self._moved, self._gain, self._unplaced)
 
     def _leave_closed(self) -> None:
-        """The dearest first, each to the best hall with room: they can't stay, so no other bound holds them."""
+        """The dearest first, each to the best hall with room: they can't stay, so only room holds them."""
         for region in sorted(self._units, key=lambda r: (-self._worth[r], r)):
             units = self._units[region]
             closed = [h for h in sorted(units) if self._halls[h].standing is Standing.CLOSED]
@@ -128,8 +128,7 @@
                     self._bring(region, to, n, Reason.CLOSED)
             if closed:
                 self._why.add(Reason.CLOSED)
-            if away:
-                self._unplaced[region] = away / UNITS
+            self._unplaced |= {region: away / UNITS} if away else {}
 
     def _relieve(self) -> None:
         for hall, state in self._halls.items():
--- a/tests/peers/regions/world.py
+++ b/tests/peers/regions/world.py
@@ -1,4 +1,4 @@
-"""A small world in virtual time: regions whose readers come to halls, by rows or without, and what they get."""
+"""A small world in virtual time: readers come to halls, by rows or without, and what they get."""
 
 from __future__ import annotations
 
@@ -89,12 +89,12 @@
         for time, weight in sorted(times, reverse=True):
             left -= weight
             if left <= 0:
-                break
-        return in_time, time
+                return in_time, time
+        raise AssertionError("nobody came")
 
 
 def draw(seed: int, regions: int = 12, halls: int = 6) -> World:
-    """Places in a plane 80 ms wide; a third of fronts aren't at the nearest hall; halls are built for twice what comes."""
+    """Places in a plane 80 ms wide; a third of fronts aren't near; halls are built for twice what comes."""
     d = random.Random(seed)
     spot = {f"h{n}": (d.random(), d.random()) for n in range(halls)}
     rtt, fronts = {}, {}
