--- a/ironrail/peers/regions/room.py
+++ b/ironrail/peers/regions/room.py
@@ -117,7 +117,7 @@
                     self._consider(now, region)
         self._tokens = min(MOST_BODY + ENVELOPE, self._tokens + PACE * max(0.0, now - self._tokens_at))
         self._tokens_at = now
-        if self._waiting and self._tokens >= MOST_BODY + ENVELOPE:
+        if self._waiting and self._tokens > MOST_BODY + ENVELOPE - 1e-6:  # sums round
             self._compose(now)
 
     def say(self) -> list[Say]:
--- a/ironrail/peers/regions/sketch.py
+++ b/ironrail/peers/regions/sketch.py
@@ -46,10 +46,17 @@
     return 0 if share < PART_LEAST / 1.5 else min(15, 1 + round(math.log(share / PART_LEAST) / _LOG_PART))
 
 
-def part_of(code: float) -> float:
+def part_of(code: int) -> float:
     return min(1.0, PART_LEAST * math.exp((code - 1) * _LOG_PART)) if code else 0.0
 
 
+# of all codes, as one number each: tables of cells hold many
+SECONDS = (*(seconds_of(code) for code in range(BUCKETS)), math.inf)
+RATES = tuple(rate_of(code) for code in range(64))
+PARTS = tuple(part_of(code) for code in range(16))
+FIFTEENTHS = tuple(code / 15 for code in range(16))
+
+
 class Fading:
     """Counts by bucket, each worth half as much after every half-life. 8 bytes a bucket."""
 
--- a/ironrail/peers/regions/steer.py
+++ b/ironrail/peers/regions/steer.py
@@ -97,8 +97,7 @@
             if (cost := self._cost(r, h)) < math.inf
         )
         self._better()
-        if self._bounds.explore:
-            self._explore()
+        self._explore()
         if self._why == {Reason.BETTER} and self._gain < self._bounds.least_total * spent:
             return Proposal(None, Reason.LITTLE_GAIN)
         rows = dict(self._in_force)
@@ -154,33 +153,35 @@
         rows = []
         for region, units in self._units.items():
             for hall in units:
-                for to in self._halls:
-                    gain = self._gains(region, hall, to)
-                    if (
-                        gain
-                        and (region, hall, 1) not in self._lately
-                        and (region, to, -1) not in self._lately
-                    ):
-                        rows.append((-gain * self._worth[region], region, hall, to))
+                gain, _ = self._best(region, hall)
+                if gain:
+                    rows.append((-gain * self._worth[region], region, hall))
         heapq.heapify(rows)
         while rows:
-            _, region, hall, to = heapq.heappop(rows)
-            gain = self._gains(region, hall, to)  # of now
-            row = (-gain * self._worth[region], region, hall, to)
-            n = min(STEP, self._most(region, hall, to))
-            if not gain or n <= 0:
+            _, region, hall = heapq.heappop(rows)
+            gain, to = self._best(region, hall)  # of now
+            row = (-gain * self._worth[region], region, hall)
+            if not gain:
                 continue
-            if rows and row > rows[0] or self._move(region, hall, to, n, Reason.BETTER):
+            later = bool(rows) and row > rows[0]
+            n = min(STEP, self._most(region, hall, to))
+            if later or self._move(region, hall, to, n, Reason.BETTER):
                 heapq.heappush(rows, row)
 
-    def _gains(self, region: str, hall: str, to: str) -> float:
-        """Seconds of each request that goes this way, 0 if they are less than the least."""
-        here, there = self._cost(region, hall), self._cost(region, to)
-        if not here < math.inf or here - there < max(
-            self._bounds.least_seconds, self._bounds.least_gain * here
-        ):
-            return 0.0
-        return here - there
+    def _best(self, region: str, hall: str) -> tuple[float, str]:
+        """Seconds gained where most is gained, and where that is; 0 if they are less than the least."""
+        here = self._cost(region, hall)
+        if here == math.inf or (region, hall, 1) in self._lately:
+            return 0.0, hall
+        least = here - max(self._bounds.least_seconds, self._bounds.least_gain * here)
+        best, found = hall, math.inf
+        for to in self._halls:
+            cost = self._cost(region, to)
+            if cost > least or cost >= found or (region, to, -1) in self._lately:
+                continue
+            if self._most(region, hall, to) > 0:
+                best, found = to, cost
+        return (here - found, best) if found < math.inf else (0.0, hall)
 
     def _cost(self, region: str, hall: str) -> float:
         return self._ways[region][hall].marginal(self._load[hall], self._halls[hall].room)
--- a/ironrail/peers/regions/table.py
+++ b/ironrail/peers/regions/table.py
@@ -12,9 +12,10 @@
 import zlib
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
-from ironrail.peers.regions.reports import MOST_CLASSES, MOST_VALUES, Report, Summary, unpack
-from ironrail.peers.regions.sketch import NOTHING, part_of, rate_of, seconds_of
+from ironrail.peers.regions.reports import MOST_VALUES, Report, Summary, unpack
+from ironrail.peers.regions.sketch import FIFTEENTHS, NOTHING, PARTS, RATES, SECONDS
 
 WITNESSES = 3  # kept of a cell: one liar is outvoted
 LEAST_RENEWAL = 120.0  # seconds after which unchanged evidence is told anew
@@ -27,6 +28,9 @@
 NEW = 64  # of a change: more than any other
 _WORD = struct.Struct(f">HQId{MOST_VALUES}s")  # witness + 1, start, sequence, born, values
 _CELL = WITNESSES * _WORD.size
+_NOTHING = (NOTHING, NOTHING, 0)
+NO_CLASS = (math.inf, math.inf, 0.0)
+N = TypeVar("N", int, float)
 
 
 class Held:
@@ -63,7 +67,7 @@
     return zlib.crc32(b"%d %d" % (region, witness))
 
 
-def agreed(values: Sequence[float]) -> float:
+def agreed(values: Sequence[N]) -> N:
     """The median, of an even number the worse: whatever one of three says, it's among the others'."""
     return sorted(values)[len(values) // 2]
 
@@ -132,11 +136,11 @@
             return None
         said = [unpack(h.values) for h in words]
         return Cell(
-            _seconds(agreed([s.rtt for s in said])),
-            _seconds(agreed([s.rtt_tail for s in said])),
-            rate_of(int(agreed([s.rate for s in said]))) * self.standing[hall],
-            part_of(agreed([s.late for s in said])),
-            part_of(agreed([s.early for s in said])),
+            SECONDS[agreed([s.rtt for s in said])],
+            SECONDS[agreed([s.rtt_tail for s in said])],
+            RATES[agreed([s.rate for s in said])] * self.standing[hall],
+            PARTS[agreed([s.late for s in said])],
+            PARTS[agreed([s.early for s in said])],
             _classes(said),
             max(0.0, agreed([now - h.born for h in words])),
             len(words),
@@ -182,18 +186,10 @@
         _WORD.pack_into(words, at, new.witness + 1, new.start, new.sequence, new.born, new.values)
 
 
-def _seconds(code: float) -> float:
-    return math.inf if code >= NOTHING else seconds_of(int(code))
-
-
 def _classes(said: Sequence[Summary]) -> tuple[tuple[float, float, float], ...]:
     rows = [{cls: row for cls, *row in s.classes} for s in said]
-    nothing = [NOTHING, NOTHING, 0]
-    return tuple(
-        (
-            _seconds(agreed([row.get(cls, nothing)[0] for row in rows])),
-            _seconds(agreed([row.get(cls, nothing)[1] for row in rows])),
-            agreed([row.get(cls, nothing)[2] for row in rows]) / 15,
-        )
-        for cls in range(MOST_CLASSES)
-    )
+    found = []
+    for cls in range(max((max(row) + 1 for row in rows if row), default=0)):
+        typical, tail, share = (agreed([row.get(cls, _NOTHING)[n] for row in rows]) for n in range(3))
+        found.append(NO_CLASS if typical == NOTHING else (SECONDS[typical], SECONDS[tail], FIFTEENTHS[share]))
+    return tuple(found)
