A chain of repeats is not forgotten as another one's repeat is put off

Found by a drawn example of the test of sides of the window: two chains of 3 s at three times the speed; the second one's repeat came after 1 s, within the window of 2.5. Cause (Chains.place): what to forget was weighed by the time that the repeat in hand was put off to, while others still come at the speed's own time. The example is a test now and fails without the mend.

--- a/ironrail/recorded/scaling.py
+++ b/ironrail/recorded/scaling.py
@@ -39,7 +39,7 @@
 
     def place(self, name: str, at: float, scaled: float) -> float:
         """Its new time, given the time it had and the one that the speed alone would give it."""
-        before = self._last.pop(name, None)
+        before, plain = self._last.pop(name, None), scaled
         if before is not None:
             gap, last = at - before[0], before[1]
             least = last + min(gap, SAFE * self._window)
@@ -48,7 +48,8 @@
         while self._last:
             oldest = next(iter(self._last))
             was, now = self._last[oldest]
-            held = at <= was + self._window or scaled < now + SAFE * self._window
+            # by the speed's own time: where a chain's repeats were put off to, others may still come before
+            held = at <= was + self._window or plain < now + SAFE * self._window
             if held and len(self._last) <= MOST_CHAINS:
                 break
             del self._last[oldest]
--- a/tests/recorded/test_pure.py
+++ b/tests/recorded/test_pure.py
@@ -78,6 +78,12 @@
     return {name: [round(b - a, 5) for a, b in zip(at, at[1:], strict=False)] for name, at in chains.items()}
 
 
+def test_a_chain_is_not_forgotten_as_another_one_s_repeat_is_put_off() -> None:
+    """Two chains of 3 s each, three times as fast: the second came after 1 s, within the window."""
+    rows = [entry(at, idempotency=name, key=name) for at, name in ((0, "a"), (0, "b"), (3, "a"), (3, "b"))]
+    assert gaps(list(squeeze(rows, 3.0, WINDOW))) == {"a": [3.0], "b": [3.0]}
+
+
 @given(chained, st.sampled_from([0.1, 0.5, 1.0, 3.0, 10.0, 100.0]))
 def test_repeats_keep_their_side_of_the_window_at_every_speed(rows: list[Entry], speed: float) -> None:
     out = list(squeeze(rows, speed, WINDOW))
