--- a/benchmarks/accord_check.py
+++ b/benchmarks/accord_check.py
@@ -1,6 +1,6 @@
 """The long form of the checks of `ironrail/peers/accord/`, and what a voter's work for leases costs.
 
-    PYTHONPATH=. python benchmarks/accord_check.py votes|rooms|walks|cost [--most 2000000] [--walks 1000]
+    PYTHONPATH=. python benchmarks/accord_check.py votes|rooms|walks|cost|fleet [--most 2000000]
 
 Each line: what was looked at, states or walks, whether all of it was, seconds.
 """
@@ -8,18 +8,26 @@
 from __future__ import annotations
 
 import argparse
+import heapq
 import time
+from statistics import median
 from typing import Any
 
 from ironrail.peers.accord import messages as m
+from ironrail.peers.accord import policy as p
 from ironrail.peers.accord.stages import note
 from ironrail.peers.faces import Heard
 from tests.peers.accord.explorer import Bounds, Explorer
 from tests.peers.accord.still import EVERY_TICK
 from tests.peers.accord.votes import Votes
 from tests.peers.accord.walk import walk
-from tests.peers.accord.world import World
+from tests.peers.accord.world import Node, World, policy
 
+HEAD, ROOM = 23, 233  # bytes of each datagram: what the wire adds, and what is left for a body
+PACE, BURST = 2000.0, 4000.0  # bytes a second, and at once
+FACTS = p.Facts(
+    frozenset(), frozenset({"fonts"}), frozenset({"north"}), frozenset(f"region-{i}" for i in range(200))
+)
 VOTES: tuple[dict[str, Any], ...] = (
     {"again": 2, "crashes": 0},
     {"again": 1, "crashes": 0, "askers": (3, 4)},
@@ -34,6 +42,7 @@
     {"faults": 0, "slips": 2, "ticks": 6},
     {"faults": 2, "ticks": 7, "disk": True, "kinds": "crash forget"},
     {"faults": 1, "ticks": 8, "routers": 5},
+    {"faults": 1, "ticks": 8, "routers": 5, "direct": 0},
 )
 
 
@@ -69,17 +78,92 @@
     print(f"decides_by: {(time.process_time() - began) * 10:.1f} us")
 
 
+class Tier(World):
+    """With the wire's pace and order of sending; looks at the promise once in a while."""
+
+    def __init__(self, **how: Any) -> None:
+        self.out: dict[int, int] = {}  # bytes by sender
+        self.waiting: dict[int, list[tuple[int, int, Node, int, bytes]]] = {}
+        self.room_for: dict[int, tuple[float, float]] = {}  # bytes that may be sent, as of when
+        super().__init__(1, **how)
+
+    def watch(self) -> None:
+        """Not at each instant: a thousand routers would be asked a million times."""
+
+    def send(self, node: Node, to: int, body: bytes) -> None:
+        """Into the queue."""
+        queue = self.waiting.setdefault(node.conf.me, [])
+        first = not queue
+        heapq.heappush(queue, (m.priority(m.decode(body)), next(self.order), node, to, body))
+        if first:
+            self.drain(node.conf.me)
+
+    def drain(self, me: int) -> None:
+        """What the pace lets out."""
+        queue = self.waiting[me]
+        while queue:
+            *_, node, to, body = queue[0]
+            pieces = 1 if len(body) <= ROOM else -(-len(body) // (ROOM - 2))
+            size = len(body) + pieces * HEAD
+            left, at = self.room_for.get(me, (BURST, 0.0))
+            left = min(BURST, left + (self.now - at) * PACE)
+            if left < size:
+                self.room_for[me] = left, self.now
+                self.at((size - left) / PACE + 1e-6, lambda: self.drain(me))
+                return
+            self.room_for[me] = left - size, self.now
+            heapq.heappop(queue)
+            self.out[me] = self.out.get(me, 0) + size
+            super().send(node, to, body)
+
+
+def fleet(routers: int, voters: int, kilobytes: int, seconds: int = 60) -> None:
+    """A tier in virtual time: bytes of datagrams, with 23 of head, without IP, that each sends in a second."""
+    tier = Tier(routers=routers, voters=tuple(range(voters)), loss=0.01, facts=lambda _: FACTS)
+    tier.found(0, 1, policy(1))
+    tier.run(120)
+    deciding = len(tier.scopes())
+    print(f"{routers} routers, {voters} voters: {deciding} decide 120 s after they were founded", flush=True)
+    tier.out = {}
+    lapses = 0
+    for _ in range(seconds):
+        tier.run(1)
+        lapses += routers - len(tier.scopes())
+    members = sorted((n / seconds for me, n in tier.out.items() if me >= voters), reverse=True)
+    votes = max(n / seconds for me, n in tier.out.items() if me < voters)
+    print(f"  calm: voters {votes:.0f} B/s, heads to {members[0]:.0f}, half below {median(members):.0f}")
+    print(f"  routers without a lease in {seconds} looks, one in a hundred messages being lost: {lapses}")
+    steering = {f"region-{i}": {"north": 0.5} for i in range(60 * kilobytes)}
+    wanted = p.Policy(2, rates={"fonts": 1.0}, steering=steering)
+    began = tier.now
+    ticket = tier.propose(routers - 1, wanted, 40.0)
+    while ticket and ticket.open:
+        tier.run(0.5)
+        World.watch(tier)
+    spent = tier.now - began
+    while len(set(tier.scopes().values())) > 1 or len(tier.scopes()) < routers:
+        tier.run(0.5)
+        World.watch(tier)
+    told = ticket and (ticket.error or "in force")
+    print(
+        f"  a document of {len(p.encode(wanted))} B: {told} after {spent:.1f} s, all after {tier.now - began:.1f} s"
+    )
+
+
 def main() -> None:
     """Command line."""
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("what", choices=("votes", "rooms", "walks", "cost"))
+    parser.add_argument("what", choices=("votes", "rooms", "walks", "cost", "fleet"))
     parser.add_argument("--most", type=int, default=2_000_000, help="states of each check")
     parser.add_argument("--walks", type=int, default=1000)
     given = parser.parse_args()
     if given.what == "cost":
         cost()
+    elif given.what == "fleet":
+        for routers, voters, kilobytes in ((30, 3, 1), (200, 3, 1), (1000, 3, 0), (1000, 5, 1), (1000, 7, 2)):
+            fleet(routers, voters, kilobytes)
     elif given.what == "walks":
         for voters in ((0, 1, 2), (0, 1, 2, 3, 4)):
             began = time.perf_counter()
@@ -88,13 +172,13 @@
             spent = time.perf_counter() - began
             print(f"{given.walks} walks of {len(voters)} voters, {spent:.0f} s", flush=True)
     elif given.what == "votes":
-        for bounds in VOTES:
-            looked(f"votes {bounds}", Votes(most=given.most, **bounds))
+        for bound in VOTES:
+            looked(f"votes {bound}", Votes(most=given.most, **bound))
     else:
         for (module, name), value in EVERY_TICK.items():
             setattr(module, name, value)
-        for bounds in ROOMS:
-            looked(f"rooms {bounds}", Explorer(Bounds(most=given.most, **bounds)))
+        for bound in ROOMS:
+            looked(f"rooms {bound}", Explorer(Bounds(most=given.most, **bound)))
 
 
 if __name__ == "__main__":
--- a/ironrail/peers/accord/conf.py
+++ b/ironrail/peers/accord/conf.py
@@ -9,6 +9,7 @@
 
 LEASE = 3.0  # seconds: a router that is cut off decides for as long, and a change waits as long for it
 DRIFT = 0.01  # that no clock's rate is off by more: crystals are within 0.0002, a slewed clock within 0.0005
+DIRECT = 32  # routers: in a larger tier not every one of them asks the voters itself, see `path.py`
 DEADLINE = 20.0  # seconds for a change: stages take 2 each, a lease that has to run out 3.1, documents 10
 
 
@@ -22,6 +23,7 @@
     voters: tuple[int, ...]  # 3, 5 or 7 of the routers
     lease: float = LEASE
     drift: float = DRIFT
+    direct: int = DIRECT
     disk: bool = False  # voters keep their record
     start_on_floor: bool = False  # a router that knows nothing yet acts by the floor; else it isn't ready
 
--- /dev/null
+++ b/ironrail/peers/accord/leasing.py
@@ -0,0 +1,132 @@
+"""What one router knows, and the lease it decides by. Pure."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+
+import msgspec
+
+from ironrail.peers.accord import messages as m
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.grants import Grants
+from ironrail.peers.accord.library import Library
+from ironrail.peers.accord.path import Path
+from ironrail.peers.accord.proposer import Proposer
+from ironrail.peers.accord.register import Voter
+from ironrail.peers.accord.stages import Holder
+from ironrail.peers.faces import Say, Topic
+
+RENEWALS = 3  # in a lease: two in a row may be lost
+
+
+class Leasing:
+    """Voter (of the few that are), holder of a lease, proposer and library of one router."""
+
+    def __init__(
+        self,
+        conf: Conf,
+        facts: p.Facts,
+        floor: p.Policy,
+        now: float,
+        seed: int = 0,
+        record: bytes | None = None,
+    ) -> None:
+        """`floor`: obeyed where nothing is decided by; `record`: what a voter kept before, if it did."""
+        if error := p.check(floor, facts):
+            raise error
+        self.conf, self.library = conf, Library(facts, floor)
+        self._seed, self._draws = seed, 0
+        self.need = len(conf.voters) // 2 + 1
+        self.holder = Holder(conf.lease, self.need)
+        self.path, self.lent = Path(conf), Grants(conf.wait)  # to those that this router answers for
+        me, start = conf.me, conf.start
+        self.voter = (
+            Voter(me, start, conf.voters, now, conf.wait, record, conf.disk) if me in conf.voters else None
+        )
+        self.proposer = Proposer(me, start, conf.voters, self._draw)
+        self.known: m.State | None = None  # the latest state that is decided, as far as heard
+        self._accepted = 0  # step that this voter accepted last
+        self._left_at = now  # since when something has been left unsettled or joint
+        # routers that start together don't ask together
+        self._renew_at = now + self._draw() * conf.lease / RENEWALS
+        self._fetch_at = now
+        self.unusable = 0  # messages that made no sense
+        self._awaited = b""  # digest of a document that was asked for before its state was accepted
+        self._out: list[Say] = []
+        self._own: list[m.Message] = []
+
+    def _draw(self) -> float:
+        """From 0 to 1, the same for the same seed and place."""
+        self._draws += 1
+        text = f"{self._seed} {self.conf.me} {self.conf.start} {self._draws}"
+        return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=6).digest()) / 2**48
+
+    def _states(self) -> list[m.State | None]:
+        """All that documents are needed for."""
+        found = [self.known, self.holder.at, self.holder.next]
+        return [*found, self.voter.vouched.accepted, self.voter.offer] if self.voter else found
+
+    # sending, also to itself
+
+    def _post(self, to: int, message: m.Message) -> None:
+        if to == self.conf.me:
+            self._own.append(message)
+        else:
+            self._out.append(Say(to, Topic.ACCORD, m.encode(message), m.priority(message)))
+
+    def _to_voters(self, message: m.Message) -> None:
+        for voter in self.conf.voters:
+            self._post(voter, message)
+
+    # what is known
+
+    def _learn(self, now: float, state: m.State) -> None:
+        """A state that is decided."""
+        if self.known and state.step <= self.known.step:
+            return
+        self.known, self._left_at = state, now
+        self.proposer.known, self.proposer.epoch = state, state.step // m.EPOCH
+        if self.voter:
+            self.voter.decided_step = state.step
+        change = self.proposer.change
+        needed = {ref.digest for s in self._states() if s for ref in s.refs()}
+        self.library.keep_only(needed | {change.ref.digest} if change and change.ref else needed)
+        self._fetch_at = now
+
+    def _aim(self, now: float) -> None:
+        """Go on to the state that is known, once its documents are here and can be worked by."""
+        before = (self.holder.at, self.holder.next)
+        if self.known is self.holder.at:
+            return
+        if self.known and not self.library.missing([self.known]) and not self.library.refusal(self.known):
+            self.holder.aim(self.known, now)
+        if before != (self.holder.at, self.holder.next):
+            self._renew(now)
+
+    def _renew(self, now: float) -> None:
+        self._renew_at = now + self.conf.lease / RENEWALS
+        others = self.lent.live(now)
+        ask = self.holder.ask(now, self.known, others)
+        if known := self.known:
+            epoch = known.step // m.EPOCH * m.EPOCH
+            refuses = self.lent.refusal(now, known.scope[-1])
+            if refused := self.library.refusal(known):
+                refuses = (self.conf.me, epoch + refused[0].version, str(refused[1])[:80])
+            behind = self.lent.against(now, known.scope[-1:]) if others else []
+            ask = msgspec.structs.replace(ask, refuses=refuses, behind=behind[0] if behind else None)
+        for to in self.path.targets(now):
+            self._post(to, ask)
+
+    def _lend(self, now: float, life: tuple[int, int], ask: m.Ask) -> None:
+        """Another router asks for a part of this lease, as long as that lasts by the slower clock."""
+        new = self.path.asked(now)
+        until = min((self.holder.own_end(w.scope) for w in (ask.low, ask.high) if w), default=-math.inf)
+        granted = self.lent.ask(now, life, ask, 0, until)
+        if granted is not None:
+            lasts = (until - now) * self.conf.lease / self.conf.wait if granted else 0.0
+            news = self.known if self.known and self.known.step > ask.knows else None
+            self._post(life[0], m.Answer(ask.sequence, granted, False, 0, news, lasts))
+        if new:
+            self._renew(now)
--- a/ironrail/peers/accord/messages.py
+++ b/ironrail/peers/accord/messages.py
@@ -87,7 +87,7 @@
     held: Annotated[
         tuple[Whole, ...], msgspec.Meta(max_length=4)
     ] = ()  # some that may still decide by old alone
-    refusal: tuple[Whole, str] | None = None  # a router, and what it can't work by
+    refusal: tuple[Whole, Whole, str] | None = None  # a router, and what it can't work by
 
 
 class Outvoted(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -147,7 +147,8 @@
     low: Note | None
     high: Note | None  # and by this one, once a majority grants it
     knows: Whole  # highest step that it knows to be decided
-    refuses: tuple[Whole, str] | None = None  # a version (with its epoch), and why
+    refuses: tuple[Whole, Whole, str] | None = None  # a router, a version (with its epoch), and why
+    behind: Whole | None = None  # of those it answers for, one that holds it back
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=13):
@@ -156,6 +157,7 @@
     standing: bool
     epoch: Whole
     decided: State | None = None  # if the router knows less
+    lasts: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0  # seconds, of one who is no voter
 
 
 class Want(msgspec.Struct, frozen=True, array_like=True, tag=14):
--- a/ironrail/peers/accord/policy.py
+++ b/ironrail/peers/accord/policy.py
@@ -16,7 +16,7 @@
 from ironrail.peers.accord.errors import PolicyError
 from ironrail.peers.faces import MOST_HALLS
 
-MOST_DOCUMENT = 4096  # bytes on the wire: 20 datagrams or so, as each router has to fetch it
+MOST_DOCUMENT = 3072  # bytes: the wire's longest message has 3,696, and each router has to fetch it
 MOST_ROWS = 256  # titles, classes, regions or constants; more don't fit the bytes anyway
 DIGEST = 16  # bytes: nobody finds two documents of one digest by chance
 MOST_RATE = 1e9  # requests/s
--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -146,7 +146,7 @@
                 refusals = [p.refusal for p in told if p.refusal]
                 change.held = tuple(sorted({router for p in told for router in p.held}))
                 if refusals:
-                    router, why = refusals[0]
+                    router, _, why = refusals[0]
                     self._back(errors.RefusedByError(why, f"router {router}"))
                 elif not change.held:
                     return state.next(ref)
--- a/ironrail/peers/accord/register.py
+++ b/ironrail/peers/accord/register.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from ironrail.peers.accord import messages as m
+from ironrail.peers.accord.grants import Grants
 from ironrail.peers.accord.quorum import Reply, sound
-from ironrail.peers.accord.stages import Grants
 
 RECOVER_EVERY = 0.5  # seconds
 KEEP_EVERY = 1.0  # seconds until a record that couldn't be kept is tried again
@@ -151,7 +151,7 @@
         accepted = self.vouched.accepted
         able = self.standing and accepted is not None and now >= self.quiet_until
         least = accepted.step - 1 if able and accepted else 2**63
-        granted = self.grants.ask(now, life, ask, least)
+        granted = self.grants.ask(now, life, ask, least, now + self.grants.wait)
         if granted is not None:
             news = decided if decided and decided.step > ask.knows else None
             self.out.append((life[0], m.Answer(ask.sequence, granted, self.standing, self.epoch, news)))
--- a/ironrail/peers/accord/stages.py
+++ b/ironrail/peers/accord/stages.py
@@ -1,19 +1,19 @@
-"""The stages of a change, old -> joint -> new, and the leases that keep them apart. Pure.
+"""The stages of a change, old -> joint -> new, and the lease that a router decides by. Pure.
 
 Two scopes (the versions somebody obeys) go together if one holds all of the other. A router decides only
-while a majority of voters has granted its scope and those grants last by its own clock. A voter accepts a
-state only once no lease that it granted is apart from it: `docs/peers/accord.md` has the proof.
+while a majority of voters has granted its scope, to itself or to a router that answers for it, and those
+grants last by its own clock. `grants.py` has the other side, `docs/peers/accord.md` the proof.
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 
 from ironrail.peers.accord.messages import Ask, Note, Scope, State
 
 MOST_ASKED = 32  # asks whose answers may still come; at one a second they outlast any lease
-MOST_LIVES = 4  # processes of one router that leases are remembered of; more starts within a lease wait
+MOST_SCOPES = 2  # that may be asked for at once: two states that follow each other
 
 
 def apart(one: Scope, other: Scope) -> bool:
@@ -27,7 +27,7 @@
 
 
 class Holder:
-    """A router's side: which state it decides in, and until when."""
+    """Which state a router decides in, and until when."""
 
     def __init__(self, lease: float, majority: int) -> None:
         """`lease`: seconds by the own clock, from when it was asked for."""
@@ -37,13 +37,23 @@
         self.sequence = 0
         self._asked: dict[int, tuple[float, tuple[Scope, ...]]] = {}  # sequence -> when, for what
         self._granted: dict[int, int] = {}  # voter -> sequence of its latest grant
+        self.lent: dict[int, tuple[int, float]] = {}  # head -> the same, and for how long it grants
 
-    def end(self, scope: Scope) -> float:
+    def own_end(self, scope: Scope) -> float:
         """Until when a majority of voters keeps others from what is apart from this scope."""
         grants = [self._asked[sequence] for sequence in self._granted.values() if sequence in self._asked]
         times = sorted((at for at, scopes in grants if scope in scopes), reverse=True)
         return times[self.majority - 1] + self.lease if len(times) >= self.majority else -math.inf
 
+    def end(self, scope: Scope) -> float:
+        """The same, or until when another router's lease, which answers for this one, does."""
+        last = self.own_end(scope)
+        for sequence, lasts in self.lent.values():
+            at, scopes = self._asked.get(sequence, (0.0, ()))
+            if scope in scopes:
+                last = max(last, at + lasts)
+        return last
+
     def decides(self, now: float) -> State | None:
         """The state it may decide in at this time: asked anew for each decision, as a process may pause."""
         return self.at if self.at and now < self.end(self.at.scope) else None
@@ -59,88 +69,45 @@
             self.at = None  # some were missed: what was known before isn't decided by any more
         self.next = state
 
-    def ask(self, now: float, knows: int, refuses: tuple[int, str] | None = None) -> Ask:
-        """The wish for the next lease; what isn't in it is given up, for voters forget it."""
+    def ask(self, now: float, known: State | None, others: Iterable[Note] = ()) -> Ask:
+        """The wish for the next lease; what isn't in it is given up, for voters forget it.
+
+        `others`: what those decide by whom this router answers for: they go first.
+        """
         if self.at and self.next and self.decides(now) is None:
             self.at = None
-        low, high = self.at or self.next, self.next or self.at
-        scopes = tuple({s.scope for s in (low, high) if s})
-        self._keep_only(scopes)
+        wishes: dict[Scope, int] = {}
+        for wish in (*others, *(note(state) for state in (self.at, self.next) if state)):
+            if wish.scope in wishes or len(wishes) < MOST_SCOPES:
+                wishes[wish.scope] = max(wish.step, wishes.get(wish.scope, 0))
+        if known and known.scope in wishes:
+            wishes[known.scope] = known.step  # a state that came again by a change taken back
+        self._keep_only(tuple(wishes))
         self.sequence += 1
-        self._asked[self.sequence] = (now, scopes)
+        self._asked[self.sequence] = (now, tuple(wishes))
         self._asked.pop(self.sequence - MOST_ASKED, None)
-        further = note(high) if high and high is not low else None
-        return Ask(self.sequence, note(low) if low else None, further, knows, refuses)
+        notes = sorted((Note(step, scope) for scope, step in wishes.items()), key=lambda wish: wish.step)
+        low, high = (*notes, None, None)[:2]
+        return Ask(self.sequence, low, high, known.step if known else 0)
 
     def _keep_only(self, scopes: tuple[Scope, ...]) -> None:
         """A voter's entry holds only what was last asked: an older grant of the rest is worth nothing."""
         for sequence, (at, held) in self._asked.items():
             self._asked[sequence] = (at, tuple(s for s in held if s in scopes))
 
-    def granted(self, now: float, voter: int, sequence: int) -> bool:
-        """A voter granted what was asked for; whether this moves the router to its next state."""
-        if sequence not in self._asked or sequence < self._granted.get(voter, 0):
+    def granted(self, now: float, by: int, sequence: int, lasts: float = 0.0) -> bool:
+        """What was asked for is granted; whether this moves the router to its next state.
+
+        `lasts`: seconds, where a router grants it that answers for this one; a voter's lasts a lease.
+        """
+        before = self.lent.get(by, (0, 0.0))[0] if lasts else self._granted.get(by, 0)
+        if sequence not in self._asked or sequence < before:
             return False
-        self._granted[voter] = sequence
+        if lasts:
+            self.lent[by] = (sequence, lasts)
+        else:
+            self._granted[by] = sequence
         if not self.next or now >= self.end(self.next.scope):
             return False
         self.at, self.next = self.next, None
         return True
-
-
-@dataclass(slots=True)
-class Entry:
-    """What one process may decide by."""
-
-    sequence: int = 0
-    scopes: tuple[Scope, ...] = ()
-    until: float = -math.inf  # by the voter's clock
-    refusal: tuple[int, str] | None = None
-    heard: float = -math.inf
-
-
-@dataclass(slots=True)
-class Grants:
-    """A voter's side: the leases that it granted. A process replaced by another one keeps its own."""
-
-    wait: float  # seconds by this voter's clock in which any lease has run out by its router's
-    entries: dict[tuple[int, int], Entry] = field(default_factory=dict)  # (router, start)
-
-    def ask(self, now: float, life: tuple[int, int], ask: Ask, least: int) -> bool | None:
-        """Whether it is granted; nothing if overtaken by a later one. `least`: step; older ones aren't."""
-        entry = self.entries.get(life)
-        if entry is None:
-            self._forget(now)
-            if sum(router == life[0] for router, _ in self.entries) >= MOST_LIVES:
-                return False
-            entry = self.entries[life] = Entry()
-        if ask.sequence <= entry.sequence:
-            return None
-        entry.sequence, entry.refusal, entry.heard = ask.sequence, ask.refuses, now
-        notes = [wish for wish in (ask.low, ask.high) if wish]
-        if not notes or min(wish.step for wish in notes) < least:
-            return False
-        entry.scopes, entry.until = tuple(wish.scope for wish in notes), now + self.wait
-        return True
-
-    def against(self, now: float, scope: Scope) -> list[int]:
-        """Routers that may still decide by what is apart from this scope."""
-        return sorted(
-            {
-                router
-                for (router, _), entry in self.entries.items()
-                if now < entry.until and any(apart(scope, held) for held in entry.scopes)
-            }
-        )
-
-    def refusal(self, now: float, version: int) -> tuple[int, str] | None:
-        """A router heard within a lease's time that can't work by this version (with its epoch), and why."""
-        for (router, _), entry in sorted(self.entries.items()):
-            if entry.refusal and entry.refusal[0] == version and now < entry.heard + self.wait:
-                return router, entry.refusal[1]
-        return None
-
-    def _forget(self, now: float) -> None:
-        gone = [life for life, e in self.entries.items() if now >= max(e.until, e.heard + self.wait)]
-        for life in gone:
-            del self.entries[life]
--- a/tests/peers/accord/explorer.py
+++ b/tests/peers/accord/explorer.py
@@ -51,6 +51,7 @@
     proposals: tuple[tuple[int, int, int], ...] = ((1, 3, 2), (2, 0, 3))
     routers: int = 4
     disk: bool = False
+    direct: int = 32  # 0: a router answers for those that are no voters
     most: int = 10**7  # states
     kinds: str = "cut stop crash forget"
     up: int = 9  # ticks without faults before it begins
@@ -80,7 +81,10 @@
         now = self.clock(me, tick)
         if event[0] == "start":
             disk = self.bounds.disk and me in self.voters
-            conf = Conf(me, event[1], self.bounds.routers, self.voters, LEASE, DRIFT, disk)
+            direct = self.bounds.direct
+            conf = Conf(
+                me, event[1], self.bounds.routers, self.voters, LEASE, DRIFT, direct=direct, disk=disk
+            )
             room = self.room(conf, FACTS, FLOOR, now, record=event[2])
             room.tickets = ()
         else:
--- a/tests/peers/accord/mistakes.py
+++ b/tests/peers/accord/mistakes.py
@@ -11,10 +11,11 @@
 from ironrail.peers.accord import messages as m
 from ironrail.peers.accord import proposer, register
 from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.grants import Grants
 from ironrail.peers.accord.library import Library
 from ironrail.peers.accord.proposer import Goal, Proposer
 from ironrail.peers.accord.register import Voter
-from ironrail.peers.accord.stages import Grants, Holder
+from ironrail.peers.accord.stages import Holder
 
 Patch = pytest.MonkeyPatch
 
@@ -61,10 +62,10 @@
     """A lease lasts from when the answer came."""
     before = Holder.granted
 
-    def granted(self: Holder, now: float, voter: int, sequence: int) -> bool:
+    def granted(self: Holder, now: float, voter: int, sequence: int, lasts: float = 0.0) -> bool:
         if sequence in self._asked:
             self._asked[sequence] = (now, self._asked[sequence][1])
-        return before(self, now, voter, sequence)
+        return before(self, now, voter, sequence, lasts)
 
     patch.setattr(Holder, "granted", granted)
 
@@ -102,10 +103,10 @@
     """A new process's word stands for the old one's, which was only stopped."""
     before = Grants.ask
 
-    def ask(self: Grants, now: float, life: tuple[int, int], wish: m.Ask, least: int) -> bool | None:
+    def ask(self: Grants, now: float, life: tuple[int, int], *rest: Any) -> bool | None:
         for router, start in [other for other in self.entries if other[0] == life[0] and other != life]:
             del self.entries[router, start]
-        return before(self, now, life, wish, least)
+        return before(self, now, life, *rest)
 
     patch.setattr(Grants, "ask", ask)
 
@@ -162,6 +163,21 @@
     patch.setattr(Proposer, "_next", following)
 
 
+def head_forgets_members(patch: Patch) -> None:
+    """A router that answers for others asks for what it decides by itself."""
+    patch.setattr(Grants, "live", lambda self, now: [])
+
+
+def head_lends_whole_lease(patch: Patch) -> None:
+    """It grants them a lease of full length, whatever is left of its own."""
+    before = Holder.granted
+
+    def granted(self: Holder, now: float, voter: int, sequence: int, lasts: float = 0.0) -> bool:
+        return before(self, now, voter, sequence, self.lease if lasts else 0.0)
+
+    patch.setattr(Holder, "granted", granted)
+
+
 def wait_without_drift(patch: Patch) -> None:
     """A voter waits for a lease's length by its own clock."""
     patch.setattr(Conf, "wait", property(lambda self: self.lease))
@@ -183,4 +199,5 @@
     votes_after_amnesia, believes_replaced, lease_kept_over_pause, lease_from_answer, old_grants_kept,
     moves_without_grant, no_meet, told_before_kept, old_life_replaced, no_acknowledgements, forgets_leases,
     skips_joint, ballot_again, others_go_forward, wait_without_drift, lower_ballot,
+    head_forgets_members, head_lends_whole_lease,
 ]  # fmt: skip
--- a/tests/peers/accord/still.py
+++ b/tests/peers/accord/still.py
@@ -5,14 +5,14 @@
 import pickle
 from typing import Any
 
-from ironrail.peers.accord import core, proposer, register
+from ironrail.peers.accord import core, leasing, proposer, register
 from ironrail.peers.accord.library import Library
 from ironrail.peers.accord.room import AccordRoom
 from tests.peers.accord.watching import FACTS, FLOOR
 
 LEASE, DRIFT = 2.0, 0.1
 EVERY_TICK = {
-    (core, "RENEWALS"): 2,
+    (leasing, "RENEWALS"): 2,
     (core, "FETCH_EVERY"): 1.0,
     (core, "UNSETTLED"): 4.0,
     (core, "LEFT_BEHIND"): 0.3,
--- a/tests/peers/accord/test_room.py
+++ b/tests/peers/accord/test_room.py
@@ -158,7 +158,7 @@
     world.propose(8, policy(2))
     world.run(5)
     assert (
-        sizes.pop("Document") < 4200
+        sizes.pop("Document") < 100
         and max(sizes.values()) < 200
         and sizes["Ask"] < 80
         and sizes["Answer"] < 80
--- a/tests/peers/accord/votes.py
+++ b/tests/peers/accord/votes.py
@@ -58,7 +58,7 @@
 
     def start(self, me: int, start: int, record: bytes | None = None) -> Any:
         """A process without a memory, or with what its disk has."""
-        conf = Conf(me, start, max(3, *self.askers) + 1, VOTERS, 1.0, 0.0, self.disk and me in VOTERS)
+        conf = Conf(me, start, max(3, *self.askers) + 1, VOTERS, 1.0, 0.0, disk=self.disk and me in VOTERS)
         room = self.room(conf, FACTS, FLOOR, BEFORE, record=record)
         room.record, room.writing = record, ()
         return room
@@ -88,9 +88,8 @@
                 case ("crash", start):
                     room = self.start(me, start, room.record)
                     room.wake(BEFORE)
-                    if (
-                        room.voter and room.voter.standing
-                    ):  # leases aren't asked for here, by which others hear of it
+                    # leases aren't asked for here, by which others hear of it
+                    if room.voter and room.voter.standing:
                         room._to_voters(m.Recover(0))
                         room._settle(NOW)
                     if me in self.askers:  # and it is asked again, for something else
--- a/tests/peers/accord/walk.py
+++ b/tests/peers/accord/walk.py
@@ -15,10 +15,11 @@
     """One walk; raises Broken where a promise is."""
     draw = random.Random(seed)
     size = how.pop("voters", (0, 1, 2))
-    routers = how.pop("routers", len(size) + 2)
+    routers = how.pop("routers", len(size) + draw.choice((2, 4)))
     disk = how.pop("disk", draw.random() < 0.5)
     bad = draw.choice((0.0, 0.05, 0.2))
     twice, slow = draw.choice((0.0, 0.1)), draw.choice((0.005, 0.05, 0.4))
+    how.setdefault("direct", draw.choice((0, 32)))  # 0: another router answers for those that are no voters
     world = World(seed, routers, size, disk, twice=twice, **how)
     world.up()
     world.loss, world.slow = bad, slow
--- a/tests/peers/accord/watching.py
+++ b/tests/peers/accord/watching.py
@@ -52,6 +52,7 @@
 
     def __init__(self) -> None:
         self.nodes: dict[int, Node] = {}
+        self.lives: dict[tuple[int, int], Node] = {}
         self.ghosts: list[Node] = []  # stopped, and another process has their place
         self.documents: dict[bytes, p.Policy] = {}
         self.decided: dict[int, m.State] = {}
@@ -91,14 +92,20 @@
 
     def backed(self, node: Node, scope: m.Scope) -> bool:
         """Whether a majority of voters keeps others from what is apart from this process's scope."""
+        lent = node.room.holder.lent
+        lives = [life for life in self.lives if life[0] in lent]
+        return any(self.granted(life, scope) for life in ((node.conf.me, node.conf.start), *lives))
+
+    def granted(self, life: tuple[int, int], scope: m.Scope) -> bool:
+        """Whether voters do so for this process."""
         backing = 0
         for voter in self.voters:
             if (other := self.nodes.get(voter)) is None:
                 backing += 1  # when it is back it waits until this lease has run out
                 continue
             part, now = other.room.voter, self.clock(other)
-            entry = part.grants.entries.get((node.conf.me, node.conf.start))
-            holds = entry is not None and scope in entry.scopes and now < entry.until
+            entry = part.grants.entries.get(life)
+            holds = entry is not None and scope in {n.scope for n in entry.notes} and now < entry.until
             backing += holds or now < part.quiet_until
         return backing > len(self.voters) // 2
 
--- a/tests/peers/accord/world.py
+++ b/tests/peers/accord/world.py
@@ -31,17 +31,18 @@
         twice: float = 0.0,
         slow: float = 0.02,
         drift: float = 0.01,
+        direct: int = 32,
         rooms: Callable[..., Any] = AccordRoom,
         facts: Callable[[int], p.Facts] = lambda _: FACTS,
     ) -> None:
         super().__init__()
         self.random, self.now = random.Random(seed), 0.0
         self.routers, self.voters, self.disk, self.rooms, self.facts = routers, voters, disk, rooms, facts
+        self.direct = direct
         self.loss, self.twice, self.slow, self.drift = loss, twice, slow, drift
         self.cut: set[frozenset[int]] = set()
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.order, self.starts = itertools.count(), itertools.count(1)
-        self.lives: dict[tuple[int, int], Node] = {}
         self.sent = 0
         self.bytes = 0
         self.keep_fails, self.keep_slow = 0.0, 0.02
@@ -51,7 +52,14 @@
     def start(self, me: int, record: bytes | None = None) -> Node:
         """A new process, which remembers nothing but its disk."""
         rate = 1 + self.random.uniform(-self.drift, self.drift)
-        conf = Conf(me, next(self.starts), self.routers, self.voters, disk=self.disk and me in self.voters)
+        conf = Conf(
+            me,
+            next(self.starts),
+            self.routers,
+            self.voters,
+            direct=self.direct,
+            disk=self.disk and me in self.voters,
+        )
         node = Node(conf, None, rate, self.random.uniform(0, 1000), self.now, disk=record)
         node.room = self.rooms(conf, self.facts(me), FLOOR, self.clock(node), seed=conf.start, record=record)
         self.nodes[me] = self.lives[me, conf.start] = node
