--- a/benchmarks/accord_check.py
+++ b/benchmarks/accord_check.py
@@ -118,7 +118,7 @@
 
 
 def fleet(routers: int, voters: int, kilobytes: int, seconds: int = 60) -> None:
-    """A tier in virtual time: bytes of datagrams, with their heads, without IP, that each sends in a second."""
+    """A tier in virtual time: bytes of datagrams with heads, without IP, that each sends in a second."""
     tier = Tier(routers=routers, voters=tuple(range(voters)), loss=0.01, facts=lambda _: FACTS)
     tier.found(0, 1, policy(1))
     tier.run(120)
