--- a/ironrail/net/policies.py
+++ b/ironrail/net/policies.py
@@ -76,9 +76,15 @@
         """`follow`: takes what is decided by from now on; `go_on`: sends what the room says."""
         self._follow, self._now, self._go_on = follow, now, go_on
         conf = Conf(
-            place.me, place.start, len(peers.halls), peers.voters, peers.lease_ms / 1000, peers.drift,
-            store is not None, peers.start == "floor",
-        )  # fmt: skip
+            me=place.me,
+            start=place.start,
+            routers=len(peers.halls),
+            voters=peers.voters,
+            lease=peers.lease_ms / 1000,
+            drift=peers.drift,
+            disk=store is not None,
+            start_on_floor=peers.start == "floor",
+        )
         facts, floor = facts_of(settings, peers), read_floor(peers.floor)
         record, self._torn = self._kept(store)
         self.room = AccordRoom(conf, facts, floor, place.now, place.seed, record)
