--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -101,7 +101,7 @@
         if operator.peers is not None:
             from ironrail.net.together import Together  # noqa: PLC0415 - a router alone does without it
 
-            self.together = Together(config, operator.peers, system, self._host.guide, store)
+            self.together = Together(config, operator, system, self._host.guide, store)
             self._host.before = self.together.check
         if config.known is not None:
             try:
--- a/ironrail/operator_file.py
+++ b/ironrail/operator_file.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from ironrail.access.names import LEAST_SECRET, MOST_SECRET
@@ -62,6 +63,7 @@
     keep: str = ""  # folder of a voter's record, {index} in it stands for its number; empty: it keeps none
     start: str = "wait"  # a router that knows of no policy: is not ready (`wait`), or acts by the `floor`
     floor: str = ""  # file of the policy that is obeyed where none can be decided by; empty: one of no rows
+    map: bool = False  # a map of latency between halls is kept and decided by
 
     def secrets(self) -> dict[int, bytes]:
         """The keys; OperatorError if a file can't be used."""
@@ -75,6 +77,7 @@
     connections: Connections = Connections()
     access_log: AccessLog | None = None  # none is written
     peers: Peers | None = None  # nothing is told to other routers, nor heard from them
+    regions: Mapping[str, Sequence[str]] = field(default_factory=dict)  # address ranges of readers, by name
 
 
 def read_secret(path: str) -> bytes:
--- a/ironrail/operator_reader.py
+++ b/ironrail/operator_reader.py
@@ -11,8 +11,10 @@
 import msgspec
 from msgspec import UNSET, Meta, Struct, UnsetType
 
+from ironrail.errors import InputError
 from ironrail.operator_file import AccessLog, Connections, Operator, OperatorError, Peers
 from ironrail.peers.faces import MOST_ROUTERS
+from ironrail.peers.regions.regions import Regions
 
 MOST_FILE = 64 * 1024  # bytes: it is written by hand
 AT = re.compile(r"(.*?)(?: - at `\$(.*?)`)?", re.DOTALL)  # what is wrong, and where, in msgspec's words
@@ -53,6 +55,7 @@
     keep: str | UnsetType = UNSET
     start: Literal["wait", "floor"] | UnsetType = UNSET
     floor: str | UnsetType = UNSET
+    map: bool | UnsetType = UNSET
 
 
 class OperatorForm(Struct, forbid_unknown_fields=True):
@@ -61,6 +64,7 @@
     connections: ConnectionsForm | UnsetType = UNSET
     access_log: AccessLogForm | UnsetType = UNSET
     peers: PeersForm | UnsetType = UNSET
+    regions: dict[str, list[Text]] | UnsetType = UNSET
 
 
 def read_operator(path: str) -> Operator:
@@ -82,9 +86,22 @@
         Connections(**_given(form.connections)),
         AccessLog(**_given(form.access_log)) if form.access_log is not UNSET else None,
         _peers(path, form.peers) if form.peers is not UNSET else None,
+        _regions(path, form),
     )
 
 
+def _regions(path: str, form: OperatorForm) -> dict[str, list[str]]:
+    if form.regions is UNSET:
+        return {}
+    if form.peers is UNSET:
+        raise OperatorError("regions: are told between routers, and there is no [peers]", path)
+    try:
+        Regions(form.regions)
+    except InputError as e:
+        raise OperatorError(str(e), path) from e
+    return form.regions
+
+
 def _peers(path: str, form: PeersForm) -> Peers:
     given = _given(form)
     numbers = {int(number): file for number, file in form.keys.items() if re.fullmatch(r"\d{1,3}", number)}
@@ -112,6 +129,8 @@
     found = AT.fullmatch(said)
     assert found is not None
     what, where = found[1], (found[2] or "").lstrip(".")
+    if where.startswith("regions["):
+        return "regions: each must be a list of address ranges"
     value: Any = table
     for part in where.split(".") if where else []:
         value = value.get(part.partition("[")[0], "") if isinstance(value, dict) else value
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -49,7 +49,7 @@
         ("[connections]\nper_cache = true\n", "connections.per_cache must be"),
         ("[connections]\nper_cache = 2.0\n", "connections.per_cache must be"),
         ("[connections]\nper_cash = 2\n", "connections.per_cash is unknown (known: cost_ms, depth"),
-        ("[conections]\n", "conections is unknown (known: access_log, connections, peers)"),
+        ("[conections]\n", "conections is unknown (known: access_log, connections, peers, regions)"),
         ("connections = 3\n", "connections must be a table"),
         ("[connections\n", "at line 1"),
         (PEERS.replace("sending = 1", "sending = 2"), "peers.sending: no key has the id 2"),
@@ -59,6 +59,12 @@
         (PEERS + "pace = 10\n", "peers.pace must be a whole number from 100 to 1000000, not 10"),
         (PEERS + 'start = "soon"\n', "peers.start must be invalid enum value 'soon'"),
         ("[peers]\nsending = 1\n", "peers.keys is missing"),
+        (
+            '[regions]\nzuid = ["192.0.2.0/24"]\n',
+            "regions: are told between routers, and there is no [peers]",
+        ),
+        (PEERS + "[regions]\nzuid = 3\n", "regions: each must be a list of address ranges"),
+        (PEERS + '[regions]\nzuid = ["192.0.2.1/24"]\n', "regions.zuid: 192.0.2.1/24 has host bits set"),
         ("#" * 100_000, "larger than"),
     ],
 )
