Accord: news told at once, what can't be answered yet answered as soon as it can

Seen, in virtual time: a change took 3.3 s at 7 routers without loss, 5.3 to 6.3 s at 20, and 200 routers never came up (147 of them heads, the voters' pace full of answers two minutes old). Traces: the first Prepare was outvoted by a ballot long past and waited 0.6 s (proposer.outvoted); the Accept was refused for a missing document and the round began anew (core._vote); news waited for renewals, up to 1 s each; documents were asked of routers drawn by chance that lacked them (core._fetch); voters were polled. The collapse: two renewals without a grant made a router go on to another head, also where the head lived and the voters could not grant yet (path.targets).

Change: the proposer sends the document with its word and prepares again at once, but only once; a voter keeps what it can't answer and answers when it can; who learns a state tells those it lends to, and a head renews as its last one is no longer behind; an ask without an answer is repeated after 0.3 s; any answer is a sign of life of a head; groups are the root of the tier. Any clear majority will do, refusals of all count.

--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -100,11 +100,12 @@
             self.parts.append(self.readers)
         for part in self.parts:
             self.peering.add(part.room)
-        self._meet = [voter for voter in peers.voters if voter != me]
+        # of voters only by those who speak with them: they answer 25 a second
+        self._meet = self.policies.room.path.sources(system.now()) if self.policies is not None else ()
 
     async def open(self) -> None:
         """Listen to the others; OSError where that can't be done."""
-        await self.peering.open(self._meet)
+        await self.peering.open([other for other in self._meet if other != self.peering.wire.me])
         self._settled()
 
     def close(self) -> None:
--- a/ironrail/peers/accord/core.py
+++ b/ironrail/peers/accord/core.py
@@ -20,6 +20,9 @@
 class Core(Leasing):
     """Parts that hear one another: voter, proposer, library."""
 
+    _pending: tuple[int, m.Prepare | m.Accept] | None = None  # the latest that couldn't be answered in full
+    _pending_at = math.inf  # when it can be, if nothing is heard
+
     def _settle(self, now: float) -> None:
         """Carry on until nothing follows any more from what came."""
         while True:
@@ -29,10 +32,12 @@
                     out, part.out = part.out, []
                     for to, message in out:
                         self._post(to, message)
+                        if isinstance(message, m.Accept):
+                            self._send_new(message.state, to)
             decided, self.proposer.decided = self.proposer.decided, []
             for state in decided:
                 self._learn(now, state)
-            if not self._own:
+            if not self._own and not self._go_back(now):
                 break
             own, self._own = self._own, []
             for message in own:
@@ -44,14 +49,47 @@
                 self._accepted, self._left_at = step, now
 
     def _fetch(self, now: float) -> None:
-        """Ask for documents: mostly any router, for the voters are few."""
+        """Ask again for documents; who told of a state was asked for them before."""
         self._fetch_at = now + FETCH_EVERY
+        sources = [source for source in self.path.sources(now) if source != self.conf.me]
         for digest in self.library.missing(self._states()):
-            voters, source = self.conf.voters, int(self._draw() * self.conf.routers)
-            if self.path.speaks(now) and self._draw() < 1 / 3:
-                source = voters[int(self._draw() * len(voters))]
-            if source != self.conf.me:
-                self._post(source, m.Want(digest))
+            if sources:
+                self._post(sources[int(self._draw() * len(sources))], m.Want(digest))
+
+    # what a voter was asked and couldn't answer yet
+
+    def _hindered(self, now: float, voter: Voter, message: m.Prepare | m.Accept) -> float:
+        """Until when at the latest, if nothing is heard, something stands against its full answer."""
+        if isinstance(message, m.Accept):
+            if self.library.missing([message.state]):
+                return math.inf
+            scope = message.state.scope
+        else:
+            accepted = voter.vouched.accepted
+            if accepted is None or accepted.new is None:
+                return -math.inf
+            scope = accepted.scope[1:]
+        return max(voter.quiet_until, voter.grants.ends_against(now, scope))
+
+    def _answer_later(self, now: float, sender: int, message: m.Prepare | m.Accept) -> None:
+        if self.voter:
+            hindered = self._hindered(now, self.voter, message)
+            self._pending = (sender, message) if hindered > now else None
+            self._pending_at = hindered if hindered > now else math.inf
+
+    def _go_back(self, now: float) -> bool:
+        """Answer what couldn't be answered when it was asked; whether there was something."""
+        if not self.voter or not self._pending:
+            return False
+        sender, message = self._pending
+        self._pending_at = self._hindered(now, self.voter, message)
+        if self._pending_at > now:
+            return False
+        self._pending, self._pending_at = None, math.inf
+        if message.ballot < self.voter.vouched.promised:
+            return False  # whoever asked has asked again, or is outvoted
+        self._vote(now, self.voter, sender, 0, message)
+        return True
 
     # what was left behind
 
@@ -87,9 +125,10 @@
             case m.Accepted() if sender in self.conf.voters:
                 proposer.accepted(now, sender, start, message)
             case m.Outvoted():
-                proposer.outvoted(message.promised)
+                proposer.outvoted(now, message.promised)
             case m.Decided():
                 self._learn(now, message.state)
+                self._take_early()
             case m.Want():
                 if found := self.library.get(message.digest):
                     self._post(sender, m.Document(found))
@@ -106,10 +145,12 @@
                 voter.ask(now, (sender, start), message, self.known)
             case m.Prepare():
                 voter.prepare(now, sender, message.ballot)
+                self._answer_later(now, sender, message)
             case m.Accept():
+                self._await(message.state)
                 missing = self.library.missing([message.state])
                 voter.accept(now, sender, message.ballot, message.state, not missing)
-                self._source(sender, missing)
+                self._answer_later(now, sender, message)
             case m.Recover() if sender in self.conf.voters:
                 voter.recover(sender, message.nonce)
             case m.Report() if sender in self.conf.voters:
@@ -122,6 +163,12 @@
             case _:
                 pass
 
+    def _await(self, state: m.State) -> None:
+        """A proposer sends the document right behind its word, and again with each attempt."""
+        for digest in self.library.missing([state]):
+            self._awaited = digest
+        self._take_early()
+
     def _source(self, sender: int, digests: list[bytes]) -> None:
         """Whoever speaks of a document has it."""
         for digest in digests:
@@ -132,19 +179,29 @@
     def _answered(self, now: float, sender: int, answer: m.Answer) -> None:
         if answer.decided:
             self._learn(now, answer.decided)
+            self._source(sender, self.library.missing([answer.decided]))
         voter = sender in self.conf.voters
         if self.voter and voter and sender != self.conf.me:
             self.voter.epoch_of(now, sender, answer.standing, answer.epoch)
+        if voter or answer.lasts > 0 or not answer.granted:
+            self.path.answered(now, sender, answer.granted)
         if answer.granted and voter != (answer.lasts > 0):
-            self.path.granted(sender)
-            if self.holder.granted(now, sender, answer.sequence, answer.lasts):
+            moved = self.holder.granted(now, sender, answer.sequence, answer.lasts)
+            if self.holder.fresh():
+                self._renewed(now)
+            if moved and self.holder.at:
                 self._renew(now)  # the voters hear at once that it decides by the new state
+                self._pass_on(self.holder.at, (router for router, _ in self.lent.lives(now)))
 
     def _document(self, data: bytes) -> None:
-        """Only one that was asked for is kept."""
+        """Only one that was asked for is kept, and the last that was not."""
         try:
-            policy = p.decode(data)
+            self._early = p.decode(data)
         except PolicyError:
             return
-        if p.digest(policy) in (*self.library.missing(self._states()), self._awaited):
-            self.library.add(policy)
+        self._take_early()
+
+    def _take_early(self) -> None:
+        if self._early and p.digest(self._early) in (*self.library.missing(self._states()), self._awaited):
+            self.library.add(self._early)
+            self._early = None
--- a/ironrail/peers/accord/grants.py
+++ b/ironrail/peers/accord/grants.py
@@ -61,6 +61,17 @@
             }
         )
 
+    def ends_against(self, now: float, scope: Scope) -> float:
+        """When the last of these leases has run out, if none is renewed; no time if there are none."""
+        entries = [e for e in self.entries.values() if now < e.until]
+        return max(
+            (e.until for e in entries if any(apart(scope, wish.scope) for wish in e.notes)), default=-math.inf
+        )
+
+    def lives(self, now: float) -> list[tuple[int, int]]:
+        """Processes whose leases last."""
+        return [life for life, entry in self.entries.items() if now < entry.until]
+
     def live(self, now: float) -> list[Note]:
         """What is decided by under leases that last."""
         return [wish for entry in self.entries.values() if now < entry.until for wish in entry.notes]
--- a/ironrail/peers/accord/leasing.py
+++ b/ironrail/peers/accord/leasing.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+from collections.abc import Iterable
 
 import msgspec
 
@@ -19,6 +20,9 @@
 from ironrail.peers.faces import Say, Topic
 
 RENEWALS = 3  # in a lease: two in a row may be lost
+SOON = 0.3  # seconds until what had no answer is asked again, doubled each time: round trips of 0.2 fit in
+MOST_VAIN = 8  # doublings that are counted
+APART = 0.2  # of a renewal by which it may come early, drawn: those that learn together mustn't keep step
 
 
 class Leasing:
@@ -40,7 +44,10 @@
         self._seed, self._draws = seed, 0
         self.need = len(conf.voters) // 2 + 1
         self.holder = Holder(conf.lease, self.need)
-        self.path, self.lent = Path(conf), Grants(conf.wait)  # to those that this router answers for
+        self.path, self.lent = (
+            Path(conf, self._draw),
+            Grants(conf.wait),
+        )  # to those that this router answers for
         me, start = conf.me, conf.start
         self.voter = (
             Voter(me, start, conf.voters, now, conf.wait, record, conf.disk) if me in conf.voters else None
@@ -52,8 +59,10 @@
         # routers that start together don't ask together
         self._renew_at = now + self._draw() * conf.lease / RENEWALS
         self._fetch_at = now
+        self._vain = 0  # asks in a row that were not granted
         self.unusable = 0  # messages that made no sense
         self._awaited = b""  # digest of a document that was asked for before its state was accepted
+        self._early: p.Policy | None = None  # the latest that came unasked: its state may be right behind it
         self._out: list[Say] = []
         self._own: list[m.Message] = []
 
@@ -83,7 +92,7 @@
     # what is known
 
     def _learn(self, now: float, state: m.State) -> None:
-        """A state that is decided."""
+        """A state that is decided. Its documents are mostly right behind it; else they are asked for."""
         if self.known and state.step <= self.known.step:
             return
         self.known, self._left_at = state, now
@@ -93,7 +102,26 @@
         change = self.proposer.change
         needed = {ref.digest for s in self._states() if s for ref in s.refs()}
         self.library.keep_only(needed | {change.ref.digest} if change and change.ref else needed)
-        self._fetch_at = now
+        self._fetch_at = now + SOON
+        if self.voter:
+            self._pass_on(state, self._own_part(self.voter.grants.lives(now)))
+
+    def _own_part(self, lives: Iterable[tuple[int, int]]) -> list[int]:
+        """Of those that ask all voters, the ones that this voter tells: an even part, not each one thrice."""
+        voters = self.conf.voters
+        return [router for router, _ in lives if voters[router % len(voters)] == self.conf.me]
+
+    def _pass_on(self, state: m.State, routers: Iterable[int]) -> None:
+        """Tell at once what they would learn by their next renewal, and a new document with it."""
+        for router in {*routers} - {self.conf.me}:
+            self._post(router, m.Decided(state))
+            self._send_new(state, router)
+
+    def _send_new(self, state: m.State, to: int) -> None:
+        """The document that is new in it."""
+        document = self.library.get(state.new.digest) if state.new else None
+        if document and to != self.conf.me:
+            self._post(to, m.Document(document))
 
     def _aim(self, now: float) -> None:
         """Go on to the state that is known, once its documents are here and can be worked by."""
@@ -106,7 +134,9 @@
             self._renew(now)
 
     def _renew(self, now: float) -> None:
-        self._renew_at = now + self.conf.lease / RENEWALS
+        period = self.conf.lease / RENEWALS
+        self._renew_at = now + min(period, SOON * 2**self._vain)
+        self._vain = min(self._vain + 1, MOST_VAIN)
         others = self.lent.live(now)
         ask = self.holder.ask(now, self.known, others)
         if known := self.known:
@@ -119,14 +149,24 @@
         for to in self.path.targets(now):
             self._post(to, ask)
 
+    def _renewed(self, now: float) -> None:
+        """The latest ask was granted: the next has time."""
+        self._vain = 0
+        self._renew_at = now + self.conf.lease / RENEWALS * (1 - APART * self._draw())
+
     def _lend(self, now: float, life: tuple[int, int], ask: m.Ask) -> None:
         """Another router asks for a part of this lease, as long as that lasts by the slower clock."""
         new = self.path.asked(now)
         until = min((self.holder.own_end(w.scope) for w in (ask.low, ask.high) if w), default=-math.inf)
+        behind = self._behind(now)
         granted = self.lent.ask(now, life, ask, 0, until)
         if granted is not None:
             lasts = (until - now) * self.conf.lease / self.conf.wait if granted else 0.0
             news = self.known if self.known and self.known.step > ask.knows else None
             self._post(life[0], m.Answer(ask.sequence, granted, False, 0, news, lasts))
-        if new:
-            self._renew(now)
+        if new or (behind and not self._behind(now)):
+            self._renew(now)  # the voters hear at once that nobody here is behind any more
+
+    def _behind(self, now: float) -> bool:
+        """Whether one whom this router answers for may decide by what is apart from the latest policy."""
+        return self.known is not None and bool(self.lent.against(now, self.known.scope[-1:]))
--- a/ironrail/peers/accord/messages.py
+++ b/ironrail/peers/accord/messages.py
@@ -11,6 +11,9 @@
 
 from ironrail.peers.faces import Priority
 
+SHORT = (
+    256  # bytes of a document that goes with leases, which wait for it; a long one would keep them waiting
+)
 EPOCH = 2**32  # steps (and versions) that one founding of the register may use
 Bytes16 = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
@@ -190,6 +193,6 @@
 
 def priority(message: Message) -> Priority:
     """What goes first."""
-    if isinstance(message, (Ask, Answer)):
+    if isinstance(message, (Ask, Answer)) or (isinstance(message, Document) and len(message.data) <= SHORT):
         return Priority.LEASE
     return Priority.STATE if isinstance(message, (Want, Document)) else Priority.VOTE
--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -31,6 +31,10 @@
     SETTLE = "as it is"  # the same state, for certain
 
 
+def _held(reply: Reply) -> bool:
+    return isinstance(reply.message, m.Promise) and bool(reply.message.held)
+
+
 @dataclass(slots=True)
 class Ticket:
     """One call for a change. It ends once, with `in_force` or with an error that tells why not."""
@@ -56,6 +60,8 @@
     deadline: float = math.inf  # of the ticket
     sent: bool = False  # the step to the new policy was sent out
     why: IronrailError | None = None  # it is taken back
+    unaware: bool = True  # of the ballots that voters know: it comes again at once, but only once
+    refusal: tuple[int, int, str] | None = None  # of any voter's promise
     held: tuple[int, ...] = ()  # routers that didn't acknowledge, as last told
     ballot: m.Ballot = m.Ballot()
     value: m.State | None = None  # that is to be accepted at this ballot
@@ -91,11 +97,14 @@
             change.again_at = now + AGAIN * (1 + self._draw())
             self.out += [(voter, m.Prepare(change.ballot)) for voter in self.voters]
 
-    def outvoted(self, promised: m.Ballot) -> None:
-        """Another one was faster; this one comes again with a higher ballot, not at once."""
+    def outvoted(self, now: float, promised: m.Ballot) -> None:
+        """A higher ballot: at first only news, for it may be long past; later somebody else is faster."""
         self.epoch = max(self.epoch, promised.epoch) if self.known is None else self.epoch
         if promised.epoch == self.epoch:
             self._number = max(self._number, promised.number)
+        if self.change and self.change.unaware:
+            self.change.unaware = False
+            self._prepare(now)
 
     def promised(self, now: float, voter: int, start: int, message: m.Promise) -> None:
         """A voter's promise; with a majority of them a state is chosen and sent out."""
@@ -103,9 +112,13 @@
         if not change or change.value or message.ballot != change.ballot:
             return
         change.replies[voter] = Reply(start, message.seen, message)
-        group = sound(change.replies, self.voters, self.need)
+        # any majority without leases against it will do: each lease needs one of them
+        clear = {v: r for v, r in change.replies.items() if not _held(r)}
+        group = sound(clear, self.voters, self.need) or sound(change.replies, self.voters, self.need)
         if not group:
             return
+        refusals = [r.message.refusal for r in change.replies.values() if isinstance(r.message, m.Promise)]
+        change.refusal = next((refusal for refusal in refusals if refusal), None)
         told = [
             r.message for v, r in change.replies.items() if v in group and isinstance(r.message, m.Promise)
         ]
@@ -143,10 +156,9 @@
             case Goal.JOIN:
                 self._end(errors.VersionError(f"version {state.tried} was tried already", "policy"))
             case Goal.FORWARD if mine and ref:
-                refusals = [p.refusal for p in told if p.refusal]
                 change.held = tuple(sorted({router for p in told for router in p.held}))
-                if refusals:
-                    router, _, why = refusals[0]
+                if change.refusal:
+                    router, _, why = change.refusal
                     self._back(errors.RefusedByError(why, f"router {router}"))
                 elif not change.held:
                     return state.next(ref)
@@ -173,7 +185,7 @@
         if not final:
             change.again_at = now
         elif change.goal is Goal.JOIN:
-            change.goal, change.again_at = Goal.FORWARD, now + AGAIN
+            change.goal, change.again_at = Goal.FORWARD, now  # voters answer once nobody holds it back
         else:
             self._end(change.why)
 
--- a/ironrail/peers/accord/room.py
+++ b/ironrail/peers/accord/room.py
@@ -151,7 +151,7 @@
 
     def wake_at(self) -> float:
         """When it wants to be woken."""
-        times = [self._renew_at, self.proposer.wake_at(), self._tend_at()]
+        times = [self._renew_at, self.proposer.wake_at(), self._tend_at(), self._pending_at]
         if self.library.missing(self._states()):
             times.append(self._fetch_at)
         if self.voter:
--- a/ironrail/peers/accord/stages.py
+++ b/ironrail/peers/accord/stages.py
@@ -90,6 +90,11 @@
         low, high = (*notes, None, None)[:2]
         return Ask(self.sequence, low, high, known.step if known else 0)
 
+    def fresh(self) -> bool:
+        """Whether what was asked for last is granted, by a majority or by who answers for this router."""
+        by_voters = sum(sequence == self.sequence for sequence in self._granted.values())
+        return by_voters >= self.majority or any(s == self.sequence for s, _ in self.lent.values())
+
     def _keep_only(self, scopes: tuple[Scope, ...]) -> None:
         """A voter's entry holds only what was last asked: an older grant of the rest is worth nothing."""
         for sequence, (at, held) in self._asked.items():
--- a/tests/peers/accord/still.py
+++ b/tests/peers/accord/still.py
@@ -13,6 +13,8 @@
 LEASE, DRIFT = 2.0, 0.1
 EVERY_TICK = {
     (leasing, "RENEWALS"): 2,
+    (leasing, "SOON"): 1.0,
+    (leasing, "MOST_VAIN"): 0,
     (core, "FETCH_EVERY"): 1.0,
     (core, "UNSETTLED"): 4.0,
     (core, "LEFT_BEHIND"): 0.3,
