--- a/tests/rehearsal/test_mutants.py
+++ b/tests/rehearsal/test_mutants.py
@@ -58,7 +58,7 @@
 
 
 @pytest.mark.sockets
-@pytest.mark.parametrize("scenario", ["short.toml", "errors.toml"])
+@pytest.mark.parametrize("scenario", ["short.toml", "errors.toml", "hang.toml"])
 def test_the_true_router_passes(scenario: str, tmp_path: Path) -> None:
     run = rehearse("true", scenario, tmp_path)
     assert (run.code, run.failed()) == (0, set())
--- a/tests/rehearsal/virtual/test_mutants.py
+++ b/tests/rehearsal/virtual/test_mutants.py
@@ -29,8 +29,9 @@
     return run, seed
 
 
-def test_the_true_router_passes(tmp_path: Path) -> None:
-    run, _ = rehearse("true", "short.toml", tmp_path)
+@pytest.mark.parametrize("scenario", ["short.toml", "hang.toml"])
+def test_the_true_router_passes(scenario: str, tmp_path: Path) -> None:
+    run, _ = rehearse("true", scenario, tmp_path)
     assert (run.code, run.failed()) == (0, set())
     assert run.report["digest"]
 
