The kit's command imports scipy and matplotlib only where they are used

Each run of the command loaded both for the experiments' statistics and the pages of traces, and each of the tests' worker processes beside. A test of the command's modules fails with the imports of before.

--- a/ironrail/recorded/looking.py
+++ b/ironrail/recorded/looking.py
@@ -11,7 +11,6 @@
 
 from ironrail.recorded.mix import HOT, Mix, differences, largest, mix_of
 from ironrail.recorded.options import MOST_SHOWN, NEW, TRACE, moment, plainly
-from ironrail.recorded.page import write_page
 from ironrail.recorded.trace import Trace
 from ironrail.rehearsal.command import FAILED, KEPT, make_console
 
@@ -66,6 +65,8 @@
 @plainly
 def show(file: Path, html_file: Path) -> None:
     """Plot rate, mix, popularity and sizes on a page that stands alone."""
+    from ironrail.recorded.page import write_page  # noqa: PLC0415 - plots take a second
+
     with Trace(file) as opened:
         html_file.write_text(write_page(file.name, mix_of(opened.entries())))
 
--- a/ironrail/rehearsal/experiments/compare.py
+++ b/ironrail/rehearsal/experiments/compare.py
@@ -14,8 +14,6 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from scipy import stats
-
 from ironrail.rehearsal.experiments.plan import Experiment, Run
 from ironrail.rehearsal.experiments.store import Outcome
 
@@ -69,6 +67,8 @@
 
 def interval(differences: list[float], level: float) -> Interval:
     """The mean and its interval; without bounds where there are too few."""
+    from scipy import stats  # noqa: PLC0415 - it takes longer than all else that the command imports
+
     count = len(differences)
     mean = sum(differences) / count if count else 0.0
     if count < LEAST_PAIRS:
--- a/ironrail/rehearse.py
+++ b/ironrail/rehearse.py
@@ -30,7 +30,6 @@
 from ironrail.rehearsal.faults.plan import PlanError
 from ironrail.rehearsal.load.schedule import Planned
 from ironrail.rehearsal.report.document import document
-from ironrail.rehearsal.report.page import write_page
 from ironrail.rehearsal.report.table import print_report
 from ironrail.rehearsal.routers import OWN_ROUTER
 from ironrail.rehearsal.run import Result
@@ -81,6 +80,8 @@
         else:
             Path(json_file).write_bytes(data)
     if html_file:
+        from ironrail.rehearsal.report.page import write_page  # noqa: PLC0415 - plots take a second
+
         Path(html_file).write_text(write_page(result))
 
 
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -197,11 +197,18 @@
     assert [kind for kind in FaultKind if f"`{kind}`" not in page] == []
 
 
-def test_the_daemon_imports_nothing_of_the_kit() -> None:
-    code = (
-        "import sys, ironrail.__main__, ironrail.simhost;"
-        "kit = {'click', 'rich', 'pydantic', 'matplotlib', 'jinja2', 'psutil', 'numpy'};"
-        "print([m for m in sys.modules if m.startswith('ironrail.rehearsal') or m.split('.')[0] in kit])"
-    )
+def imported(code: str) -> set[str]:
+    """The modules that a new process has once it has run this."""
+    code += "; import sys; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
-    assert done.stdout.strip() == "[]"
+    return set(done.stdout.split())
+
+
+def test_the_daemon_imports_nothing_of_the_kit() -> None:
+    kit = {"click", "rich", "pydantic", "matplotlib", "jinja2", "psutil", "numpy", "ironrail.rehearsal"}
+    assert not imported("import ironrail.__main__, ironrail.simhost") & kit
+
+
+def test_the_command_imports_late_what_takes_longer_than_all_the_rest() -> None:
+    modules = imported("from ironrail.cli import _commands; _commands()")
+    assert "ironrail.rehearsal" in modules and not modules & {"scipy", "matplotlib"}
