--- a/tests/access/test_access.py
+++ b/tests/access/test_access.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import io
 import json
 import logging
 from collections import Counter
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -26,7 +24,7 @@
 from ironrail.rehearsal.routers import OWN_ROUTER
 from ironrail.rehearsal.scenario.reader import parse_scenario
 from ironrail.rehearsal.virtual.play import play_virtual
-from tests.peers import World, scenario
+from tests.peers import World, scenario, until
 from tests.recorded.samples import importer
 
 SECRET = b"0123456789abcdef"
@@ -111,11 +109,6 @@
     assert (folder / "a.jsonl").read_bytes() == b"three\n"
 
 
-async def until(holds: Callable[[], bool]) -> None:
-    while not holds():
-        await asyncio.sleep(0.01)
-
-
 def rows_of(path: Path) -> list[dict[str, Any]]:
     return [json.loads(row) for row in path.read_bytes().splitlines()] if path.exists() else []
 
--- a/tests/outcomes/test_ends.py
+++ b/tests/outcomes/test_ends.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from dataclasses import replace
 
@@ -17,7 +16,7 @@
 from ironrail.policy.balance import Router
 from ironrail.policy.interface import Status
 from tests.outcomes.bench import Bench, Script
-from tests.peers import LOCAL, SETTINGS, Peer, scenario
+from tests.peers import LOCAL, SETTINGS, Peer, scenario, until
 
 
 @scenario
@@ -161,11 +160,9 @@
         command = Command(b"k", name.encode(), info, read_fields(info), None)
         host.take(command, answers.append)
     assert asked == ["list"]
-    while not answers:
-        await asyncio.sleep(0.001)
+    await until(lambda: answers)
     assert answers[0].startswith(b"SERVER_ERROR busy") and not peer.opened
     host.servers(news, {"s": (LOCAL, peer.port)})
     (await peer.next()).reply(b"VA 1 O2 h1\r\nv\r\n")
-    while len(answers) < 2:
-        await asyncio.sleep(0.001)
+    await until(lambda: len(answers) == 2)
     assert answers[1].startswith(b"VA 1 O2")
--- a/tests/peers/__init__.py
+++ b/tests/peers/__init__.py
@@ -38,6 +38,12 @@
     return run
 
 
+async def until(holds: Callable[..., object], *args: object) -> None:
+    """Look again and again: for what no event tells of."""
+    while not holds(*args):
+        await asyncio.sleep(0.002)
+
+
 @dataclass(eq=False)
 class Message:
     """Something a peer was sent."""
--- a/tests/rehearsal/stage.py
+++ b/tests/rehearsal/stage.py
@@ -88,11 +88,6 @@
     return Wire(*await asyncio.open_connection(host, int(port)))
 
 
-async def until(test: object, *args: object) -> None:
-    while not test(*args):  # type: ignore[operator]
-        await asyncio.sleep(0.002)
-
-
 async def ask(connection: Wire, target: str) -> dict[str, object]:
     connection.writer.write(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
     _, body = await connection.response()
--- a/tests/rehearsal/test_new_days.py
+++ b/tests/rehearsal/test_new_days.py
@@ -19,8 +19,8 @@
 from ironrail.rehearsal.virtual.network import Network
 from ironrail.rehearsal.virtual.play import play_virtual
 from ironrail.rehearsal.virtual.trace import Trace
-from tests.peers import scenario
-from tests.rehearsal.stage import R, stage, until, wire
+from tests.peers import scenario, until
+from tests.rehearsal.stage import R, stage, wire
 from tests.rehearsal.test_mutants import FOLDER
 
 CONNECTIONS = 12
--- a/tests/rehearsal/test_standins.py
+++ b/tests/rehearsal/test_standins.py
@@ -8,8 +8,8 @@
 
 from ironrail.rehearsal.account.record import Ended
 from ironrail.rehearsal.scenario.faults import FaultKind
-from tests.peers import scenario
-from tests.rehearsal.stage import FAST, R, stage, until, wire
+from tests.peers import scenario, until
+from tests.rehearsal.stage import FAST, R, stage, wire
 
 
 @scenario
--- a/tests/rehearsal/test_standins_list.py
+++ b/tests/rehearsal/test_standins_list.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import cast
 
-from tests.peers import scenario
-from tests.rehearsal.stage import R, ask, stage, until, wire
+from tests.peers import scenario, until
+from tests.rehearsal.stage import R, ask, stage, wire
 
 
 @scenario
--- a/tests/test_clients_ends.py
+++ b/tests/test_clients_ends.py
@@ -8,7 +8,7 @@
 
 from ironrail.connections import downstream
 from ironrail.net import clients
-from tests.peers import World, scenario
+from tests.peers import World, scenario, until
 from tests.test_clients import P, is_ready
 
 
@@ -88,8 +88,7 @@
     got = await world.cache.next()
     client.send(b"ms k 60000000 O2 " + P + b"\r\n" + b"x" * 60_000_000)
     place = next(iter(world.node._clients.places))
-    while not place.ending:
-        await asyncio.sleep(0)
+    await until(lambda: place.ending)
     got.reply_value(b"v")
     assert await client.value("1") == b"v"
     assert (await client.line()).startswith(b"CLIENT_ERROR ")
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -11,7 +11,7 @@
 from ironrail.connections.room import Room
 from ironrail.net import memcache
 from ironrail.net.host import STREAM_ROOM
-from tests.peers import Client, Message, World, scenario
+from tests.peers import Client, Message, World, scenario, until
 
 LONG = bytes(range(256)) * 4096  # 1 MiB
 HEAD = b"VA %d O1 h1\r\n" % len(LONG)
@@ -107,12 +107,10 @@
     huge = bytes(memcache.MAX_VALUE)
     got.reply(b"VA %d O1 h1\r\n" % len(huge) + huge + b"\r\n")
     host = world.node._host
-    while not (host._held and next(iter(host._held.values())).streaming):
-        await asyncio.sleep(0)
+    await until(lambda: host._held and next(iter(host._held.values())).streaming)
     link = next(iter(host._open.values()))[0].link
     assert link is not None
-    while not link.full:
-        await asyncio.sleep(0.001)
+    await until(lambda: link.full)
     other = await world.client()
     other.get("2")
     (await world.cache.next()).reply_value(b"v")
@@ -195,11 +193,9 @@
     assert room.take("another", len(LONG))
     leaver, stays = await world.client(), await world.client()
     leaver.send(b"ms k %d O1 Pc=once,t=x,d=5000\r\n" % len(LONG) + LONG[:-1000])
-    while not room._queue:
-        await asyncio.sleep(0)
+    await until(lambda: room._queue)
     stays.put("2", LONG)
-    while len(room._queue) < 2:
-        await asyncio.sleep(0)
+    await until(lambda: len(room._queue) == 2)
     leaver.close()
     room.give_back("another")
     world.node._clients.let_in()  # the leaver, who is found to be gone
