--- /dev/null
+++ b/ironrail/rehearsal/links/tierwatch.py
@@ -0,0 +1,86 @@
+"""Looks from outside at what every router of a tier decides by, at every change of it.
+
+The promise: no two routers decide by what is apart, that is without a version in common that holds all of the
+other's. A router may begin to decide by something only in an event of its own; so that is where all others are
+looked at, those that stand still or are cut off too: at that instant, by their own clocks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ironrail.peers.accord.messages import EPOCH, Scope, State
+from ironrail.peers.accord.stages import apart
+
+if TYPE_CHECKING:
+    from ironrail.rehearsal.links.tier import TierRouter
+
+MOST_KEPT = 100  # mixed instants of which the words are kept
+
+
+class TierWatch:
+    """Counts what must not be, and what was looked at."""
+
+    def __init__(self) -> None:
+        self.looks = self.mixed = self.conflicts = 0
+        self.words: list[str] = []
+        self._by: dict[Scope, dict[int, TierRouter]] = {}  # who decided by this when last looked at
+        self._last: dict[int, tuple[Scope, float]] = {}  # and until when by its own clock
+        self._steps: dict[int, State] = {}  # each is decided once
+        self._documents: dict[int, bytes] = {}  # each version, with its epoch, means one document
+
+    def looked(self, router: TierRouter, settled: Callable[[], None]) -> None:
+        """After each event of a router; `settled`: what the daemon does then."""
+        settled()
+        assert router.together is not None and router.together.policies is not None
+        self.looks += 1
+        now = router.system.now()
+        room = router.together.policies.room
+        scope = scope_of(router, now)
+        before, until = self._last.get(router.number, ((), 0.0))
+        self._last[router.number] = scope, router.together.policies._until
+        if scope != before or now >= until:
+            if scope != before:
+                self._by.get(before, {}).pop(router.number, None)
+            if scope:
+                self._by.setdefault(scope, {})[router.number] = router
+                self._compare(router, scope)
+        if room.known is not None:
+            self._register(router, room.known)
+
+    def _compare(self, router: TierRouter, scope: Scope) -> None:
+        for other, them in self._by.items():
+            if not apart(scope, other):
+                continue
+            for one in list(them.values()):
+                if apart(scope, scope_of(one, one.system.now())):
+                    self._note(f"{router.name} decides by {scope}, {one.name} by {other}")
+                    self.mixed += 1
+
+    def _register(self, router: TierRouter, known: State) -> None:
+        if (held := self._steps.get(known.step)) is known:
+            return
+        if self._steps.setdefault(known.step, known) != known:
+            self.conflicts += 1
+            self._note(f"{router.name}: step {known.step} is {known}, and {held}")
+        for ref in known.refs():
+            version = known.step // EPOCH * EPOCH + ref.version
+            if self._documents.setdefault(version, ref.digest) != ref.digest:
+                self.conflicts += 1
+                self._note(f"{router.name}: version {ref.version} has two documents")
+
+    def _note(self, words: str) -> None:
+        if len(self.words) < MOST_KEPT:
+            self.words.append(words)
+
+
+def scope_of(router: TierRouter, now: float) -> Scope:
+    """What a decision at this instant of its clock would obey: as the driver finds it, not the room alone."""
+    process, together = router.process, router.together
+    if process is None or not process.alive or together is None or together.policies is None:
+        return ()
+    policies = together.policies
+    if policies._followed is not None and now < policies._until:
+        return policies._followed.scope
+    return policies.room.decides_by(now).scope
