--- a/benchmarks/accord_memory.py
+++ b/benchmarks/accord_memory.py
@@ -1,9 +1,9 @@
-"""Memory that `[peers]` takes of one router of so many: resident, of two fresh processes, with it and without.
+"""Memory that `[peers]` takes of one router of so many: resident, of fresh processes, with it and without.
 
     PYTHONPATH=. python benchmarks/accord_memory.py [--routers 1000] [--runs 5]
 
-With it: the modules and one `Together` that has just begun. What a router holds of others after a while (their
-windows and leases) is told by `accord_fleet.py` as bytes of objects, without the modules.
+With it: the modules and one `Together` that has just begun. What a router holds of others after a while
+(their windows and leases) is told by `accord_fleet.py` as bytes of objects, without the modules.
 """
 
 from __future__ import annotations
