--- a/ironrail/rehearsal/links/datagrams.py
+++ b/ironrail/rehearsal/links/datagrams.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from ironrail.net.lists import read_address
@@ -29,6 +30,9 @@
         self._exchange, self._loop = exchange, asyncio.get_running_loop()
         self._listens = {name: read_address(address) for name, address in listens.items()}
         self.strays = 0  # from anywhere but the router whose socket it is
+        self.tap: Callable[[str, bytes], bool] = lambda source, data: (
+            True
+        )  # sees each first; False: it is lost
         self._sockets: dict[tuple[str, str | None], socket.socket] = {}
         for name in listens:
             for other in [*(o for o in listens if o != name), None]:
@@ -61,6 +65,8 @@
             if address != self._listens[name]:
                 self.strays += 1
                 continue
+            if not self.tap(name, data):
+                continue
             for target, delay in self._exchange.sent(name, other, len(data)):
                 if delay:
                     self._loop.call_later(delay, self._hand_over, name, target, data)
--- a/ironrail/rehearsal/links/rig.py
+++ b/ironrail/rehearsal/links/rig.py
@@ -87,7 +87,7 @@
         """`observe`: a page of the routers' own door that is asked for every so many seconds."""
         self._places = Places.of(scenario)
         check(plan, self._places, scenario.length)
-        super().__init__(_judged(scenario, plan, self._places), seed, ground=ground, **others)
+        super().__init__(judged(scenario, plan, self._places), seed, ground=ground, **others)
         self._linked, self._steps = ground, steps(plan)
         self._spells: list[Spell] = []
         self._failed: Exception | None = None
@@ -216,7 +216,7 @@
                 spell.ended = self._world.now() + late
 
 
-def _judged(scenario: Scenario, plan: Sequence[LinkFault], places: Places) -> Scenario:
+def judged(scenario: Scenario, plan: Sequence[LinkFault], places: Places) -> Scenario:
     """Guards against a verdict on what nobody saw: of bytes held on the way a stand-in does not know, and a
     router that waits for their answer looks as if it kept its own back."""
     hidden = any(f.kind in LINKS and on_connections(path_of(f.on, places), places) for f in plan)
--- a/tests/rehearsal/links/test_accord.py
+++ b/tests/rehearsal/links/test_accord.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from ironrail.rehearsal.links.accords import ROUTERS, VOTERS, Stage, play
 from ironrail.rehearsal.links.plan import link_fault
-from tests.rehearsal.links.accord_stage import ROUTERS, VOTERS, Stage, play
 
 ALL = [f"router-{n + 1}" for n in range(ROUTERS)]
 
