--- a/ironrail/rehearsal/links/accord_draws.py
+++ b/ironrail/rehearsal/links/accord_draws.py
@@ -1,4 +1,4 @@
-"""Plans for accords drawn from a seed: what goes wrong, and which router is asked for which change when. Pure."""
+"""Plans for accords drawn from a seed: what goes wrong, and who is asked for which change when. Pure."""
 
 from __future__ import annotations
 
@@ -46,7 +46,8 @@
         if sort == "link":
             plan.append(_fault(draws, draws.choice(ON_LINKS), _path(draws, scenario), at, lasts))
         elif sort == "hall":
-            plan.append(_fault(draws, Kind.CUT, f"{draws.choice(scenario.halls.names)} <> all", at, lasts))
+            alone, *others = draws.sample(list(scenario.halls.names), len(scenario.halls.names))
+            plan += [_fault(draws, Kind.CUT, f"{alone} <> {other}", at, lasts) for other in others]
         elif sort == "process" and processes:
             kind = draws.choice((Kind.KILL, Kind.STOP, Kind.TERM))
             if kind is Kind.TERM:
@@ -64,12 +65,12 @@
     """In order of time, with versions from the first on; some at one time at two routers."""
     draws, names = stream(seed, "accords.changes"), router_names(scenario)
     times = sorted(draws.uniform(0.0, length) for _ in range(draws.randint(*CHANGES)))
-    changes = []
-    for version, at in enumerate(times, first):
-        if changes and draws.random() < TOGETHER:
-            at = changes[-1].at
+    changes: list[Asked] = []
+    for version, drawn in enumerate(times, first):
+        together = changes and draws.random() < TOGETHER
+        at = changes[-1].at if together else math.floor(drawn * 1000) / 1000
         others = [name for name in names if not changes or name != changes[-1].router]
-        changes.append(Asked(math.floor(at * 1000) / 1000, draws.choice(others), version))
+        changes.append(Asked(at, draws.choice(others), version))
     return changes
 
 
