--- a/benchmarks/accord_plans.py
+++ b/benchmarks/accord_plans.py
@@ -3,9 +3,9 @@
     PYTHONPATH=. python benchmarks/accord_plans.py [--plans 200] [--seed 1] [--at-once 2] [--file FILE]
 
 Each plan: seven routers in three halls, lease 1 s, about 10 s of faults and changes, then the time until all
-agree. One JSON line for each is appended to the file as it ends; those that stand there are not played again, so
-that a run may be cut off at any time. `--summary` only tells what stands there; `--one SEED` plays one plan
-again, with logs if anything was wrong.
+agree. One JSON line for each is appended to the file as it ends; those that stand there are not played again,
+and a run may be cut off at any time. `--summary` tells what stands there; `--one SEED` plays one plan again,
+with logs if anything was wrong.
 """
 
 from __future__ import annotations
@@ -26,14 +26,15 @@
 from typing import Any
 
 from ironrail.rehearsal.links.accord_draws import Asked, draw_changes, draw_faults
-from ironrail.rehearsal.links.accords import VOTERS, Stage, play, world
+from ironrail.rehearsal.links.accord_rig import VOTERS, world
+from ironrail.rehearsal.links.accords import Stage, play
 from ironrail.rehearsal.routers import end_with_parent
 from ironrail.rehearsal.run import Result
 
 FILE = Path(__file__).parent / "results" / "accord_plans.jsonl"
 LENGTH = 10.0  # seconds of faults
 CHANGES_IN = 9.0  # seconds in which changes are asked for
-DEADLINE = 6.0  # seconds of a change; one left behind is taken back after 15 s, later by the second voter
+TIMES = (6.0, 15.0)  # seconds until a change is given up, and until one left behind is; the daemon's x 0.3
 AGREED_IN = (
     60.0  # seconds after the last fault: an open ticket 12, joint left behind 23, elections and leases
 )
@@ -142,7 +143,7 @@
             played.run,
             scenario=played.scenario,
             seed=seed,
-            deadline=DEADLINE,
+            times=TIMES,
             foreseen=played.faults,
         )
     told = line(seed, stage, result, played, time.monotonic() - began)
@@ -158,12 +159,7 @@
     """Play one plan in a process of its own, which can crash or hang alone."""
     command = [sys.executable, __file__, "--one", str(seed), "--logs", str(logs)]
     child = subprocess.Popen(
-        command,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-        start_new_session=True,
-        preexec_fn=end_with_parent,
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, start_new_session=True
     )
     try:
         out, err = child.communicate(timeout=HANGS)
@@ -227,6 +223,7 @@
     parser.add_argument("--one", type=int)
     given = parser.parse_args()
     if given.one is not None:
+        end_with_parent()  # the run may be cut off
         print(json.dumps(one(given.one, given.logs)))
         return
     before = read(given.file)
@@ -234,6 +231,8 @@
     if not given.summary and seeds:
         given.file.parent.mkdir(exist_ok=True)
         with ThreadPoolExecutor(given.at_once) as pool, given.file.open("a") as file:
+            if before and not given.file.read_bytes().endswith(b"\n"):
+                file.write("\n")  # the run before was cut off within a line
             for future in as_completed([pool.submit(apart_process, seed, given.logs) for seed in seeds]):
                 file.write(json.dumps(future.result()) + "\n")
                 file.flush()
--- a/ironrail/rehearsal/links/accord_launch.py
+++ b/ironrail/rehearsal/links/accord_launch.py
@@ -1,7 +1,7 @@
-"""As `launch`, with another deadline for a change, in seconds: the first argument.
+"""As `launch`, with other times for a change: seconds until it is given up, and until one left behind is.
 
-What a proposer left behind is taken back after a multiple of that deadline: 50 s with the daemon's own, too
-long for a run of seconds. Nothing else of the daemon differs.
+What a proposer left behind is taken back after 50 s with the daemon's own, too long for a run of seconds.
+Nothing else of the daemon differs.
 """
 
 from __future__ import annotations
@@ -13,13 +13,14 @@
 from ironrail.rehearsal.links import launch
 
 
-def shorten(seconds: float) -> None:
-    """Have changes of this process end, and those left behind be taken back, as if the deadline were this."""
+def shorten(deadline: float, left_behind: float) -> None:
+    """Have this process use these."""
     constants = vars(core)
     assert AccordRoom.propose.__defaults__ == (constants["DEADLINE"],), "the deadline stands elsewhere now"
-    constants["DEADLINE"], AccordRoom.propose.__defaults__ = seconds, (seconds,)
+    AccordRoom.propose.__defaults__ = (deadline,)
+    constants["DEADLINE"], constants["LEFT_BEHIND"] = deadline, left_behind / deadline
 
 
 if __name__ == "__main__":
-    shorten(float(sys.argv[1]))
-    sys.exit(launch.main(sys.argv[2:]))
+    shorten(float(sys.argv[1]), float(sys.argv[2]))
+    sys.exit(launch.main(sys.argv[3:]))
--- a/ironrail/rehearsal/links/accord_watch.py
+++ b/ironrail/rehearsal/links/accord_watch.py
@@ -5,6 +5,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
+from ironrail.peers.accord import messages as m
+from ironrail.peers.faces import Topic
+from ironrail.peers.wire.layout import HEAD_BYTES, LEAST_DATAGRAM, MAC_BYTES, read_head
+
 
 @dataclass(frozen=True, slots=True)
 class Decides:
@@ -41,3 +47,16 @@
 
 def _later(new: Decides, one: Decides, against: Callable[[tuple[int, ...], tuple[int, ...]], bool]) -> bool:
     return new.told <= one.asked and against(new.versions, one.versions)
+
+
+def spoken(datagram: bytes) -> m.Message | None:
+    """What a datagram says about accords, its MAC not looked at; None for anything else, and for pieces."""
+    if len(datagram) < LEAST_DATAGRAM:
+        return None
+    head = read_head(datagram)
+    if head.topic != Topic.ACCORD or head.piece:
+        return None
+    try:
+        return m.decode(datagram[HEAD_BYTES:-MAC_BYTES])
+    except msgspec.MsgspecError:
+        return None
--- a/ironrail/rehearsal/links/accords.py
+++ b/ironrail/rehearsal/links/accords.py
@@ -18,102 +18,27 @@
 
 import uvloop
 
+from ironrail.errors import IronrailError
+from ironrail.rehearsal.links.accord_rig import LONGEST, Staged, operator_file, world
 from ironrail.rehearsal.links.accord_watch import Decides, apart, mixed
 from ironrail.rehearsal.links.grounds import RealLinks
 from ironrail.rehearsal.links.paths import Places
-from ironrail.rehearsal.links.plan import LinkFault, Step, check, steps
-from ironrail.rehearsal.links.rig import LinkedRehearsal, judged
+from ironrail.rehearsal.links.plan import LinkFault, check, steps
+from ironrail.rehearsal.links.rig import judged
 from ironrail.rehearsal.run import Result
 from ironrail.rehearsal.scenario.model import Scenario
-from ironrail.rehearsal.scenario.names import hall_of, router_names
+from ironrail.rehearsal.scenario.names import router_names
 
-ROUTERS = 7
-VOTERS = (0, 1, 2)  # one in each hall
-LEASE = 1.0  # seconds
-DEADLINE = 20.0  # seconds of a change: the daemon's own
+TIMES = (20.0, 50.0)  # seconds until a change is given up, and until one left behind is: the daemon's own
 EVERY = 0.03  # seconds between two looks at a router
 PATIENCE = 0.5  # seconds for its answer: a process that stands still must not hold up the next look for long
-LONGEST = 150.0  # seconds of load at the most: whatever was to be seen by then never comes
 SEED = 3
 
 
-def world(routers: int = ROUTERS) -> Scenario:
-    return Scenario.model_validate(
-        {
-            "summary": "accords",
-            "length": f"{LONGEST} s",
-            "warm_up": "300 ms",
-            "load": {"rate": 40},
-            "routers": {"count": routers},
-            "caches": {"count": 6},
-        }
-    )
-
-
-def operator_file(folder: Path, scenario: Scenario, lease: float = LEASE) -> Path:
-    """The same for all routers; voters keep their records below `folder`."""
-    (folder / "key").write_bytes(b"a key of all routers")
-    halls = [hall_of(scenario, n) for n in range(scenario.routers.count)]
-    for voter in VOTERS:
-        (folder / f"keep-{voter}").mkdir()
-    path = folder / "operator.toml"
-    path.write_text(
-        f"[peers]\nkeys = {{ '1' = '{folder}/key' }}\nsending = 1\nhalls = {halls}\nvoters = {list(VOTERS)}\n"
-        f"lease_ms = {lease * 1000:.0f}\nkeep = '{folder}/keep-{{index}}'\nstart = 'floor'\n"
-    )
-    return path
-
-
-class Staged(LinkedRehearsal):
-    """Tells when its load begins, and ends it once it is told to."""
-
-    def __init__(self, scenario: Scenario, seed: int, *, least: float, **others: Any) -> None:
-        """`least`: seconds of load."""
-        super().__init__(scenario, seed, **others)
-        self._least = least
-        self.began, self.over = asyncio.Event(), asyncio.Event()
-        self._begun: dict[int, LinkFault] = {}
-
-    def door_of(self, router: str) -> tuple[str, int]:
-        return self._routers[router].door
-
-    def log_of(self, router: str) -> str:
-        """What its processes said so far, the end of it if it is long."""
-        return self._routers[router].log.decode(errors="replace")
-
-    def now(self) -> float:
-        """Seconds since the start of the load that counts."""
-        return self._world.now()
-
-    async def _carry_out(self) -> None:
-        self.began.set()
-        await super()._carry_out()
-
-    async def _load(self) -> None:
-        loading = asyncio.ensure_future(super()._load())
-        over = asyncio.ensure_future(self.over.wait())
-        try:
-            await asyncio.wait([loading, over], return_when=asyncio.FIRST_COMPLETED)
-            if not loading.done():
-                await asyncio.sleep(max(0.0, self._least - self.now()))
-        finally:
-            over.cancel()
-            if not loading.cancel():
-                loading.result()
-            await asyncio.gather(loading, return_exceptions=True)
-        ended = min(self.now(), self._scenario.length)
-        self._schedule = [planned for planned in self._schedule if planned.at <= ended]
-        self._scenario = self._scenario.model_copy(update={"length": ended})
+class StageError(IronrailError):
+    """The routers of a run of accords didn't come up."""
 
-    def begin(self, fault: LinkFault) -> int:
-        """At once; to be ended by the number."""
-        number = len(self._steps) // 2 + len(self._begun)
-        self._begun[number] = fault
-        self._step(Step(self.now(), True, number, fault))
-        return number
-
-    def end(self, number: int) -> None:
-        self._step(Step(self.now(), False, number, self._begun[number]))
+    advice = "Look at what they logged; addresses or memory may be taken by other runs on the machine"
 
 
 @dataclass
@@ -216,6 +141,12 @@
         return apart(self.seen)
 
 
+def _unready(result: Result) -> str:
+    """Who isn't ready, and the end of what it logged."""
+    facts = result.record.routers.items()
+    return "; ".join(f"{n}: {f.crashed} {result.logs[n][-300:]!r}" for n, f in facts if not f.ready)
+
+
 def play(
     folder: Path,
     plan: Sequence[LinkFault],
@@ -224,7 +155,7 @@
     *,
     scenario: Scenario | None = None,
     seed: int = SEED,
-    deadline: float = DEADLINE,
+    times: tuple[float, float] = TIMES,
     foreseen: Sequence[LinkFault] = (),
 ) -> tuple[Stage, Result]:
     """Run all of it; the load ends after `meanwhile`, and lasts so many seconds at the least.
@@ -240,7 +171,7 @@
     async def run() -> tuple[Stage, Result]:
         path = operator_file(folder, scenario)
         launch = (sys.executable, "-B", "-m", "ironrail.rehearsal.links.accord_launch")
-        ground = RealLinks(scenario, seed, (*launch, str(deadline), "--operator", str(path)))
+        ground = RealLinks(scenario, seed, (*launch, *map(str, times), "--operator", str(path)))
         rehearsal = Staged(scenario, seed, plan=plan, ground=ground, least=least)
         stage = Stage(rehearsal, router_names(scenario))
         ground.datagrams.tap = lambda source, data: all(tap(source, data) for tap in stage.taps)
@@ -250,7 +181,8 @@
             beginning = asyncio.ensure_future(rehearsal.began.wait())
             await asyncio.wait([beginning, running], return_when=asyncio.FIRST_COMPLETED)
             beginning.cancel()
-            assert not running.done(), f"no router serves: {running.result().no_verdict}"
+            if running.done():
+                raise StageError(_unready(running.result()))
             watchers = [asyncio.ensure_future(stage.watch(router)) for router in stage.routers]
             await meanwhile(stage)
             rehearsal.over.set()
