--- a/benchmarks/accord_plans.py
+++ b/benchmarks/accord_plans.py
@@ -111,6 +111,18 @@
     return found
 
 
+def stalls(result: Result) -> dict[str, float]:
+    """The longest time, in seconds, that each process found itself held up: by a fault, or by the machine."""
+    found: dict[str, float] = {}
+    for name, text in result.logs.items():
+        told = [
+            json.loads(row) for row in text.splitlines() if '"stood_still"' in row and row.startswith("{")
+        ]
+        if told:
+            found[name] = max(row["seconds"] for row in told)
+    return found
+
+
 def line(seed: int, stage: Stage, result: Result, played: Played, took: float) -> dict[str, Any]:
     """What is kept of one plan."""
     promises = wrong(stage, played)
@@ -123,7 +135,8 @@
         "wrong": promises[:5],
         "looks": len(stage.seen),
         "joint_looks": sum(len(one.versions) == 2 for one in stage.seen),
-        "rules": [f"{v.rule}: {v.what}" for v in result.broken][:5],
+        "rules": [f"{v.at:.2f} {v.rule}: {v.what}; {v.history}" for v in result.broken][:5],
+        "stood_still": stalls(result),
         "verdicts": sorted(v.name for v in result.verdicts if not v.kept),
         "crashed": {n: f.crashed for n, f in result.record.routers.items() if f.crashed},
         "service": round(result.service.whole.share, 4),
@@ -136,16 +149,8 @@
     """Play one plan, in this process."""
     began, played = time.monotonic(), Played(seed)
     with tempfile.TemporaryDirectory(prefix="accord-") as folder:
-        stage, result = play(
-            Path(folder),
-            [],
-            0.0,
-            played.run,
-            scenario=played.scenario,
-            seed=seed,
-            times=TIMES,
-            foreseen=played.faults,
-        )
+        how: dict[str, Any] = {"scenario": played.scenario, "seed": seed, "times": TIMES}
+        stage, result = play(Path(folder), [], 0.0, played.run, foreseen=played.faults, **how)
     told = line(seed, stage, result, played, time.monotonic() - began)
     if logs is not None and (told["wrong"] or told["rules"] or told["crashed"] or told["agreed"] is None):
         logs.mkdir(parents=True, exist_ok=True)
