--- a/ironrail/rehearsal/links/accord_launch.py
+++ b/ironrail/rehearsal/links/accord_launch.py
@@ -1,7 +1,7 @@
 """As `launch`, with other times for a change, which are the first three arguments.
 
-They are in seconds: until it is given up, until one left behind is taken back, until a voter finishes a step that
-it never heard the end of. The daemon's own are too long for a run of seconds; nothing else of it differs.
+In seconds: until it is given up, until one left behind is taken back, until a voter finishes a step
+that it never heard the end of. The usual ones are too long for a run of seconds. Nothing else differs.
 """
 
 from __future__ import annotations
