--- a/tests/rehearsal/links/test_accord_faults.py
+++ b/tests/rehearsal/links/test_accord_faults.py
@@ -37,11 +37,13 @@
             await asyncio.sleep(LOOK)
 
 
-async def taken_up(stage: Stage, router: str, version: int) -> None:
+async def taken_up(stage: Stage, router: str, version: int, over: Callable[[], bool] = lambda: False) -> None:
     """Ask until it takes the change up: one who just came back, or lost its lease for a moment, says no."""
     async with asyncio.timeout(LONG):
-        while (await stage.propose(router, version))[0] != 202:
-            await asyncio.sleep(0.2)
+        while not over() and (await stage.propose(router, version))[0] != 202:
+            if (await stage.policy(router)).get("change", {}).get("version") == version:
+                return  # its answer came too late, or not at all
+            await asyncio.sleep(LOOK)
 
 
 @pytest.mark.sockets
@@ -88,7 +90,7 @@
     async def ask(self, version: int) -> None:
         """Until it is killed, or says that the change has ended before."""
         self.version = version
-        await taken_up(self._stage, self._router, version)
+        await taken_up(self._stage, self._router, version, self.done.is_set)
         async with asyncio.timeout(LONG):
             while not self.done.is_set():
                 change = (await self._stage.policy(self._router)).get("change")
