--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -146,8 +146,8 @@
         match change.goal:
             case Goal.JOIN if ref and state.new is None and ref.version > state.tried:
                 return state.next(state.old, ref, (self.me, self.start))
-            case Goal.JOIN | Goal.FORWARD if ref and state.new is None and state.old == ref:
-                self._end()
+            case Goal.JOIN | Goal.FORWARD if ref and state.old == ref:
+                self._end()  # another may have finished its last step, and begun a change from it
             case Goal.JOIN if mine:
                 change.goal = Goal.FORWARD
                 return self._next(change, state, told)
