Links between halls as a further reason to go on clockwise; words in two files

Need: the map of latency is to be decided by. Here has a file of its own, as halls and readers made a circle of imports.

--- a/ironrail/net/halls.py
+++ b/ironrail/net/halls.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ironrail.door.calls import Page
+from ironrail.net.here import Here
 from ironrail.peers.latency.room import LatencyRoom
 
-if TYPE_CHECKING:
-    from ironrail.net.together import Here
-
 
 class HallsMap:
     """One router's part in the map."""
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING
 
 from ironrail.door.calls import Page
+from ironrail.net.here import Here
 from ironrail.peers.regions.regions import Regions
 from ironrail.peers.regions.room import RegionsRoom
 
-if TYPE_CHECKING:
-    from ironrail.net.together import Here
-
 
 class Readers:
     """One router's part in what is known of regions."""
--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -8,6 +8,7 @@
 from ironrail.policy import interface as api
 from ironrail.policy.guidance import Guide
 from ironrail.policy.health import Health
+from ironrail.policy.links import Links
 from ironrail.policy.state import Attempt, Held, Server
 
 CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
@@ -27,8 +28,8 @@
 class Attempts:
     """All attempts of this router that are out, and the budget of further ones."""
 
-    def __init__(self, settings: api.Settings, health: Health, guide: Guide) -> None:
-        self._settings, self._health, self._guide = settings, health, guide
+    def __init__(self, settings: api.Settings, health: Health, guide: Guide, links: Links) -> None:
+        self._settings, self._health, self._guide, self._links = settings, health, guide, links
         self.out: dict[tuple[str, int], Attempt] = {}  # by request and number
         self.ring_load = 0  # of them, those at caches
         self.budget = settings.budget or api.Budget(RETRIES_SAVED, RETRY_SHARE, settings.ramp)
@@ -75,6 +76,8 @@
                 out.append(api.CloseIdle(server.entry.server))
             idle = math.inf
         attempt = Attempt(server, target * aim, aim, held.request.hint or 1.0, now, idle)
+        if self._links.known and server.cache:
+            attempt.link, attempt.trip = self._links.adds(server), self._links.trip(server)
         server.used_at = now
         self.out[name, number] = attempt
         held.attempts.append(attempt)
@@ -87,7 +90,7 @@
         server.credit -= attempt.cost
         out.append(api.Send(name, server.entry.server, attempt=number))
         if server.cache and held.request_class.effect is not api.Effect.UNSAFE:
-            out.append(api.SetTimer(OVERDUE * aim, f"late:{name}:{number}"))
+            out.append(api.SetTimer(OVERDUE * aim + attempt.link, f"late:{name}:{number}"))
 
     def ended(self, event: api.Outcome) -> Attempt | None:
         """The attempt that an outcome is of, no longer counted as out; None if there is no such."""
@@ -96,7 +99,7 @@
             return None
         status, server = event.status, attempt.server
         attempt.open = False
-        soon = event.latency < OVERDUE * attempt.aim
+        soon = event.latency < OVERDUE * attempt.aim + attempt.link
         attempt.broken = status in BROKEN and soon
         attempt.unheard = status in UNHEARD and not soon
         attempt.may_have_run = status not in NEVER_RAN
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -15,6 +15,7 @@
 from ironrail.policy.guidance import Guide
 from ironrail.policy.health import MOST_SHED, Health
 from ironrail.policy.limits import LIMIT_CUT, ORIGIN_CROWD, Limits
+from ironrail.policy.links import Links
 from ironrail.policy.news import News
 from ironrail.policy.queue import Queue, in_time
 from ironrail.policy.ring import CROWD, PART_LEAST, RECENT, Ring, ring_hash, share_points
@@ -43,10 +44,18 @@
         self.guide = Guide(settings)
         self.health = Health(settings, self.random, now, self.cold, self.guide)
         self.limits = Limits(settings)
-        self.attempts = Attempts(settings, self.health, self.guide)
+        self.links = Links()
+        self.attempts = Attempts(settings, self.health, self.guide, self.links)
         self.ring = Ring(settings, self.cold, self.guide)
         self.walk = Walk(
-            self.servers, self.ring, self.attempts, self.limits, self.cold, self.health, self.asking
+            self.servers,
+            self.ring,
+            self.attempts,
+            self.limits,
+            self.cold,
+            self.health,
+            self.asking,
+            self.links,
         )
         self.queue = Queue()  # for a place at the origin
 
@@ -67,6 +76,8 @@
             case api.Guidance():
                 self.guide.follow(event)
                 self.ring.stale = True
+            case api.Halls():
+                self.links.follow(event)
             case api.ClientGone(name) if name in self.held:
                 self._forget(self.held[name])
             case api.TimeUp(name) if name in self.held:  # its own timer may be due an instant later
@@ -185,6 +196,7 @@
             self.limits.linger(now, attempt, event.status)
         self.health.learn(now, attempt, event, out)
         self.limits.learn(now, attempt, event, out)
+        self.links.learn(attempt, event)
         held = self.held.get(event.request)
         missed = event.status is api.Status.MISS and self.settings.second_copies
         if held is not None:
--- a/ironrail/policy/state.py
+++ b/ironrail/policy/state.py
@@ -24,6 +24,7 @@
     cut_at: float = -math.inf
     rest_until: float = -math.inf
     latency: float = 0.0  # smoothed
+    takes: float = 0.0  # the same without the link there, where that is known
     slowness: float = 0.0  # smoothed share of the target that answers take
     credit: float = 0.0  # of work that it may be sent while warming
     credit_at: float = -math.inf
@@ -42,6 +43,8 @@
     cost: float  # expected work, 1 where no hint is given
     sent_at: float
     idle: float  # time its connection was unused, infinite if new; losses within an aim are the server's
+    link: float = 0.0  # seconds by which its answer may be later, as the link there is long
+    trip: float = 0.0  # seconds there and back when it was sent, as far as known
     open: bool = True
     may_have_run: bool = True  # until an outcome proves the contrary
     broken: bool = False  # soon, by its connection: the same server most likely still has the key
--- a/ironrail/policy/walk.py
+++ b/ironrail/policy/walk.py
@@ -10,6 +10,7 @@
 from ironrail.policy.cold import Cold
 from ironrail.policy.health import SIGN, Health
 from ironrail.policy.limits import Limits
+from ironrail.policy.links import Links
 from ironrail.policy.ring import EPSILON, Ring
 from ironrail.policy.state import Held, Server
 
@@ -29,13 +30,25 @@
         cold: Cold,
         health: Health,
         asking: Asking,
+        links: Links,
     ) -> None:
         self.servers, self.ring, self.attempts = servers, ring, attempts
         self.limits, self.cold, self.health, self.asking = limits, cold, health, asking
+        self.links = links
 
     def choose(self, now: float, held: Held) -> Server | None:
-        """First eligible server clockwise under the cap or met twice, or the last."""
-        places, servers, health = self.ring.places, self.servers, self.health
+        """The first that can answer in time over its link; where none can, the first of all."""
+        near = self._first(now, held, held.until - now) if self.links.known else None
+        if near is None or now < near.trial_at or self.links.cut(near):
+            return self._first(now, held, math.inf)
+        return near
+
+    def _first(self, now: float, held: Held, left: float) -> Server | None:
+        """First eligible server clockwise under the cap or met twice, or the last.
+
+        Those that the link there makes too late for what is left of the time are passed over.
+        """
+        places, servers, health, known = self.ring.places, self.servers, self.health, self.links.known
         count, among = len(places), len(self.ring.points)
         start = bisect_left(places, (self.ring.hash(held.key), ""))
         mean = (self.attempts.ring_load + 1) / among  # with this one, as a cap of 0 would pass over all
@@ -55,11 +68,15 @@
             if name in barred or name in spare:  # a server is looked at once, not at each of its points
                 continue
             server = servers[name]
+            if left < math.inf and self.links.too_far(server, left):
+                barred.add(name)  # not counted: what is lost to a link is not crowded
+                continue
+            cut = known and self.links.cut(server)
             if not self._eligible(now, held, server):
                 barred.add(name)
-                if not self.limits.full(now, server):
+                if cut or not self.limits.full(now, server):
                     continue  # not counted: a cold server within its budget, or one that was tried
-            elif now < server.trial_at or len(spare) < linked_first and not health.linked(now, server):
+            elif cut or now < server.trial_at or len(spare) < linked_first and not health.linked(now, server):
                 spare[name] = server  # for want of others
                 continue
             else:
@@ -75,6 +92,8 @@
         """Whether a server may take the request now."""
         if self.limits.full(now, server) or any(a.server is server and not a.broken for a in held.attempts):
             return False
+        if self.links.known and self.links.suspected(server) and held.open_attempts():  # no second copy there
+            return False
         # guards drained servers whose news never came, for a spoilt answer say: they turn away what is new
         if server.well_at < self.asking.proof_from(now):
             return False
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -60,6 +60,7 @@
         "bisect",
         "collections",
         "dataclasses",
+        "enum",
         "functools",
         "ironrail.policy",
     }
