Driver of the map of halls: connects, silence, echoes of its own messages; a page

Need: the map has had no driver. Change: net/halls.py with a watch on each pool, round trips by the messages of the map themselves (echoes.py), page /-/halls, the event to the module; delays on links delay connects in virtual time too.

--- a/ironrail/net/driving.py
+++ b/ironrail/net/driving.py
@@ -55,7 +55,7 @@
         finally:
             self._busy = False
 
-    def guide(self, guidance: api.Guidance) -> None:
+    def guide(self, guidance: api.Guidance | api.Halls) -> None:
         """Have the module decide by this, at once: also an event that is about to be handed over."""
         for action in self._router.handle(self._now(), guidance):
             self._carry_out(action)
--- a/ironrail/net/halls.py
+++ b/ironrail/net/halls.py
@@ -2,27 +2,108 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
-from ironrail.door.calls import Page
+import orjson
+
+from ironrail.door.calls import Answer, Page
 from ironrail.net.here import Here
+from ironrail.peers.latency.echoes import Echoing
+from ironrail.peers.latency.facts import HallsSeen
 from ironrail.peers.latency.room import LatencyRoom
+from ironrail.peers.latency.sight import Link
+from ironrail.policy import interface as api
+
+log = logging.getLogger(__name__)
+
+STATES = {
+    Link.UNKNOWN: api.LinkState.UNKNOWN,
+    Link.WELL: api.LinkState.GOOD,
+    Link.SLOW: api.LinkState.SLOW,
+    Link.CUT: api.LinkState.CUT,
+}
+
+
+class Watch:
+    """What the connections to one server tell of the way to its hall."""
+
+    def __init__(self, room: LatencyRoom, hall: int, now: Callable[[], float]) -> None:
+        self._room, self._hall, self._now = room, hall, now
+
+    def connected(self, seconds: float) -> None:
+        """A connection came up, or was refused: the server's system answered by itself."""
+        self._room.observe(self._now(), self._hall, seconds)
+
+    def unconnected(self) -> None:
+        """Nothing answered a connect."""
+        self._room.lost(self._now(), self._hall)
+
+    def heard(self) -> None:
+        """A reply: how long the way was can't be told from how long the work was."""
+        self._room.heard(self._now(), self._hall)
+
+    def silent(self, seconds: float) -> None:
+        """An attempt was given up, and for so long not a byte had come on its connection."""
+        self._room.silent(self._now(), self._hall, seconds)
 
 
 class HallsMap:
     """One router's part in the map."""
 
-    def __init__(self, here: Here, go_on: Callable[[], None]) -> None:
-        """`go_on`: sends what the room says."""
-        self._system, self._go_on = here.system, go_on
-        names, hall_of = here.numbered()
-        self.room = LatencyRoom(here.system.now(), here.me, here.start, names, hall_of, here.draws)
+    def __init__(self, here: Here, go_on: Callable[[], None], tell: Callable[[api.Halls], None]) -> None:
+        """`go_on`: sends what the room says; `tell`: takes what is decided by."""
+        self._system, self._go_on, self._tell = here.system, go_on, tell
+        self._names, hall_of = here.numbered()
+        self._map = LatencyRoom(here.system.now(), here.me, here.start, self._names, hall_of, here.draws)
+        self.room = Echoing(self._map, hall_of)
+        self._seen = HallsSeen(0, self._names[hall_of[here.me]], ())
+
+    def watch(self, zone: str) -> Watch | None:
+        """Who is to be told of connections there; None for a hall without routers, which no word is on."""
+        return Watch(self._map, self._names.index(zone), self._system.now) if zone in self._names else None
 
     def settled(self) -> None:
         """After each event."""
+        seen = self._map.facts()
+        if seen is None:
+            return
+        before, self._seen = {link.hall: link.state for link in self._seen.links}, seen
+        states = {link.hall: link.state for link in seen.links}
+        if states != before:
+            log.info("halls", extra={"hall": seen.hall, "links": {h: s.name for h, s in states.items()}})
+        now = self._system.now()
+        self._tell(
+            api.Halls(
+                {
+                    link.hall: api.HallLink(
+                        STATES[link.state], link.low, link.typical, link.lost, link.age(now)
+                    )
+                    for link in seen.links
+                }
+            )
+        )
 
     def pages(self) -> dict[str, Page]:
-        return {}
+        return {"/-/halls": self._page}
+
+    def _page(self) -> Answer:
+        """What is decided by, as JSON; figures that nobody knows are null."""
+        now = self._system.now()
+        links = [
+            {
+                "hall": link.hall,
+                "state": STATES[link.state].value,
+                "low": link.low,
+                "typical": link.typical,
+                "lost": link.lost,
+                "age": link.age(now),
+                "witnesses": link.witnesses,
+            }
+            for link in self._seen.links
+        ]
+        told = {"hall": self._seen.hall, "version": self._seen.version, "links": links}
+        return Answer(200, orjson.dumps(told, option=orjson.OPT_INDENT_2) + b"\n")
 
     def close(self) -> None:
         """Nothing is held."""
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -128,6 +128,7 @@
             cost=connections.cost_ms / 1000,
             system=self._system,
             wrote=self._host.figures.wrote,
+            watch=self.together.watch(entry.zone) if self.together is not None else None,
         )
 
     def start(self) -> Address:
--- a/ironrail/net/peering.py
+++ b/ironrail/net/peering.py
@@ -13,7 +13,7 @@
 from ironrail.net.config import ConfigError, address_of
 from ironrail.net.system import Address, System
 from ironrail.operator_file import Peers
-from ironrail.peers.faces import ALL, Room, Say, Topic
+from ironrail.peers.faces import ALL, Room, Say, Stamped, Topic
 from ironrail.peers.wire.keys import Keys
 from ironrail.peers.wire.outbox import Outbox
 from ironrail.peers.wire.wire import Wire
@@ -66,8 +66,9 @@
         self._system, self._tier, self._settled = system, tier, settled
         self._numbers = {address: number for number, address in enumerate(tier.peers)}
         self.wire = Wire(me, start, Keys(conf.sending, conf.secrets()), len(tier.peers), os.urandom)
-        self._outbox = Outbox(self.wire.seal, len(tier.peers) - 1, float(conf.pace), now=system.now())
+        self._outbox = Outbox(self._seal, len(tier.peers) - 1, float(conf.pace), now=system.now())
         self._rooms: dict[Topic, Room] = {}
+        self._stamps: dict[Topic, Callable[[float, Say], Say]] = {}  # what is put in as a message goes
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -77,6 +78,8 @@
 
     def add(self, room: Room) -> None:
         self._rooms[room.topic] = room
+        if isinstance(room, Stamped):
+            self._stamps[room.topic] = room.stamped
 
     async def open(self, meet: Sequence[int] = ()) -> None:
         """Listen; `meet`: routers whose present life is to be asked for before anything of it is needed."""
@@ -141,6 +144,10 @@
     def say(self, say: Say) -> None:
         self._outbox.put(self._system.now(), say)
 
+    def _seal(self, say: Say) -> list[tuple[int, bytes]]:
+        stamp = self._stamps.get(say.topic)
+        return self.wire.seal(say if stamp is None else stamp(self._system.now(), say))
+
     def _send(self, to: int, datagram: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -6,7 +6,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 from ironrail.connections import upstream
 from ironrail.connections.upstream import Link, Reply, Upstream
@@ -22,6 +22,22 @@
 WARN_EVERY = 5.0  # seconds between warnings about one server
 
 
+class Watch(Protocol):
+    """Who is told of the way to a server."""
+
+    def connected(self, seconds: float) -> None:
+        """A connection came up, or was refused at once: somebody answered."""
+
+    def unconnected(self) -> None:
+        """Nothing answered a connect."""
+
+    def heard(self) -> None:
+        """A reply."""
+
+    def silent(self, seconds: float) -> None:
+        """An attempt was given up, and for so long not a byte had come on its connection."""
+
+
 class Pool:
     """Carries out what is decided about the connections to one server, and tells what becomes of it."""
 
@@ -38,9 +54,10 @@
         cost: float = upstream.CONNECTION_COST,
         system: System = REAL,
         wrote: Callable[[], None] = lambda: None,
+        watch: Watch | None = None,
     ) -> None:
         self.system, self._now, self._wrote = system, system.now, wrote
-        self.name, self.address = name, address
+        self.name, self.address, self._watch = name, address, watch
         self.connect_timeout = connect_timeout
         self.upstream = Upstream(address, most=most, streams=streams, idle=idle, cost=cost)
         self._connect = connect
@@ -74,9 +91,14 @@
         self._tell(self.upstream.want, attempt)
 
     def abandon(self, attempt: Attempt, status: Status) -> None:
+        if self._watch is not None and attempt.open and attempt.link is not None:
+            since = max(attempt.written_at, attempt.link.heard_at)
+            self._watch.silent(self._now() - since)
         self._tell(self.upstream.abandon, attempt, status)
 
     def read(self, link: Link, replies: list[Reply], part: bool, fault: object) -> None:
+        if self._watch is not None:
+            self._watch.heard()
         self._tell(self.upstream.read, link, replies, part, fault)
 
     def began(self, link: Link, length: int) -> None:
@@ -180,15 +202,21 @@
         task = asyncio.current_task()
         assert task is not None
         host, port = cast(Address, link.address)
+        began = self._now()
         try:
             async with patience(self.connect_timeout):
                 _, connection = await self._loop.create_connection(
                     lambda: self._connect(self, link), host, port
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as e:
+            if isinstance(e, ConnectionRefusedError):
+                self._connected(began)
+            elif self._watch is not None and isinstance(e, TimeoutError):
+                self._watch.unconnected()
             self._dialling.discard(task)
             self._tell(self.upstream.down, link)
         else:
+            self._connected(began)
             self._dialling.discard(task)
             self._connections[link] = connection
             closing = connection.transport.is_closing()
@@ -196,6 +224,10 @@
             if closing:  # its end may have been told before it was known
                 self._connections.pop(link, None)
 
+    def _connected(self, began: float) -> None:
+        if self._watch is not None:
+            self._watch.connected(self._now() - began)
+
     def _warn(self, warn: upstream.Warn) -> None:
         """Guards the log against a server whose every reply is spoilt."""
         now = self._now()
--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 from pathlib import Path
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import orjson
 
@@ -14,12 +14,16 @@
 from ironrail.net.here import Here
 from ironrail.net.peering import Peering, read_tier, start_of
 from ironrail.net.policies import Place, Policies
+from ironrail.net.pool import Watch
 from ironrail.net.store import FolderStore, Store
 from ironrail.net.system import System
 from ironrail.operator_file import Operator, OperatorError
 from ironrail.peers.faces import Room
 from ironrail.policy import interface as api
 
+if TYPE_CHECKING:
+    from ironrail.net.halls import HallsMap
+
 
 class Part(Protocol):
     """Something a router does with others, besides accords: drives a room of its own."""
@@ -46,7 +50,7 @@
         config: Config,
         operator: Operator,
         system: System,
-        guide: Callable[[api.Guidance], None],
+        guide: Callable[[api.Guidance | api.Halls], None],
         store: Store | None = None,
     ) -> None:
         """`guide`: takes what is decided by. `store`: in place of the folder that the file names."""
@@ -72,10 +76,11 @@
             self.peering.add(self.policies.room)
         self.parts: list[Part] = []
         here = Here(me, start, system, peers.halls, random.Random(config.seed))
+        self.halls: HallsMap | None = None
         if peers.map:
             from ironrail.net.halls import HallsMap  # noqa: PLC0415 - only where it is wanted
 
-            self.halls = HallsMap(here, self._go_on)
+            self.halls = HallsMap(here, self._go_on, guide)
             self.parts.append(self.halls)
         if operator.regions:
             from ironrail.net.readers import Readers  # noqa: PLC0415 - only where they are wanted
@@ -102,6 +107,10 @@
         """Whether clients may come, as far as the others are concerned."""
         return self.policies is None or self.policies.ready()
 
+    def watch(self, zone: str) -> Watch | None:
+        """Who is to be told of connections to servers there, if anybody."""
+        return self.halls.watch(zone) if self.halls is not None else None
+
     def check(self, now: float) -> None:
         """Before each decision."""
         if self.policies is not None:
--- a/ironrail/peers/faces.py
+++ b/ironrail/peers/faces.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 MOST_DATAGRAM = 256  # bytes, as the protocol page has it
 MOST_ROUTERS = 1000
@@ -80,3 +80,11 @@
 
     def wake_at(self) -> float:
         """When it wants to be woken, infinite if not."""
+
+
+@runtime_checkable
+class Stamped(Protocol):
+    """A room whose messages tell when they went, which it can't know as it says them: they may wait."""
+
+    def stamped(self, now: float, say: Say) -> Say:
+        """The message as it goes now; of the same length."""
--- a/ironrail/peers/latency/evidence.py
+++ b/ironrail/peers/latency/evidence.py
@@ -14,6 +14,7 @@
 TOGETHER = 1.0  # seconds in which samples of several halls tell of the same state of this router
 OTHERS = 2  # halls that must be late with one to lay it to this router; its own hall is proof alone
 HEARING = 0.25  # seconds in which somebody's answer shows that a loss is the link's
+SILENT = 0.4  # seconds besides the way: most servers answer sooner, or answer another meanwhile
 
 
 class Evidence:
@@ -40,6 +41,17 @@
         self.sights[hall].lost(now)
         return closed
 
+    def heard(self, now: float, hall: int) -> int | None:
+        """Something came back, who knows how quickly. Returns the hall if a window of its closed."""
+        closed = self._close_if_due(now, hall)
+        self.sights[hall].heard(now)
+        return closed
+
+    def silent(self, now: float, hall: int, seconds: float) -> int | None:
+        """Somebody waited so long and nothing came: lost, if way and work take less."""
+        usual = self.sights[hall].usual if hall in self.sights else math.inf
+        return self.lost(now, hall) if seconds >= SILENT + (usual if usual < math.inf else 0.0) else None
+
     def close_due(self, now: float) -> list[int]:
         """End the windows that are over; the halls they were of."""
         due = [hall for hall, sight in self.sights.items() if sight.window_at <= now]
@@ -71,7 +83,7 @@
     def _deaf(self, now: float, hall: int) -> bool:
         """Whether what is lost is lost everywhere: so it is when this router itself is cut off."""
         others = [(h, s) for h, s in self.sights.items() if h != hall]
-        heard = max((s.answered_at for _, s in others), default=-math.inf)
+        heard = max((s.heard_at for _, s in others), default=-math.inf)
         if now - heard <= HEARING:
             return False
         silent = [h for h, s in others if s.lost_at > heard]
--- a/ironrail/peers/latency/room.py
+++ b/ironrail/peers/latency/room.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ironrail.errors import InputError
 from ironrail.peers.faces import MOST_HALLS, Heard, Priority, Say, Topic
@@ -59,6 +59,7 @@
         self._fresh: HallsSeen | None = None
         self._look_at, self._sweep_at = now, now + SWEEP
         self.unusable = 0  # messages that were no reports
+        self.prefer: Callable[[float], int | None] = lambda now: None  # who is to be told next, if it matters
 
     def observe(self, now: float, to_hall: int, seconds: float) -> None:
         """A round trip of so many seconds, others' work taken off as far as it is known."""
@@ -72,6 +73,18 @@
         if closed is not None:
             self._consider(now, closed)
 
+    def heard(self, now: float, to_hall: int) -> None:
+        """Something came back, after a time that tells nothing of the way."""
+        closed = self.evidence.heard(now, to_hall)
+        if closed is not None:
+            self._consider(now, closed)
+
+    def silent(self, now: float, to_hall: int, seconds: float) -> None:
+        """Somebody waited so long for a word, and none came."""
+        closed = self.evidence.silent(now, to_hall, seconds)
+        if closed is not None:
+            self._consider(now, closed)
+
     def hear(self, now: float, heard: Heard) -> None:
         try:
             reports = decode(heard.body, self._routers, self._halls)
@@ -99,8 +112,15 @@
         if self._routers > 1 and now >= self._spread.due():
             body = self._spread.compose(now)
             if body:
-                peer = self._draws.randrange(self._routers - 1)
-                self._out.append(Say(peer + (peer >= self._me), self.topic, body, Priority.GOSSIP))
+                self._out.append(Say(self._peer(now), self.topic, body, Priority.GOSSIP))
+
+    def _peer(self, now: float) -> int:
+        """A drawn one for changes of state, which are to spread; else whoever is preferred."""
+        preferred = None if self._spread.hurried else self.prefer(now)
+        if preferred is not None:
+            return preferred
+        peer = self._draws.randrange(self._routers - 1)
+        return peer + (peer >= self._me)
 
     def say(self) -> list[Say]:
         out, self._out = self._out, []
--- a/ironrail/peers/latency/sight.py
+++ b/ironrail/peers/latency/sight.py
@@ -67,8 +67,9 @@
         self.at = -math.inf  # of the latest evidence
         self.excess = 0.0  # seconds that the latest window's quickest took beyond the usual
         self.answered_at = self.lost_at = -math.inf
+        self.heard_at = -math.inf  # of whatever came back, timed or not
         self.window_at = math.inf  # when the open window ends; infinite if none is open
-        self._quickest = math.inf
+        self._quickest, self._heard = math.inf, False  # of the open window
         self._usual = Fading(USUAL)
         self._gone, self._late = Runs(), Runs()  # no answer; an answer that came late
         self._recent, self._lost = Fading(RECENT), Fading(SHARE, 2)
@@ -90,11 +91,19 @@
 
     def answered(self, now: float, seconds: float) -> None:
         self._open(now)
-        self.answered_at = now
+        self.answered_at = self.heard_at = now
         self._quickest = min(self._quickest, seconds)
         self._recent.add(now, code_of(seconds))
         self._lost.add(now, 0)
 
+    def heard(self, now: float) -> None:
+        """Something came back; how long the way was is not known."""
+        self._open(now)
+        self.heard_at = now
+        if not self._heard:
+            self._heard = True
+            self._lost.add(now, 0)
+
     def lost(self, now: float) -> None:
         self._open(now)
         self.lost_at = now
@@ -102,7 +111,7 @@
 
     def _open(self, now: float) -> None:
         if self.window_at == math.inf:
-            self.window_at, self._quickest = now + WINDOW, math.inf
+            self.window_at, self._quickest, self._heard = now + WINDOW, math.inf, False
 
     def close(self, now: float, own: float, deaf: bool, suspected: bool = False) -> None:
         """The window is over.
@@ -111,18 +120,20 @@
         `suspected`: others in this hall lately called the link slow or cut.
         """
         self.window_at = math.inf
-        gone = self._quickest == math.inf
+        untimed = self._quickest == math.inf
+        gone = untimed and not self._heard
         if gone and deaf:
             return
         self.at = now
         self._gone.add(now, gone)
-        if not gone:
+        if not untimed:
             usual = self.usual
             self.excess = self._quickest - usual if usual < math.inf else 0.0
             self._late.add(now, self.excess > max((TIMES - 1.0) * usual, LEAST_LATER) + OWN_TIMES * own)
             if own <= LEAST_LATER:
                 self._usual.add(now, code_of(self._quickest))
-        self._tail.append(None if gone else code_of(self._quickest))
+        if gone or not untimed:
+            self._tail.append(None if gone else code_of(self._quickest))
         self._windows += 1
         if self._windows >= LEAST_WINDOWS:
             self._judge(now, SECONDED if suspected else EVIDENCE)
--- a/ironrail/peers/latency/spread.py
+++ b/ironrail/peers/latency/spread.py
@@ -55,6 +55,11 @@
         urgent = self._rumours[Change.STATE] or self._rumours[Change.VALUES]
         return self._sent_at + self._price / (RATE if urgent else RATE * QUIET)
 
+    @property
+    def hurried(self) -> bool:
+        """Whether the latest message held changes of state alone."""
+        return self._in_short > 0
+
     def compose(self, now: float) -> bytes:
         """The next message, empty if there is nothing to tell."""
         urgent = bool(self._rumours[Change.STATE]) and self._in_short < MOST_SHORT
--- a/ironrail/rehearsal/links/rig.py
+++ b/ironrail/rehearsal/links/rig.py
@@ -190,6 +190,8 @@
         elif fault.kind in (Kind.CUT, Kind.STALL):
             door.end_silence(cause)
         elif step.begins:
+            # a loopback port can't answer connects late: see `SocketListening`
+            door.connects_wait = isinstance(self._linked, VirtualLinks)
             door.begin_delay(cause, way, self._late(fault, draws))
         else:
             door.end_delay(cause)
--- a/ironrail/rehearsal/standins/door.py
+++ b/ironrail/rehearsal/standins/door.py
@@ -109,6 +109,7 @@
         self._silences: dict[object, tuple[Way, bool]] = {}  # by cause: of which way, whether connects hang
         self._delays: dict[object, tuple[Way, Callable[[], float]]] = {}  # seconds, drawn for each piece
         self._lates: dict[object, Late] = {}  # of connects, by cause; the latest holds
+        self.connects_wait = False  # for as long as bytes there and back are late
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening: Listening | None = None
         self.port, self.address = 0, ""
@@ -131,9 +132,11 @@
 
     def begin_delay(self, cause: object, way: Way, draw: Callable[[], float]) -> None:
         self._delays[cause] = way, draw
+        self._tell_late()
 
     def end_delay(self, cause: object) -> None:
         self._delays.pop(cause, None)
+        self._tell_late()
 
     def open(self) -> None:
         """Listen, at the same port as before."""
@@ -182,7 +185,13 @@
 
     def _tell_late(self) -> None:
         if self._listening is not None:
-            self._listening.late(next(reversed(self._lates.values()), None))
+            late = next(reversed(self._lates.values()), None)
+            if self.connects_wait and self._delays:
+                self._listening.late(
+                    lambda: (late() if late else 0.0) + self.delay(Way.IN) + self.delay(Way.OUT)
+                )
+            else:
+                self._listening.late(late)
 
     def reset_all(self) -> None:
         """End all connections, as the end of a process does."""
