--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -16,6 +16,7 @@
 RETRY_SHARE = 0.2  # where no budget is stated: enough for a server lost, too few to feed an overload
 RETRIES_SAVED = 10.0  # and these many over a ramp besides, so that those of a lost server can all go at once
 OVERDUE = 0.5  # of the aim without an answer: in time for another attempt
+MOST_LATER = 0.5  # of the aim that a long link puts that off: what is out for an aim is late in any case
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 BROKEN = (api.Status.RESET, api.Status.ERROR, api.Status.CANCELLED)  # the server may be well
 NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS)
@@ -75,9 +76,10 @@
             if idle <= conf.connection_idle:
                 out.append(api.CloseIdle(server.entry.server))
             idle = math.inf
-        attempt = Attempt(server, target * aim, aim, held.request.hint or 1.0, now, idle)
+        attempt = Attempt(server, target * aim, aim, held.request.hint or 1.0, now, idle, OVERDUE * aim)
         if self._links.known and server.cache:
             attempt.link, attempt.trip = self._links.adds(server), self._links.trip(server)
+            attempt.overdue += min(attempt.link, MOST_LATER * aim)
         server.used_at = now
         self.out[name, number] = attempt
         held.attempts.append(attempt)
@@ -90,7 +92,7 @@
         server.credit -= attempt.cost
         out.append(api.Send(name, server.entry.server, attempt=number))
         if server.cache and held.request_class.effect is not api.Effect.UNSAFE:
-            out.append(api.SetTimer(OVERDUE * aim + attempt.link, f"late:{name}:{number}"))
+            out.append(api.SetTimer(attempt.overdue, f"late:{name}:{number}"))
 
     def ended(self, event: api.Outcome) -> Attempt | None:
         """The attempt that an outcome is of, no longer counted as out; None if there is no such."""
@@ -99,7 +101,7 @@
             return None
         status, server = event.status, attempt.server
         attempt.open = False
-        soon = event.latency < OVERDUE * attempt.aim + attempt.link
+        soon = event.latency < attempt.overdue
         attempt.broken = status in BROKEN and soon
         attempt.unheard = status in UNHEARD and not soon
         attempt.may_have_run = status not in NEVER_RAN
--- a/ironrail/policy/links.py
+++ b/ironrail/policy/links.py
@@ -47,11 +47,8 @@
         return self._farthest if link is None else link.typical
 
     def adds(self, server: Server) -> float:
-        """Seconds by which an answer may be later for the link's sake and still in good time.
-
-        None for one that is suspected: what it adds now is the reason to look elsewhere, not to wait.
-        """
-        return 0.0 if not self.known or self.suspected(server) else self.trip(server)
+        """Seconds that an answer may be later for the link's sake: none more for one that is suspected."""
+        return 0.0 if self.suspected(server) else self.trip(server)
 
     def too_far(self, server: Server, left: float) -> bool:
         """Whether the link is why an answer can't be back: without it, it would be."""
--- a/ironrail/policy/state.py
+++ b/ironrail/policy/state.py
@@ -43,6 +43,7 @@
     cost: float  # expected work, 1 where no hint is given
     sent_at: float
     idle: float  # time its connection was unused, infinite if new; losses within an aim are the server's
+    overdue: float  # seconds without an answer after which it may be lost
     link: float = 0.0  # seconds by which its answer may be later, as the link there is long
     trip: float = 0.0  # seconds there and back when it was sent, as far as known
     open: bool = True
--- /dev/null
+++ b/tests/policy/test_links.py
@@ -0,0 +1,143 @@
+"""What a router makes of what it is told of the links between halls."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironrail.policy import interface as api
+from ironrail.policy.balance import Router
+from tests.driver import Driver, entry, settings
+from tests.policy.fleets import order_of
+from tests.policy.streams import digest
+from tests.policy.test_decisions import KNOWN
+
+ZONES = "abc"
+GOOD, SLOW, CUT, UNKNOWN = (api.LinkState(name) for name in ("good", "slow", "cut", "unknown"))
+NEAR = api.HallLink(GOOD, 0.001, 0.001, 0.0, 0.0)
+
+
+def link(state: api.LinkState, typical: float = math.inf) -> api.HallLink:
+    return api.HallLink(state, typical, typical, 0.0, 0.0)
+
+
+def halls(**others: api.HallLink) -> api.Halls:
+    return api.Halls({"a": NEAR} | others)
+
+
+def fleet(event: api.Halls, each: int = 2, **changes: Any) -> Driver:
+    d = Driver(settings(**changes))
+    d.list(*(entry(f"{zone}{n}", zone=zone) for zone in ZONES for n in range(each)))
+    d.feed(event)
+    return d
+
+
+def key_of(d: Driver, *zones: str) -> str:
+    """A key whose servers clockwise stand in these halls."""
+    keys = (f"k{n}" for n in range(10_000))
+    return next(k for k in keys if tuple(s[0] for s in order_of(d, k))[: len(zones)] == zones)
+
+
+class Told(Router):
+    """One that was told of halls of which nobody knows anything."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        assert self.handle(self.now, api.Halls({zone: api.HallLink() for zone in "xy"})) == []
+
+
+@pytest.mark.parametrize("seed", range(0, 24, 3))
+def test_without_any_evidence_decisions_are_those_without_a_map(seed: int) -> None:
+    assert digest(seed, Told) == KNOWN[str(seed)]
+
+
+links = st.one_of(
+    st.builds(link, st.sampled_from([GOOD, SLOW]), st.floats(0.001, 3.0)), st.builds(link, st.just(CUT))
+)
+
+
+@given(st.fixed_dictionaries(dict.fromkeys(ZONES, links)), st.integers(0, 200), st.floats(0.02, 2.0))
+def test_a_key_goes_clockwise_to_the_first_in_time_or_else_the_first_not_cut(
+    told: dict[str, api.HallLink], number: int, time_left: float
+) -> None:
+    d = fleet(api.Halls(told))
+    order = order_of(d, f"k{number}")
+    left = min(time_left - d.conf.tick, d.conf.classes["read"].aim)
+    there = [s for s in order if told[s[0]].state is not CUT]
+    in_time = [s for s in there if told[s[0]].typical <= left]
+    sent = d.request("r", key=f"k{number}", time_left=time_left)
+    assert sent == (in_time or there or order)[0]
+
+
+def test_the_work_of_a_server_counts_with_the_way_and_alone_is_no_reason() -> None:
+    d = fleet(halls(b=link(GOOD, 0.1), c=link(GOOD, 0.1)))
+    key = key_of(d, "b", "a")
+    first, second = order_of(d, key)[:2]
+    for n in range(10):
+        d.request(f"r{n}", key=key)
+        d.end(f"r{n}", api.Status.OK, latency=0.5)
+    assert d.router.servers[first].takes == pytest.approx(0.4)
+    assert d.request("in time", key=key, time_left=0.52) == first
+    assert d.request("late", key=key, time_left=0.48) == second
+    assert d.request("late anyway", key=key, time_left=0.38) == first
+
+
+def test_a_hall_that_is_not_known_is_as_far_as_the_farthest_that_is() -> None:
+    d = fleet(halls(b=link(GOOD, 0.5), c=link(UNKNOWN)))
+    key = key_of(d, "c", "a")
+    first, second = order_of(d, key)[:2]
+    assert d.request("enough", key=key, time_left=0.6) == first
+    assert d.request("too little", key=key, time_left=0.4) == second
+
+
+def test_full_servers_of_a_cut_hall_do_not_count_as_visited() -> None:
+    d = fleet(halls(b=link(CUT)), each=4)
+    key = key_of(d, "b", "b", "b")
+    for server in d.router.servers.values():
+        server.limit = 0.0 if server.entry.zone == "b" else 4.0
+    assert str(d.request("r", key=key))[0] in "ac"
+
+
+def test_the_limits_and_the_budget_of_a_cold_server_stand_above_the_map() -> None:
+    d = fleet(halls(b=link(CUT), c=link(CUT)))
+    d.list(*(entry(f"{z}{n}", zone=z, since=d.now if z == "a" else 0.0) for z in ZONES for n in range(2)))
+    sent = [str(d.request(f"r{n}", key="k")) for n in range(4)]
+    assert [s[0] for s in sent].count("a") == 2  # one at each that is cold, as without a map
+
+
+def test_the_hour_of_a_second_copy_moves_with_the_link_within_a_bound() -> None:
+    hours = {}
+    for typical in (0.001, 0.2, 0.9):
+        d = fleet(halls(b=link(GOOD, typical), c=link(GOOD, typical)))
+        d.request("r", key=key_of(d, "b"))
+        hours[typical] = next(a.delay for a in d.last if isinstance(a, api.SetTimer))
+    assert list(hours.values()) == pytest.approx([0.501, 0.7, 1.0])
+    slow = fleet(halls(b=link(SLOW, 0.2)))
+    slow.request("r", key=key_of(slow, "b"))
+    assert next(a.delay for a in slow.last if isinstance(a, api.SetTimer)) == 0.5
+
+
+@pytest.mark.parametrize("state", [SLOW, GOOD])
+def test_no_second_copy_goes_over_a_link_that_is_suspected(state: api.LinkState) -> None:
+    d = fleet(halls(b=link(state, 0.01), c=NEAR))
+    d.request("r", key=key_of(d, "a", "b"))
+    d.wait(0.6)
+    assert len(d.sends["r"]) == 2
+    assert (d.sends["r"][1][0] == "b") is (state is GOOD)
+
+
+def test_what_a_long_link_adds_makes_no_server_slow() -> None:
+    limits = []
+    for event in (halls(b=link(GOOD, 0.3), c=NEAR), api.Halls()):
+        d = fleet(event)
+        key = key_of(d, "b")
+        for n in range(30):
+            d.now += 0.3
+            d.request(f"r{n}", key=key)
+            d.end(f"r{n}", api.Status.OK, latency=0.4)
+        limits.append(d.router.servers[order_of(d, key)[0]].limit)
+    assert limits[0] > 3 * limits[1]
--- /dev/null
+++ b/tests/rehearsal/links/test_halls.py
@@ -0,0 +1,96 @@
+"""Six routers in three halls in virtual time: with the map they know of a link that fails and go round it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ironrail.operator_file import Operator, Peers
+from ironrail.rehearsal.links.grounds import VirtualLinks
+from ironrail.rehearsal.links.plan import LinkFault, link_fault
+from ironrail.rehearsal.links.rig import LinkedRehearsal
+from ironrail.rehearsal.run import Result
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.names import hall_of
+from ironrail.rehearsal.virtual.play import play_virtual
+
+ROUTERS, SEED = 6, 1
+BEGINS, ENDS = 1.0, 6.5
+KNOWN_IN = 3.5  # seconds, at ten requests a second of each router and hall
+
+
+def world(length: float) -> Scenario:
+    return Scenario.model_validate(
+        {
+            "summary": "a link fails",
+            "length": f"{length} s",
+            "warm_up": "3 s",
+            "load": {"rate": 180},
+            "routers": {"count": ROUTERS},
+            "caches": {"count": 6},
+        }
+    )
+
+
+class Observed(LinkedRehearsal):
+    """Keeps its latest self: the observer's answers stand in it."""
+
+    latest: Observed
+
+    def __init__(self, *args: object, **others: object) -> None:
+        super().__init__(*args, **others)  # type: ignore[arg-type]
+        Observed.latest = self
+
+
+def play(folder: Path, plan: list[LinkFault], length: float, on: bool) -> Result:
+    (folder / "key").write_bytes(b"a key of all routers")
+    standing = tuple(hall_of(world(length), n) for n in range(ROUTERS))
+    peers = Peers({1: str(folder / "key")}, 1, standing, map=on)
+
+    def rehearsal(*args: object, **others: object) -> LinkedRehearsal:
+        return Observed(*args, plan=plan, observe="/-/halls", **others)
+
+    played = play_virtual(
+        world(length), SEED, operator=Operator(peers=peers), ground_of=VirtualLinks, rehearsal_of=rehearsal
+    )
+    assert played.faults == [] and played.result.broken == []
+    return played.result
+
+
+def states(began: float, ended: float) -> Iterator[tuple[str, str, str]]:
+    """Of each link as each router's door told it in a time."""
+    for seen in Observed.latest.seen:
+        if seen.status == 200 and began <= seen.at < ended:
+            for link in seen.body["links"]:
+                yield seen.body["hall"], link["hall"], link["state"]
+
+
+def over(result: Result, began: float, ended: float) -> int:
+    """Attempts of routers in hall-a that caches in hall-b read in a time."""
+    there = [a for one in result.record.tries.values() for a in one.attempts if not a.archive]
+    a_s, b_s = ("router-1", "router-4"), ("cache-2", "cache-5")
+    return sum(a.router in a_s and a.server in b_s and began <= a.first_at < ended for a in there)
+
+
+@pytest.mark.parametrize("kind", ["cut", "delay"])
+def test_routers_know_of_a_link_that_is_cut_or_much_slower_and_send_nothing_new_over_it(
+    kind: str, tmp_path: Path
+) -> None:
+    fault = link_fault(kind, "hall-a <> hall-b", BEGINS, ENDS - BEGINS, 0.4 if kind == "delay" else None)
+    with_map = play(tmp_path, [fault], ENDS, True)
+    assert {state for _, _, state in states(0.0, BEGINS)} == {"good"}
+    ill = {"cut", "slow"}
+    known = [(hall, to, state) for hall, to, state in states(BEGINS + KNOWN_IN, ENDS)]
+    assert {(hall, to) for hall, to, state in known if state in ill} == {
+        ("hall-a", "hall-b"), ("hall-b", "hall-a"),
+    }  # fmt: skip
+    assert all(state in ill for hall, to, state in known if {hall, to} == {"hall-a", "hall-b"})
+    usual = over(with_map, 0.0, BEGINS)
+    assert usual > 5 and over(with_map, BEGINS + KNOWN_IN, ENDS) <= 2
+
+
+def test_without_a_map_nobody_knows(tmp_path: Path) -> None:
+    play(tmp_path, [], 1.0, False)
+    assert {seen.status for seen in Observed.latest.seen if seen.at > 0.0} == {404}
