--- a/ironrail/policy/limits.py
+++ b/ironrail/policy/limits.py
@@ -48,7 +48,7 @@
         refused = status is api.Status.FULL or shut and not server.cache
         server.latency += 0.0 if refused else SMOOTHING * (latency - server.latency)
         # on average, as one heavy request says nothing of a server
-        server.slowness += SMOOTHING * ((latency - attempt.link) / attempt.target - server.slowness)
+        server.slowness += SMOOTHING * (max(0.0, latency - attempt.link) / attempt.target - server.slowness)
         if refused or server.slowness > 1.0:
             if now - server.cut_at > attempt.target:
                 least = min(1.0, server.limit) if server.cache or not refused else self._least
