--- a/ironrail/policy/health.py
+++ b/ironrail/policy/health.py
@@ -95,9 +95,8 @@
         if carried:
             attempt.server.well_at = max(attempt.server.well_at, attempt.sent_at)
         self._cold.carried(fade, attempt.cost if carried else 0.0)
-        self.latency += (
-            0.0 if full else SMOOTHING / 4 * (max(0.0, event.latency - attempt.link) - self.latency)
-        )
+        took = max(0.0, event.latency - attempt.link)
+        self.latency += 0.0 if full else SMOOTHING / 4 * (took - self.latency)
 
     def _note(self, sign: str, seen: bool) -> None:
         self.signs[sign] += SMOOTHING / 2 * (seen - self.signs[sign])
--- a/ironrail/policy/links.py
+++ b/ironrail/policy/links.py
@@ -20,31 +20,30 @@
 
     def __init__(self) -> None:
         self.known = False  # of any link
-        self._links: dict[str, api.HallLink] = {}
-        self._farthest = 0.0  # seconds of a round trip, of those that are known
+        self._states: dict[str, api.LinkState] = {}  # by zone
+        self._trips: dict[str, float] = {}  # seconds there and back; infinite where cut
+        self._farthest = 0.0  # of those that are not cut
 
     def follow(self, event: api.Halls) -> None:
         """Decide by this from now on."""
-        told = event.links.items()
-        self._links = {z: k for z, k in told if k.typical < math.inf or k.state is api.LinkState.CUT}
-        self.known = bool(self._links)
-        there = [link.typical for link in self._links.values() if link.typical < math.inf]
-        self._farthest = max(there, default=0.0)
+        cut = api.LinkState.CUT
+        told = {z: k for z, k in event.links.items() if k.typical < math.inf or k.state is cut}
+        self._states = {zone: link.state for zone, link in told.items()}
+        self._trips = {zone: link.typical for zone, link in told.items()}
+        self._farthest = max((trip for trip in self._trips.values() if trip < math.inf), default=0.0)
+        self.known = bool(told)
 
     def cut(self, server: Server) -> bool:
         """Whether nothing new goes there while there is another place."""
-        link = self._links.get(server.entry.zone)
-        return link is not None and link.state is api.LinkState.CUT
+        return self._states.get(server.entry.zone) is api.LinkState.CUT
 
     def suspected(self, server: Server) -> bool:
         """Whether no second copy goes there."""
-        link = self._links.get(server.entry.zone)
-        return link is not None and link.state in SUSPECTED
+        return self._states.get(server.entry.zone) in SUSPECTED
 
     def trip(self, server: Server) -> float:
         """Seconds of a round trip; 0 while nothing is known of any link."""
-        link = self._links.get(server.entry.zone)
-        return self._farthest if link is None else link.typical
+        return self._trips.get(server.entry.zone, self._farthest)
 
     def adds(self, server: Server) -> float:
         """Seconds that an answer may be later for the link's sake: none more for one that is suspected."""
