--- a/tests/policy/test_links.py
+++ b/tests/policy/test_links.py
@@ -94,8 +94,9 @@
     assert d.request("too little", key=key, time_left=0.4) == second
 
 
-def test_full_servers_of_a_cut_hall_do_not_count_as_visited() -> None:
-    d = fleet(halls(b=link(CUT)), each=4)
+@pytest.mark.parametrize("typical", [0.001, 3.0])  # in time, and not
+def test_full_servers_of_a_cut_hall_do_not_count_as_visited(typical: float) -> None:
+    d = fleet(api.Halls({"a": link(GOOD, typical), "b": link(CUT), "c": link(GOOD, typical)}), each=4)
     key = key_of(d, "b", "b", "b")
     for server in d.router.servers.values():
         server.limit = 0.0 if server.entry.zone == "b" else 4.0
