--- a/benchmarks/halls_worlds.py
+++ b/benchmarks/halls_worlds.py
@@ -2,8 +2,8 @@
 
 `python benchmarks/halls_worlds.py [--halls 3 6] [--seeds 4] [--faults calm cut slow] [--jobs 2]`, from the
 root of the tree. Virtual time: halls 1 to 150 ms apart one way, drawn with the seed; all links of one are cut
-or ten times slower for half of the load. Half of the reads are wanted within 0.3 s, the others within 0.8 s, and
-the archive bears about three times what it is asked for in calm worlds. Prints each world and the means.
+or ten times slower for half of the load. Half of the reads are wanted within 0.3 s, the others within
+0.8 s, and the archive bears about three times what it is asked for in calm worlds. Prints each world and the means.
 """
 
 from __future__ import annotations
