--- a/benchmarks/halls_worlds.py
+++ b/benchmarks/halls_worlds.py
@@ -1,9 +1,10 @@
 """Placement by the map of latency: the same worlds with the map off, on, and with the truth handed in.
 
-`python benchmarks/halls_worlds.py [--halls 3 6] [--seeds 4] [--faults calm cut slow] [--jobs 2]`, from the
-root of the tree. Virtual time: halls 1 to 150 ms apart one way, drawn with the seed; all links of one are cut
-or ten times slower for half of the load. Half of the reads are wanted within 0.3 s, the others within
-0.8 s, and the archive bears about three times what it is asked for in calm worlds. Prints each world and the means.
+`python benchmarks/halls_worlds.py [--halls 3 6] [--seeds 4] [--faults calm cut slow] [--jobs 2] [--once 0.2]`,
+from the root of the tree. Virtual time: halls 1 to 150 ms apart one way, drawn with the seed; all links of one
+are cut or ten times slower for half of the load. Half of the reads are wanted within 0.3 s, the others within
+0.8 s, and the archive bears about three times what it is asked for in calm worlds. `--once`: share of reads
+that are never to be repeated, as those of a client that pays for each. Prints each world and the means.
 """
 
 from __future__ import annotations
@@ -43,7 +44,15 @@
 Matrix = dict[tuple[str, str], float]  # seconds one way, both orders
 
 
-def scenario(halls: int) -> Scenario:
+def scenario(halls: int, once: float) -> Scenario:
+    paid = {
+        "name": "paid-read",
+        "share": once,
+        "wanted": "600 ms",
+        "give_up": "1 s",
+        "repeats": "never",
+        "worth": 5,
+    }
     return Scenario.model_validate(
         {
             "summary": "halls",
@@ -55,10 +64,11 @@
             "caches": {"count": CACHES * halls, "cores": 4},
             "archive": {"concurrency": 3 * halls},
             "class": [
-                {"name": "grid-read", "share": 0.48},
+                {"name": "grid-read", "share": 0.48 - once / 2},
+                *([paid] if once else []),
                 {
                     "name": "quick-read",
-                    "share": 0.48,
+                    "share": 0.48 - once / 2,
                     "work": "40 ms",
                     "wanted": "300 ms",
                     "give_up": "800 ms",
@@ -178,10 +188,10 @@
         )
 
 
-def play(job: tuple[int, int, str, str]) -> Figures:
+def play(job: tuple[int, int, str, str, float]) -> Figures:
     """One world in one mode."""
-    halls, seed, fault, mode = job
-    made = scenario(halls)
+    halls, seed, fault, mode, once = job
+    made = scenario(halls, once)
     matrix = drawn(made.halls.names, seed)
     hit = made.halls.names[seed % halls]
     apart = {other: matrix[hit, other] for other in made.halls.names if other != hit}
@@ -222,9 +232,13 @@
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--faults", nargs="+", default=["calm", "cut", "slow"])
     parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--once", type=float, default=0.0)
     arguments = parser.parse_args()
+    once = arguments.once
     seeds = range(arguments.seeds)
-    jobs = [(h, s, f, m) for h in arguments.halls for f in arguments.faults for s in seeds for m in MODES]
+    jobs = [
+        (h, s, f, m, once) for h in arguments.halls for f in arguments.faults for s in seeds for m in MODES
+    ]
     print(f"{'':24s} worth  p99       hits   fetches crossing")
     with multiprocessing.Pool(arguments.jobs, maxtasksperchild=4) as pool:
         done = dict(zip(jobs, pool.map(play, jobs, chunksize=1), strict=True))
@@ -232,8 +246,8 @@
         for fault in arguments.faults:
             for seed in seeds:
                 for mode in MODES:
-                    print(line(f"{halls} {fault} seed {seed} {mode}", done[halls, seed, fault, mode]))
-            means = {m: mean([done[halls, s, fault, m] for s in seeds]) for m in MODES}
+                    print(line(f"{halls} {fault} seed {seed} {mode}", done[halls, seed, fault, mode, once]))
+            means = {m: mean([done[halls, s, fault, m, once] for s in seeds]) for m in MODES}
             for mode in MODES:
                 print(line(f"{halls} {fault} mean {mode}", means[mode]))
             gained = {m: means[m].worth - means["off"].worth for m in MODES}
