--- a/benchmarks/halls_worlds.py
+++ b/benchmarks/halls_worlds.py
@@ -2,8 +2,8 @@
 
 `python benchmarks/halls_worlds.py [--halls 3 6] [--seeds 4] [--faults calm cut slow] [--once 0.2]`
 
-From the root of the tree. Virtual time: halls 1 to 150 ms apart one way, drawn with the seed; all links of one
-are cut or ten times slower for half of the load. Half of the reads are wanted within 0.3 s, the others in
+From the root of the tree. Virtual time: halls 1 to 150 ms apart one way, drawn with the seed; all links of
+one are cut or ten times slower for half of the load. Half of the reads are wanted within 0.3 s, the others in
 0.8 s, and the archive bears about three times what it is asked for in calm worlds. `--once`: share of reads
 that are never to be repeated, as those of a client that pays for each. Prints each world and the means.
 """
