--- a/ironrail/peers/regions/carried.py
+++ b/ironrail/peers/regions/carried.py
@@ -15,6 +15,8 @@
 
 PACE = 2.0  # connections let go a second by one router: 100 routers bring 10,000 clients over in a minute
 BURST = 10.0
+AGAIN = 600.0  # seconds in which a client that came back after it was let go is left alone: it follows no rows
+MOST_GONE = 4096  # clients that are remembered for it: half a megabyte
 
 
 class Resting(NamedTuple):
@@ -25,6 +27,7 @@
     client: str  # address without port
     owed: bool
     idle: float  # seconds since its last answer went out
+    opened: float = -math.inf  # when it came
 
 
 def place(row: Mapping[str, float], client: str) -> str | None:
@@ -48,6 +51,7 @@
         """`pace` in connections/s."""
         self._here, self._pace, self._burst = here, pace, burst
         self._tokens, self._at = 0.0, now  # a start is no reason for a burst
+        self._gone: dict[str, float] = {}  # when a client was first let go; the oldest first
 
     def let_go(
         self, now: float, rows: Rows, resting: Iterable[Resting], takes: Mapping[str, bool]
@@ -63,10 +67,20 @@
             if row is None or one.owed:
                 continue
             to = place(row, one.client)
-            if to is None or to == self._here or not takes.get(to, False):
+            if to is None or to == self._here or not takes.get(to, False) or self._is_back(now, one):
                 continue
+            self._gone.setdefault(one.client, now)
             found.append(one.number)
             self._tokens -= 1.0
             if self._tokens < 1.0:
                 break
+        while len(self._gone) > MOST_GONE:
+            del self._gone[next(iter(self._gone))]
         return found
+
+    def _is_back(self, now: float, one: Resting) -> bool:
+        gone = self._gone.get(one.client)
+        if gone is not None and now - gone > AGAIN:
+            del self._gone[one.client]
+            return False
+        return gone is not None and one.opened > gone
--- a/ironrail/peers/regions/model.py
+++ b/ironrail/peers/regions/model.py
@@ -16,6 +16,14 @@
 _OK, _EARLY, _LATE = 0, 1, 2
 
 
+def time_left(left: float, way_back: float | None) -> float:
+    """Seconds in which an answer has to be ready; 0 or less: it can't arrive in time, so give it up at once.
+
+    Of an unknown region nothing is taken off: nobody is refused for want of evidence.
+    """
+    return left - (way_back or 0.0)
+
+
 class Seen:
     """One region's readers: 0.6 kB and as much for each class that they ask."""
 
--- a/ironrail/peers/regions/proposal.py
+++ b/ironrail/peers/regions/proposal.py
@@ -35,7 +35,7 @@
     least_gain: float = 0.20  # of a reader's time: evidence is coded within 7 %
     least_seconds: float = 0.010  # of a reader's time
     least_total: float = 0.01  # of all readers' cost: less is not worth a decision
-    most_bytes: int = 3000  # of rows in the document, whose 4,096 hold other things too
+    most_bytes: int = 2500  # of rows in the document, whose 3,072 hold other things too
     explore: float = 0.0  # of a region's readers to halls of which nothing is known: the operator's consent
 
 
--- a/ironrail/peers/regions/steer.py
+++ b/ironrail/peers/regions/steer.py
@@ -27,14 +27,6 @@
 from ironrail.peers.regions.regions import UNKNOWN
 
 
-def time_left(left: float, way_back: float | None) -> float:
-    """Seconds in which an answer has to be ready; 0 or less: it can't arrive in time, so give it up at once.
-
-    Of an unknown region nothing is taken off: nobody is refused for want of evidence.
-    """
-    return left - (way_back or 0.0)
-
-
 class Steering:
     """One proposal's work."""
 
--- a/tests/peers/regions/test_steer.py
+++ b/tests/peers/regions/test_steer.py
@@ -20,7 +20,8 @@
     Steps,
     size_of,
 )
-from ironrail.peers.regions.steer import Steering, time_left
+from ironrail.peers.regions.model import time_left
+from ironrail.peers.regions.steer import Steering
 from ironrail.peers.regions.table import Cell
 
 HALLS, REGIONS = ["a", "b", "c", "d"], ["", "e", "f", "g", "h"]
