Regions' driver: evidence, rows on a page, proposals in turn, connections let go

Round trips come from the kernel (TCP_INFO), a few connections a second; the end of each request tells class, seconds and whether it was in its wanted time. Time left is reckoned with the region's way back taken off. Rows of the policy in force and what is known stand at /-/regions; a voter proposes rows in its turn where peers.steer_every says so. The network in virtual time knows hosts that are further apart, and addresses of clients.

--- a/ironrail/net/answers.py
+++ b/ironrail/net/answers.py
@@ -96,10 +96,13 @@
         counts[held.command.fields["c"]] += 1
         del self._held[held.request]
         held.timer.cancel()
+        if self._note is None and held.reader is None:
+            return
+        figures = self.figures
+        served, refused = counts is figures.success, counts is figures.busy
+        ended = Ended.SERVED if served else Ended.REFUSED if refused else Ended.FAILED
+        held.ended(self._now(), ended)
         if self._note is not None:
-            figures = self.figures
-            served, refused = counts is figures.success, counts is figures.busy
-            ended = Ended.SERVED if served else Ended.REFUSED if refused else Ended.FAILED
             self._note(
                 held.command, self._now() - held.taken_at, ended, 0 if held.command.write else held.length
             )
--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -8,6 +8,7 @@
 
 from ironrail.connections.downstream import Downstream, Fate, Next, Place
 from ironrail.net import memcache
+from ironrail.net.held import Reader
 from ironrail.net.host import Host
 from ironrail.net.memcache import BadCommand, Command, CommandParser, Noop
 from ironrail.net.slots import Slot
@@ -32,6 +33,9 @@
     def remove(self, place: Place) -> None:
         """A connection has ended, or is about to."""
 
+    def reader_of(self, transport: asyncio.Transport) -> Reader | None:
+        """Whoever is at its other end, where regions of readers are told apart."""
+
     def let_in(self) -> None:
         """Go on with those whose long value there is room for now."""
 
@@ -44,6 +48,7 @@
 
     transport: asyncio.Transport
     place: Place
+    reader: Reader | None
 
     def __init__(self, clients: Others) -> None:
         self._clients = clients
@@ -54,6 +59,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.place = self._clients.add(self)
+        self.reader = self._clients.reader_of(self.transport)
 
     def data_received(self, data: bytes) -> None:
         if self.place.ending:
--- a/ironrail/net/clients.py
+++ b/ironrail/net/clients.py
@@ -16,6 +16,7 @@
 from ironrail.net import memcache
 from ironrail.net.accepting import Acceptor
 from ironrail.net.client import ClientConnection
+from ironrail.net.held import Reader
 from ironrail.net.host import Host
 from ironrail.net.system import REAL, Address, System
 
@@ -36,6 +37,7 @@
         self._loop = asyncio.get_running_loop()
         self._connections: dict[Place, ClientConnection] = {}
         self._opening: set[asyncio.Task[None]] = set()
+        self.reader: Callable[[asyncio.Transport], Reader] | None = None  # told apart where operators say so
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -96,6 +98,22 @@
         self._empty.clear()
         return place
 
+    def reader_of(self, transport: asyncio.Transport) -> Reader | None:
+        return self.reader(transport) if self.reader is not None else None
+
+    def all(self) -> list[ClientConnection]:
+        """All connections that are up, the oldest first."""
+        return list(self._connections.values())
+
+    def let_go(self, connection: ClientConnection) -> bool:
+        """Close one that rests, where that crosses nothing; whether it did."""
+        place = connection.place
+        if not place.idle() or place.ending or connection.transport.is_closing() or not connection.clear():
+            return False
+        self.remove(place)
+        connection.transport.close()
+        return True
+
     def remove(self, place: Place) -> None:
         """A connection has ended, or is about to."""
         self.places.gone(place)
--- a/ironrail/net/held.py
+++ b/ironrail/net/held.py
@@ -7,15 +7,30 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ironrail.access.keep import Ended
 from ironrail.net.connection import Attempt
 from ironrail.net.memcache import Command
 
 Answer = Callable[[bytes], None]
 
 
+class Reader(Protocol):
+    """Whoever is at the other end of a client's connection, where regions of readers are told apart."""
+
+    def time_left(self, left: float) -> float:
+        """Of so many seconds until the reader needs the answer, those in which it has to be ready."""
+
+    def ended(self, request_class: str, seconds: float, ended: Ended) -> None:
+        """A request of this reader has ended, so long after it was taken."""
+
+
 class Passage(Protocol):
     """Where a long value goes as it comes."""
 
+    @property
+    def reader(self) -> Reader | None:
+        """Who gets it, where that is told apart."""
+
     def begin(self, head: bytes, hold: Callable[[bool], None]) -> None:
         """Its head; `hold` is to be told when the client takes no more for now, or again."""
 
@@ -44,3 +59,9 @@
     streams_since: float = 0.0
     taken_at: float = 0.0
     length: int = 0  # bytes of the value that it was given
+    reader: Reader | None = None
+
+    def ended(self, now: float, ended: Ended) -> None:
+        """Tell whoever wants to know."""
+        if self.reader is not None:
+            self.reader.ended(self.command.fields["c"], now - self.taken_at, ended)
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -77,9 +77,14 @@
         ):
             answer(b"CLIENT_ERROR id in use\r\n")
             return None
+        reader = passage.reader if passage is not None else None
+        if reader is not None:  # what can't be there in time any more is given up at once
+            time_left = max(0.0, reader.time_left(time_left))
         hint = read_figure(command.fields, "h")
         timer, now = self._loop.call_later(time_left, self._on_deadline, name), self._now()
-        self._held[name] = Held(name, command, answer, now + time_left, timer, passage, taken_at=now)
+        self._held[name] = Held(
+            name, command, answer, now + time_left, timer, passage, taken_at=now, reader=reader
+        )
         self._feed(
             api.Request(
                 name,
@@ -98,6 +103,7 @@
         held = self._held.pop(name, None)
         if held is not None:
             held.timer.cancel()
+            held.ended(self._now(), Ended.LEFT)
             if self._note is not None:
                 self._note(held.command, self._now() - held.taken_at, Ended.LEFT, 0)
             if held.streaming is not None:
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -103,12 +103,13 @@
 
             self.together = Together(config, operator, system, self._host.guide, store)
             self._host.before = self.together.check
+            self.together.serve(self._clients)
         if config.known is not None:
             try:
                 _, known, addresses = reader.read(config.known, api.ListKind.SAVED)
             except ListError as e:
                 raise ConfigError(str(e), "known") from e
-            self._host.servers(known, addresses)
+            self._told(known, addresses)
 
     def _can_serve(self) -> bool:
         return self._host.can_serve() and (self.together is None or self.together.ready())
@@ -168,6 +169,8 @@
 
     def _told(self, news: api.ServerList, addresses: dict[str, Address]) -> None:
         self._host.servers(news, addresses)
+        if self.together is not None:
+            self.together.servers(news)
         if news.kind is api.ListKind.FULL:
             self._listed.set()
 
--- a/ironrail/net/policies.py
+++ b/ironrail/net/policies.py
@@ -9,7 +9,7 @@
 import logging
 import math
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -23,6 +23,7 @@
 from ironrail.operator_file import OperatorError, Peers
 from ironrail.peers.accord import policy as p
 from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.errors import UnreadyError
 from ironrail.peers.accord.proposer import Ticket
 from ironrail.peers.accord.room import AccordRoom, DecidedBy
 from ironrail.policy import interface as api
@@ -55,9 +56,9 @@
         raise OperatorError(str(e), path) from e
 
 
-def facts_of(settings: api.Settings, peers: Peers) -> p.Facts:
+def facts_of(settings: api.Settings, peers: Peers, regions: Collection[str] = ()) -> p.Facts:
     """What this router checks each policy against. Titles come with requests: any may be named."""
-    return p.Facts(frozenset(settings.classes), None, frozenset(peers.halls))
+    return p.Facts(frozenset(settings.classes), None, frozenset(peers.halls), frozenset(regions))
 
 
 class Policies:
@@ -72,6 +73,7 @@
         follow: Callable[[api.Guidance], None],
         now: Callable[[], float],
         go_on: Callable[[], None],
+        regions: Collection[str] = (),
     ) -> None:
         """`follow`: takes what is decided by from now on; `go_on`: sends what the room says."""
         self._follow, self._now, self._go_on = follow, now, go_on
@@ -85,7 +87,7 @@
             disk=store is not None,
             start_on_floor=peers.start == "floor",
         )
-        facts, floor = facts_of(settings, peers), read_floor(peers.floor)
+        facts, floor = facts_of(settings, peers, regions), read_floor(peers.floor)
         record, self._torn = self._kept(store)
         self.room = AccordRoom(conf, facts, floor, place.now, place.seed, record)
         self._keeper = Keeper(store, RECORD, self._done) if store is not None else None
@@ -145,6 +147,29 @@
         if self._keeper is not None:
             self._keeper.stop()
 
+    # Rows of steering
+
+    def in_force(self) -> DecidedBy:
+        """What is decided by now, with the versions."""
+        return self.room.decides_by(self._now())
+
+    def steer(self, rows: dict[str, dict[str, float]]) -> Ticket:
+        """Propose these rows in place of those of the policy in force, and nothing else changed.
+
+        Raises:
+            RefusedError: it can't be now.
+            PolicyError: the rows are none.
+        """
+        known, policy = self.room.known, self.in_force().policy
+        if known is None or policy is None:
+            raise UnreadyError("knows of no policy in force", "steering")
+        version = max(known.tried, policy.version) + 1
+        self.ticket = self.room.propose(
+            self._now(), msgspec.structs.replace(policy, version=version, steering=rows)
+        )
+        self._go_on()
+        return self.ticket
+
     # The operators' door
 
     def page(self) -> Answer:
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -2,40 +2,210 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+import asyncio
+import logging
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ironrail.door.calls import Page
+import msgspec
+import orjson
+
+from ironrail.door.calls import Answer, Page
+from ironrail.errors import InputError, IronrailError, RefusedError
+from ironrail.net.evidence import Evidence, One
+from ironrail.operator_file import Operator
+from ironrail.peers.accord import policy as p
+from ironrail.peers.regions.capacity import Server, Servers, halls_now, takes
+from ironrail.peers.regions.carried import Carrier, Resting
+from ironrail.peers.regions.expected import Cells, Hall, Worth
+from ironrail.peers.regions.proposal import USUAL, Proposal, Rows
 from ironrail.peers.regions.regions import Regions
 from ironrail.peers.regions.room import RegionsRoom
+from ironrail.peers.regions.table import STALE
+from ironrail.peers.regions.told import NoRowsError, tell
+from ironrail.peers.regions.turns import Turn
+from ironrail.policy import interface as api
 
 if TYPE_CHECKING:
+    from ironrail.net.client import ClientConnection
+    from ironrail.net.clients import Clients
+    from ironrail.net.policies import Policies
     from ironrail.net.together import Here
 
+TICK = 1.0  # seconds between looks at connections and at what is in force
+LOOKED_AT = 256  # connections a tick, at the most, that might be let go: 1 ms where none of them has to
+CELLS_FOR = 5.0  # seconds for which what is known is not reckoned anew: it changes in 15 at the soonest
+
+log = logging.getLogger(__name__)
+
 
 class Readers:
-    """One router's part in what is known of regions."""
+    """One router's part in what is known of regions, and in what is done about it."""
 
     def __init__(
         self,
         here: Here,
-        named: Mapping[str, Sequence[str]],
-        classes: Sequence[str],
+        operator: Operator,
+        settings: api.Settings,
         go_on: Callable[[], None],
+        policies: Policies | None,
+        cut: Callable[[str], bool] | None,
     ) -> None:
-        """`named`: address ranges of each region; `go_on`: sends what the room says."""
-        self._system, self._go_on = here.system, go_on
+        """`go_on`: sends what the room says; `cut`: whether a hall is cut off, where a map tells."""
+        assert operator.peers is not None
+        self._system, self._go_on, self._policies = here.system, go_on, policies
+        self._settings, self._peers, self._halls_of = settings, operator.peers, here.halls
+        self._cut = cut or (lambda hall: False)
         names, hall_of = here.numbered()
-        self.regions = Regions(named)
-        self.room = RegionsRoom(
-            here.system.now(), here.me, here.start, self.regions, names, hall_of, classes, here.draws
-        )
+        now, classes = here.system.now(), tuple(settings.classes)
+        self.regions = Regions(operator.regions)
+        self.room = RegionsRoom(now, here.me, here.start, self.regions, names, hall_of, classes, here.draws)
+        self._evidence = Evidence(here.system, self.regions, self.room, settings)
+        self._worth = Worth({name: known.worth for name, known in settings.classes.items()})
+        self._list, self._carrier = Servers(), Carrier(here.halls[here.me], now)
+        self._turn: Turn | None = None
+        voters = sorted(operator.peers.voters)
+        if operator.peers.steer_every and here.me in voters:
+            self._turn = Turn(now, voters.index(here.me), len(voters), operator.peers.steer_every)
+        self._versions: tuple[int, ...] = ()  # in force, as last looked at
+        self._rows: Rows = {}
+        self._since = now
+        self._cells: Cells = {}
+        self._cells_at = -math.inf
+        self.proposal: Proposal | None = None  # what came of the latest look
+        self._refused: IronrailError | None = None
+        self.let_go = 0  # connections, since the start
+        self._clients: Clients | None = None
+        self._to_move = deque["ClientConnection"]()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def serve(self, clients: Clients) -> None:
+        """Those whose requests come to this router."""
+        self._clients = clients
+        clients.reader = self._evidence.one
+        self._timer = asyncio.get_running_loop().call_later(TICK, self._tick)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
 
     def settled(self) -> None:
-        """After each event."""
+        """After each event: nothing that could not wait for the next tick."""
+
+    def servers(self, news: api.ServerList) -> None:
+        """The list of servers, or news of it."""
+        if news.kind in (api.ListKind.DELTA, api.ListKind.FULL, api.ListKind.SAVED):
+            origin = self._settings.origin_kind
+            found = [
+                (e.server, Server(e.zone, e.weight, e.since) if e.state is api.State.READY else None)
+                for e in news.entries
+                if origin is None or e.kind != origin
+            ]
+            self._list.take(news.kind is not api.ListKind.DELTA, found)
+
+    # What is in force, and what is done
+
+    def _tick(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(TICK, self._tick)  # whatever becomes of this one
+        now, clients = self._system.now(), self._clients
+        assert clients is not None
+        self._evidence.measure(clients)
+        self._follow(now)
+        if self._rows and not clients.places.draining:
+            self._move(now, clients)
+        if self._turn is not None and self._turn.due(now):
+            self._steer(now)
+
+    def _follow(self, now: float) -> None:
+        if self._policies is None:
+            return
+        decided = self._policies.in_force()
+        if decided.versions == self._versions:
+            return
+        self._versions, self._since = decided.versions, now
+        # by the floor nobody is moved; between two policies only those whose row both have
+        self._rows = decided.policy.steering if decided.policy is not None and decided.versions else {}
+        if len(decided.versions) == 1:
+            self.room.in_force(now, self._rows)
+        if self._turn is not None:
+            self._turn.changed(now)
+
+    def _known(self, now: float) -> tuple[Cells, dict[str, Hall]]:
+        if now - self._cells_at >= CELLS_FOR:
+            self._cells, self._cells_at = self.room.cells(now), now
+        policy = self._policies.in_force().policy if self._policies is not None else None
+        emptied = policy.emptied if policy is not None else ()
+        silent = STALE * self.room.table.renewal
+        return self._cells, halls_now(
+            now, self._halls_of, self._list, self._cells, self._peers.per_weight, emptied,
+            self._settings.ramp, self._cut, silent,
+        )  # fmt: skip
+
+    def _move(self, now: float, clients: Clients) -> None:
+        """Let go resting connections of those whom the rows give to another hall."""
+        if not self._to_move:
+            self._to_move.extend(clients.all())
+        resting: list[Resting] = []
+        looked = [self._to_move.popleft() for _ in range(min(LOOKED_AT, len(self._to_move)))]
+        for number, connection in enumerate(looked):
+            one, place = connection.reader, connection.place
+            if isinstance(one, One) and one.region in self._rows:
+                owed = not place.idle() or not place.used or place.unread_since is not None
+                resting.append(Resting(number, one.region, one.client, owed, now - place.heard, one.opened))
+        if resting:
+            _, halls = self._known(now)
+            for number in self._carrier.let_go(now, self._rows, resting, takes(halls)):
+                self.let_go += clients.let_go(looked[number])
+
+    def _steer(self, now: float) -> None:
+        """Propose rows, if there are better ones."""
+        assert self._policies is not None
+        decided = self._policies.in_force()
+        if len(decided.versions) != 1 or decided.policy is None:
+            return  # a change is under way, or none can be
+        policy = decided.policy
+        rest = msgspec.structs.replace(policy, steering={}, version=p.MOST_VERSION)
+        most = min(USUAL.most_bytes, p.MOST_DOCUMENT - len(p.encode(rest)) - 2)
+        bounds = replace(USUAL, explore=self._peers.explore, most_bytes=most)
+        _, halls = self._known(now)
+        # what was measured at a hall holds its ways to caches already
+        links = dict.fromkeys(halls, 0.0)
+        self.proposal = found = self.room.propose(now, policy.steering, halls, links, self._worth, bounds)
+        self._refused = None
+        if found.rows is None:
+            return
+        try:
+            ticket = self._policies.steer(found.rows)
+        except (RefusedError, InputError) as e:
+            self._refused = e
+            log.info("steering_refused", extra={"error": e.told()})
+            return
+        told = {"version": ticket.ref.version, "reason": found.reason.value, "moved": round(found.moved, 3)}
+        log.info("steering_proposed", extra=told)
+
+    # The operators' door
 
     def pages(self) -> dict[str, Page]:
-        return {}
+        return {"/-/regions": self._page}
 
-    def close(self) -> None:
-        """Nothing is held."""
+    def _page(self) -> Answer:
+        """Rows in force and what is known, as JSON; 503 where there are no rows."""
+        now = self._system.now()
+        self._follow(now)
+        cells, halls = self._known(now)
+        told = tell(
+            self._versions, now - self._since, self._rows, cells, halls, tuple(self._settings.classes),
+            now - self._cells_at,
+        )  # fmt: skip
+        error = None if self._rows else NoRowsError.of(self._policies is not None, self._versions)
+        if error is not None:
+            told["error"] = {"type": type(error).__name__, "told": error.told()}
+        if self.proposal is not None:
+            told["looked"] = {"reason": self.proposal.reason.value, "moved": self.proposal.moved}
+        if self._refused is not None:
+            told["refused"] = {"type": type(self._refused).__name__, "told": self._refused.told()}
+        told["let_go"] = self.let_go
+        return Answer(200 if error is None else 503, orjson.dumps(told, option=orjson.OPT_INDENT_2) + b"\n")
--- a/ironrail/net/slots.py
+++ b/ironrail/net/slots.py
@@ -8,6 +8,7 @@
 
 from ironrail.connections.downstream import Place
 from ironrail.net import memcache
+from ironrail.net.held import Reader
 
 WAITING = 64 * 1024  # bytes of a long value that may wait for the answers before it
 
@@ -17,6 +18,7 @@
 
     transport: asyncio.Transport
     place: Place
+    reader: Reader | None
 
     def turn_of(self, slot: Slot) -> bool:
         """Whether all answers before this one are written."""
@@ -39,6 +41,10 @@
         self._pieces: list[bytes] = []  # that wait for the answers before this one
         self._waiting = 0  # bytes of them
 
+    @property
+    def reader(self) -> Reader | None:
+        return self._connection.reader
+
     def give(self, answer: bytes) -> None:
         """The whole answer."""
         self.answer = answer
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -11,11 +11,14 @@
 import gc
 import select
 import socket
+import struct
 import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
 Address = tuple[str, int]
+RTT = struct.Struct("=I")  # microseconds, smoothed (RFC 6298)
+TCP_INFO = 72  # bytes of Linux's `struct tcp_info` up to the end of `tcpi_rtt` (linux/tcp.h)
 
 
 class System(Protocol):
@@ -36,6 +39,9 @@
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Tells, each time it is called, whether something has come that is not yet read, or the end."""
 
+    def round_trip(self, transport: asyncio.Transport) -> float | None:
+        """Seconds to the other end and back, as the system itself has measured them; None if it hasn't."""
+
     def settled(self) -> None:
         """The router is up: what it holds now it holds for good."""
 
@@ -70,6 +76,17 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         return lambda: bool(poll.poll(0))
 
+    def round_trip(self, transport: asyncio.Transport) -> float | None:
+        try:
+            told = transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO
+            )
+        except OSError:  # it has ended
+            return None
+        if len(told) < TCP_INFO:
+            return None
+        return RTT.unpack_from(told, TCP_INFO - RTT.size)[0] * 1e-6 or None
+
     def settled(self) -> None:
         gc.freeze()  # not to be looked through again and again
 
--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -5,8 +5,9 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import orjson
 
@@ -18,8 +19,13 @@
 from ironrail.net.system import System
 from ironrail.operator_file import Operator, OperatorError
 from ironrail.peers.faces import Room
+from ironrail.peers.regions.capacity import cut_off
 from ironrail.policy import interface as api
 
+if TYPE_CHECKING:
+    from ironrail.net.clients import Clients
+    from ironrail.net.readers import Readers
+
 
 @dataclass(frozen=True, slots=True)
 class Here:
@@ -84,24 +90,39 @@
             keeps = store if me in peers.voters else None
             if keeps is None and peers.keep and me in peers.voters:
                 keeps = FolderStore(folder_of(peers.keep, me))
-            self.policies = Policies(place, config.settings, peers, keeps, guide, system.now, self._go_on)
+            self.policies = Policies(
+                place, config.settings, peers, keeps, guide, system.now, self._go_on, tuple(operator.regions)
+            )
             self.peering.add(self.policies.room)
         self.parts: list[Part] = []
+        self.readers: Readers | None = None
         here = Here(me, start, system, peers.halls, random.Random(config.seed))
+        cut = None  # whether a hall is cut off from others, as far as the map tells
         if peers.map:
             from ironrail.net.halls import HallsMap  # noqa: PLC0415 - only where it is wanted
 
             self.halls = HallsMap(here, self._go_on)
             self.parts.append(self.halls)
+            cut = partial(cut_off, self.halls.room.estimate, here.numbered()[0], system.now)
         if operator.regions:
             from ironrail.net.readers import Readers  # noqa: PLC0415 - only where they are wanted
 
-            self.readers = Readers(here, operator.regions, tuple(config.settings.classes), self._go_on)
+            self.readers = Readers(here, operator, config.settings, self._go_on, self.policies, cut)
             self.parts.append(self.readers)
         for part in self.parts:
             self.peering.add(part.room)
         self._meet = [voter for voter in peers.voters if voter != me]
 
+    def serve(self, clients: Clients) -> None:
+        """Those whose requests come here."""
+        if self.readers is not None:
+            self.readers.serve(clients)
+
+    def servers(self, news: api.ServerList) -> None:
+        """Discovery has told something of the list of servers."""
+        if self.readers is not None:
+            self.readers.servers(news)
+
     async def open(self) -> None:
         """Listen to the others; OSError where that can't be done."""
         await self.peering.open(self._meet)
--- a/ironrail/operator_file.py
+++ b/ironrail/operator_file.py
@@ -64,6 +64,9 @@
     start: str = "wait"  # a router that knows of no policy: is not ready (`wait`), or acts by the `floor`
     floor: str = ""  # file of the policy that is obeyed where none can be decided by; empty: one of no rows
     map: bool = False  # a map of latency between halls is kept and decided by
+    steer_every: int = 0  # seconds between looks of a voter whether to propose rows of steering; 0: none is
+    per_weight: float = 0.0  # requests/s that a cache does for one unit of its weight; 0: not known
+    explore: float = 0.0  # of each region's readers that may be brought to halls of which nothing is known
 
     def secrets(self) -> dict[int, bytes]:
         """The keys; OperatorError if a file can't be used."""
--- a/ironrail/operator_reader.py
+++ b/ironrail/operator_reader.py
@@ -56,6 +56,9 @@
     start: Literal["wait", "floor"] | UnsetType = UNSET
     floor: str | UnsetType = UNSET
     map: bool | UnsetType = UNSET
+    steer_every: Annotated[int, Meta(ge=0, le=86_400)] | UnsetType = UNSET
+    per_weight: Annotated[float, Meta(ge=0, le=1_000_000)] | UnsetType = UNSET
+    explore: Annotated[float, Meta(ge=0, le=0.25)] | UnsetType = UNSET
 
 
 class OperatorForm(Struct, forbid_unknown_fields=True):
@@ -82,12 +85,16 @@
         form = msgspec.convert(table, OperatorForm)
     except msgspec.ValidationError as e:
         raise OperatorError(_explain(str(e), table), path) from e
-    return Operator(
+    operator = Operator(
         Connections(**_given(form.connections)),
         AccessLog(**_given(form.access_log)) if form.access_log is not UNSET else None,
         _peers(path, form.peers) if form.peers is not UNSET else None,
         _regions(path, form),
     )
+    peers = operator.peers
+    if peers and peers.steer_every and not (peers.voters and peers.per_weight and operator.regions):
+        raise OperatorError("peers.steer_every: needs voters, per_weight and [regions]", path)
+    return operator
 
 
 def _regions(path: str, form: OperatorForm) -> dict[str, list[str]]:
--- a/ironrail/peers/regions/capacity.py
+++ b/ironrail/peers/regions/capacity.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from ironrail.peers.latency.sight import Link
+from ironrail.peers.latency.table import Estimate
 from ironrail.peers.regions.expected import Cells, Hall, Standing
 from ironrail.peers.regions.proposal import USUAL
 
@@ -87,6 +89,20 @@
     return found
 
 
+def cut_off(
+    estimate: Callable[[float, int, int], Estimate], halls: Sequence[str], now: Callable[[], float], hall: str
+) -> bool:
+    """Whether more than half of the links between this hall and others, of those known, are cut.
+
+    `estimate`: the map's, of the halls by their place in `halls`.
+    """
+    at, me = now(), halls.index(hall)
+    ways = [way for n in range(len(halls)) if n != me for way in ((me, n), (n, me))]
+    states = [estimate(at, *way).state for way in ways]
+    known = [state for state in states if state is not Link.UNKNOWN]
+    return 2 * known.count(Link.CUT) > len(known)
+
+
 def takes(halls: Mapping[str, Hall]) -> dict[str, bool]:
     """Halls that connections may be let go to: open, and not at their limit."""
     return {
--- a/ironrail/rehearsal/virtual/faces.py
+++ b/ironrail/rehearsal/virtual/faces.py
@@ -58,8 +58,8 @@
 class Connects(Protocol):
     """A network, to the loop that its connections are asked of."""
 
-    async def connect(self, factory: Any, address: Any) -> tuple[Any, Any]:
-        """A transport and its protocol; OSError if nobody listens there."""
+    async def connect(self, factory: Any, address: Any, local: Any = None) -> tuple[Any, Any]:
+        """A transport and its protocol, from the address `local`; OSError if nobody listens there."""
 
     def adopt(self, factory: Any, socket: Any) -> tuple[Any, Any]:
         """The same for a connection that was accepted."""
--- a/ironrail/rehearsal/virtual/loop.py
+++ b/ironrail/rehearsal/virtual/loop.py
@@ -162,9 +162,9 @@
     # The network and the system
 
     async def create_connection(
-        self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any
+        self, protocol_factory: Any, host: Any = None, port: Any = None, local_addr: Any = None, **_: Any
     ) -> Any:
-        return await self.network.connect(protocol_factory, (host, port))
+        return await self.network.connect(protocol_factory, (host, port), local_addr)
 
     async def connect_accepted_socket(self, protocol_factory: Any, sock: Any, **_: Any) -> Any:
         return self.network.adopt(protocol_factory, sock)
--- a/ironrail/rehearsal/virtual/network.py
+++ b/ironrail/rehearsal/virtual/network.py
@@ -33,6 +33,7 @@
         self._listeners: dict[Any, list[Listener]] = {}  # those that share an address
         self._ports = FIRST_PORT
         self._names: dict[str, int] = {}
+        self.ways: dict[tuple[str, str], float] = {}  # more seconds one way between two hosts, by address
         loop.network = self
 
     def context_now(self) -> contextvars.Context:
@@ -81,20 +82,24 @@
         """Whether anybody listens there."""
         return address in self._listeners
 
-    async def connect(self, factory: Any, address: Any) -> tuple[VirtualTransport, Any]:
-        """A connection to whoever listens there; OSError if nobody does. Hangs while nobody answers."""
+    async def connect(self, factory: Any, address: Any, local: Any = None) -> tuple[VirtualTransport, Any]:
+        """A connection to whoever listens there; OSError if nobody does. Hangs while nobody answers.
+
+        `local`: the address that it comes from, in place of one of the same host.
+        """
         process, context = PROCESS.get(), self.context_now()
         whose = process.name if process is not None else "kit"
+        own = local or (address[0], 0)
         listener = await self._answered(address, whose)
         name = self._name(f"{whose}>{address[1]}")
-        near = VirtualSocket(self, process, name, (address[0], 0), address)
-        far = VirtualSocket(self, None, name + "'", address, (address[0], 0))
+        near = VirtualSocket(self, process, name, own, address)
+        far = VirtualSocket(self, None, name + "'", address, own)
         near.peer, far.peer = far, near
         self.note("up", name)
         listener.queue.append(far)
         listener.notify()
         try:
-            await self._later(self._delay())
+            await self._later(self._delay() + 2 * self._way(near))  # the way there was gone in no time
         except asyncio.CancelledError:
             near.close()
             raise
@@ -157,8 +162,17 @@
         conditions = self._conditions
         return conditions.latency * (1.0 + conditions.jitter * self._draws.random())
 
+    def _way(self, sender: VirtualSocket) -> float:
+        return self.ways.get((sender.own[0], sender.other[0]), 0.0) if self.ways else 0.0
+
+    def round_trip(self, socket: VirtualSocket) -> float:
+        """Seconds there and back between the two ends, as a system would have measured them."""
+        back = self.ways.get((socket.other[0], socket.own[0]), 0.0)
+        usual = self._conditions.latency * (2.0 + self._conditions.jitter)
+        return usual + self._way(socket) + back
+
     def _arrival(self, sender: VirtualSocket, size: int) -> float:
-        at = max(self.loop.time() + self._delay(), sender.last_arrival)
+        at = max(self.loop.time() + self._delay() + self._way(sender), sender.last_arrival)
         # the end of a connection too takes time: at one instant it could overtake the bytes before it
         sender.last_arrival = at + (size + HEADER) / self._conditions.bandwidth
         return sender.last_arrival
@@ -193,7 +207,7 @@
         sender.peer.arrive_end()
 
     def carry_reset(self, sender: VirtualSocket) -> None:
-        at = self.loop.time() + self._delay()  # what is under way may be lost with it
+        at = self.loop.time() + self._delay() + self._way(sender)  # what is under way may be lost with it
         self.loop.call_at(at, self._reset, sender, context=self.loop.outside)
 
     def _reset(self, sender: VirtualSocket) -> None:
--- a/tests/peers/regions/test_steer.py
+++ b/tests/peers/regions/test_steer.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from ironrail.peers.regions.expected import EQUAL, Cells, Expected, Hall, Standing, Worth
+from ironrail.peers.regions.model import time_left
 from ironrail.peers.regions.proposal import (
     DWELL,
     UNITS,
@@ -20,7 +21,6 @@
     Steps,
     size_of,
 )
-from ironrail.peers.regions.model import time_left
 from ironrail.peers.regions.steer import Steering
 from ironrail.peers.regions.table import Cell
 
