--- a/ironrail/net/halls.py
+++ b/ironrail/net/halls.py
@@ -9,7 +9,7 @@
 from ironrail.peers.latency.room import LatencyRoom
 
 if TYPE_CHECKING:
-    from ironrail.net.together import Here
+    from ironrail.net.here import Here
 
 
 class HallsMap:
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -32,8 +32,8 @@
 if TYPE_CHECKING:
     from ironrail.net.client import ClientConnection
     from ironrail.net.clients import Clients
+    from ironrail.net.here import Here
     from ironrail.net.policies import Policies
-    from ironrail.net.together import Here
 
 TICK = 1.0  # seconds between looks at connections and at what is in force
 LOOKED_AT = 256  # connections a tick, at the most, that might be let go: 1 ms where none of them has to
--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -4,7 +4,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
@@ -13,6 +12,7 @@
 
 from ironrail.door.calls import Answer, Page, Post
 from ironrail.net.config import Config, ConfigError
+from ironrail.net.here import Here
 from ironrail.net.peering import Peering, read_tier, start_of
 from ironrail.net.policies import Place, Policies
 from ironrail.net.store import FolderStore, Store
@@ -27,22 +27,6 @@
     from ironrail.net.readers import Readers
 
 
-@dataclass(frozen=True, slots=True)
-class Here:
-    """Where this router stands among all."""
-
-    me: int
-    start: int  # of this process
-    system: System
-    halls: tuple[str, ...]  # of each router, by its number
-    draws: random.Random
-
-    def numbered(self) -> tuple[list[str], list[int]]:
-        """The different halls in an order that all routers share, and each router's among them."""
-        names = sorted(set(self.halls))
-        return names, [names.index(hall) for hall in self.halls]
-
-
 class Part(Protocol):
     """Something a router does with others, besides accords: drives a room of its own."""
 
