--- /dev/null
+++ b/tests/test_readers.py
@@ -0,0 +1,214 @@
+"""Regions of readers at one router on loopback: evidence, the page, and connections that are let go."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironrail.net import readers as driver
+from ironrail.net.client import ClientConnection
+from ironrail.net.evidence import One
+from ironrail.operator_file import Operator, Peers
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.room import DecidedBy
+from ironrail.peers.regions.carried import place
+from ironrail.peers.regions.expected import Hall
+from tests.peers import LOCAL, Client, World, scenario
+from tests.test_operators import Operated
+
+NORTH = [f"127.0.1.{n}" for n in range(1, 60)]
+ROW = {"here": 0.5, "there": 0.5}
+AWAY = next(a for a in NORTH if place(ROW, a) == "there")
+HERE = next(a for a in NORTH if place(ROW, a) == "here")
+
+
+class Read(Operated):
+    """A router among two, with a region; the policy in force and halls' load are as a test has them."""
+
+    def __init__(self, folder: Path, **peers: Any) -> None:
+        (folder / "key").write_bytes(b"a key of all routers")
+        conf = Peers({1: str(folder / "key")}, 1, ("here", "there"), **peers)
+        super().__init__(operator=Operator(peers=conf, regions={"north": ["127.0.1.0/24"]}))
+
+    def config(self) -> Any:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind((LOCAL, 0))
+            own = f"{LOCAL}:{probe.getsockname()[1]}"
+        tier = {"peer_listen": own, "peers": [own, f"{LOCAL}:9"]}
+        return replace(super().config(), tier=tier)
+
+    async def client_at(self, address: str) -> Client:
+        return Client(*await asyncio.open_connection(*self.address, local_addr=(address, 0)))
+
+    @property
+    def readers(self) -> driver.Readers:
+        assert self.node.together is not None and self.node.together.readers is not None
+        return self.node.together.readers
+
+    def connections(self) -> list[ClientConnection]:
+        return self.node._clients.all()
+
+    async def served(self, client: Client, name: str) -> None:
+        client.get(name)
+        (await self.cache.next()).reply_value(b"v")
+        assert await client.value(name) == b"v"
+
+    def put_in_force(self, monkeypatch: pytest.MonkeyPatch, rows: Any, load: float = 1.0) -> None:
+        """These rows are in force; the other hall has this load of a room of 10."""
+        decided = DecidedBy((7,), p.Policy(7, steering=rows))
+
+        class InForce:
+            def in_force(self) -> DecidedBy:
+                return decided
+
+        halls = {"here": Hall(10.0, 1.0), "there": Hall(10.0, load)}
+        self.readers._policies = InForce()  # type: ignore[assignment]
+        monkeypatch.setattr(driver, "halls_now", lambda *_: halls)
+
+
+@scenario
+async def test_what_is_seen_of_a_region_stands_on_the_page(tmp_path: Path) -> None:
+    world = await Read(tmp_path).start()
+    client = await world.client_at(AWAY)
+    for n in range(8):
+        await world.served(client, str(n))
+        (one,) = (c.reader for c in world.connections())
+        assert isinstance(one, One) and one.region == "north"
+        one.looked = 0.0
+        world.readers._evidence.measure(world.node._clients)
+    assert isinstance(one, One) and 0.0 < one.rtt < 0.1  # of loopback, by the kernel
+    room, now = world.readers.room, world.node._system.now()
+    for tick in range(1, 7):
+        room.wake(now + tick)
+    world.readers._cells_at = -1e9
+    status, body = await world.ask("regions")
+    told = json.loads(body)
+    assert status == 503 and told["error"]["type"] == "NoRowsError" and told["versions"] == []
+    (cell,) = told["cells"]
+    assert (cell["region"], cell["hall"], cell["in_time"], cell["witnesses"]) == ("north", "here", 1.0, 1)
+    assert cell["round_trip"] == pytest.approx(0.001) and cell["rate"] > 0.0
+    assert 0.0 < cell["service"]["read"]["typical"] < 0.1
+
+
+@scenario
+async def test_ends_that_are_no_service_make_no_hall_look_quick(tmp_path: Path) -> None:
+    world = await Read(tmp_path).start()
+    seen: list[tuple[Any, ...]] = []
+    world.readers.room.served = lambda now, *told: seen.append(told)  # type: ignore[method-assign]
+    client = await world.client_at(AWAY)
+    client.get("1", wait=30)
+    await world.cache.next()
+    assert (await client.line()).startswith(b"SERVER_ERROR busy ")
+    client.get("2")
+    await world.cache.next()
+    client.close()
+    while len(seen) < 2:
+        await asyncio.sleep(0.01)
+    assert seen[0] == ("north", "read", float("inf"), False, False)
+    assert seen[1][:2] == ("north", "read") and seen[1][3:] == (False, True)
+    stranger = await world.client()
+    await world.served(stranger, "3")
+    assert seen[2][0] == "" and seen[2][3:] == (True, False)
+    (one,) = (c.reader for c in world.connections())
+    assert isinstance(one, One)
+    one.rtt = 2.0  # as long as is wanted
+    await world.served(stranger, "4")
+    assert seen[3][3:] == (False, False)
+
+
+@scenario
+async def test_what_cant_arrive_in_time_is_given_up_at_once(tmp_path: Path) -> None:
+    world = await Read(tmp_path).start()
+    client = await world.client_at(AWAY)
+    client.get("1", wait=300)
+    (await world.cache.next()).reply_value(b"v")
+    assert await client.value("1") == b"v"
+    room, now = world.readers.room, world.node._system.now()
+    for _ in range(4):
+        room.client_rtt(now, "north", 1.0)
+    client.get("2", wait=300)
+    assert (await client.line()).startswith(b"SERVER_ERROR busy ")
+    client.get("3", wait=5000)
+    got = await world.cache.next()  # of the second nothing was asked
+    assert got.flag == b"O3" and b"d=4" in got.head
+    got.reply_value(b"v")
+    assert await client.value("3") == b"v"
+    stranger = await world.client()
+    stranger.get("4", wait=300)
+    (await world.cache.next()).reply_value(b"v")
+    assert await stranger.value("4") == b"v"
+
+
+@scenario
+async def test_who_rests_is_let_go_and_nothing_owed_is_lost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = await Read(tmp_path).start()
+    clients = [await world.client_at(a) for a in (AWAY, AWAY, AWAY, HERE)]
+    for n, client in enumerate(clients):
+        await world.served(client, str(n))
+    busy, half, resting, here = clients
+    busy.get("busy")
+    owed = await world.cache.next()
+    half.send(b"mg k v Ohalf ")
+    while sum(c.place.idle() for c in world.connections()) > 2:
+        await asyncio.sleep(0.01)
+    there = world.connections()
+    world.put_in_force(monkeypatch, {"north": ROW}, load=9.5)  # at its limit
+    now = world.node._system.now()
+    world.readers._follow(now)
+    world.readers._move(now + 60.0, world.node._clients)
+    assert world.readers.let_go == 0 and world.connections() == there
+    world.put_in_force(monkeypatch, {"north": ROW})
+    world.readers._move(now + 120.0, world.node._clients)
+    assert await resting.ended() and world.readers.let_go == 1 and len(world.connections()) == 3
+    half.send(b"Pc=read,t=x,d=5000\r\n")
+    owed.reply_value(b"v")
+    assert await busy.value("busy") == b"v"
+    (await world.cache.next()).reply_value(b"w")
+    assert await half.value("half") == b"w"
+    await world.served(here, "again")
+    status, body = await world.ask("regions")
+    told = json.loads(body)
+    assert status == 200 and (told["versions"], told["rows"]) == ([7], {"north": ROW}) and told["let_go"] == 1
+
+
+@scenario
+async def test_what_has_come_unread_keeps_its_connection(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = await Read(tmp_path).start()
+    client = await world.client_at(AWAY)
+    await world.served(client, "1")
+    world.put_in_force(monkeypatch, {"north": ROW})
+    now = world.node._system.now()
+    world.readers._follow(now)
+    (connection,) = world.connections()
+    assert connection.clear()
+    with socket.socket(fileno=os.dup(client.writer.get_extra_info("socket").fileno())) as raw:
+        raw.send(b"mg k v O2 Pc=read,t=x,d=5000\r\n")  # it has come, and this loop has not read it
+    world.readers._move(now + 60.0, world.node._clients)
+    assert world.readers.let_go == 0
+    (await world.cache.next()).reply_value(b"v")
+    assert await client.value("2") == b"v"
+
+
+def test_a_router_alone_asks_nobody_who_reads() -> None:
+    @scenario
+    async def plain() -> None:
+        world = await World().start()
+        client = await world.client()
+        client.get("1")
+        (await world.cache.next()).reply_value(b"v")
+        assert await client.value("1") == b"v"
+        (connection,) = world.node._clients.all()
+        assert connection.reader is None and world.node.together is None
+
+    plain()
