--- a/ironrail/rehearsal/standins/clientpool.py
+++ b/ironrail/rehearsal/standins/clientpool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 
 from ironrail.rehearsal.account.record import Given, Outcome, Try, value_digest
 from ironrail.rehearsal.standins.meta import Answer, AnswerReader, NotMeta
@@ -124,8 +124,12 @@
 class ClientPool:
     """The connections of all clients to one router."""
 
-    def __init__(self, clients: Asking, router: str, address: tuple[str, int], most: int) -> None:
+    def __init__(
+        self, clients: Asking, router: str, address: tuple[str, int], most: int, source: str = ""
+    ) -> None:
+        """`source`: the address that they come from, where it matters."""
         self.clients, self.router = clients, router
+        self._from: dict[str, Any] = {"local_addr": (source, 0)} if source else {}
         self._address, self._most = address, most
         self._idle: deque[ClientConnection] = deque()
         self.all: dict[ClientConnection, None] = {}
@@ -172,7 +176,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_PATIENCE):
-                _, connection = await loop.create_connection(lambda: ClientConnection(self), *self._address)
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self), *self._address, **self._from
+                )
         except (OSError, TimeoutError):
             self._opening -= 1
             self.clients.unconnected(one)
--- /dev/null
+++ b/tests/rehearsal/links/readers_stage.py
@@ -0,0 +1,257 @@
+"""Routers in several halls in virtual time, and readers of regions who follow rows when they connect."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from ironrail.operator_file import Operator, Peers
+from ironrail.peers.regions.carried import place
+from ironrail.rehearsal.account.record import Outcome, Try
+from ironrail.rehearsal.links.grounds import VirtualLinks
+from ironrail.rehearsal.links.rig import LinkedRehearsal
+from ironrail.rehearsal.load.schedule import Planned, make_schedule
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.names import hall_of, router_names
+from ironrail.rehearsal.standins.clientpool import ClientPool
+from ironrail.rehearsal.standins.front import Front
+from ironrail.rehearsal.virtual.play import Virtual, play_virtual
+
+CLIENTS = 24  # of each region
+STRAYS = 6  # of these, who keep to a router of another hall whatever rows say: they are the evidence
+STRAYING = 0.1  # of a region's requests come from them
+Ways = dict[str, dict[str, float]]  # seconds one way, by region and hall
+Change = Callable[["World"], None]
+
+
+@dataclass
+class World:
+    """What is asked for, from where, and what changes when."""
+
+    halls: tuple[str, ...]
+    ways: Ways
+    home: dict[str, str]  # the hall that a region's fronts send to by themselves
+    share: dict[str, float]  # of requests by region
+    rate: float = 40.0
+    length: float = 70.0
+    routers: int = 6
+    caches: int = 6
+    changes: dict[float, Change] = field(default_factory=dict)
+    shares_later: dict[float, dict[str, float]] = field(default_factory=dict)
+    choose: Callable[[World, str], Mapping[str, float]] | None = None  # rows that fronts have by themselves
+    steer_every: int = 6
+    per_weight: float = 40.0
+    faults: list[dict[str, Any]] = field(default_factory=list)
+
+    def scenario(self) -> Scenario:
+        return Scenario.model_validate(
+            {
+                "summary": "regions",
+                "length": f"{self.length} s",
+                "warm_up": "1 s",
+                "load": {"rate": self.rate},
+                "halls": {"names": list(self.halls), "between": "1 ms"},
+                "routers": {"count": self.routers},
+                "caches": {"count": self.caches, "memory": "4 MB"},
+                "class": [{"name": "page", "share": 1.0, "work": "20 ms", "spread": 0.5, "wanted": "150 ms"}],
+                "fault": self.faults,
+            }
+        )
+
+    def address(self, region: str, client: int) -> str:
+        return f"10.{sorted(self.ways).index(region)}.0.{client + 1}"
+
+    def operator(self, folder: Path, steered: bool) -> Operator:
+        (folder / "key").write_bytes(b"a key of all routers")
+        halls = tuple(hall_of(self.scenario(), n) for n in range(self.routers))
+        peers = Peers(
+            {1: str(folder / "key")}, 1, halls, voters=(0, 1, 2), lease_ms=1000, start="floor",
+            steer_every=self.steer_every if steered else 0, per_weight=self.per_weight,
+        )  # fmt: skip
+        ranges = {r: [f"10.{n}.0.0/16"] for n, r in enumerate(sorted(self.ways))}
+        return Operator(peers=peers, regions=ranges)
+
+    def schedule(self, seed: int) -> list[Planned]:
+        """Each request's `hall` names its region and client."""
+        draws, found = random.Random(seed), []
+        for planned in make_schedule(self.scenario(), seed):
+            later = [shares for at, shares in sorted(self.shares_later.items()) if planned.at >= at]
+            share = later[-1] if later else self.share
+            region = draws.choices(list(share), list(share.values()))[0]
+            stray = draws.random() < STRAYING
+            client = draws.randrange(STRAYS) if stray else draws.randrange(STRAYS, CLIENTS)
+            found.append(replace(planned, hall=f"{region} {client}", own_connection=False))
+        return found
+
+
+class RegionFront(Front):
+    """A client keeps to its router while it has a connection; a new one goes where rows or its front say."""
+
+    regions: Regions
+
+    def choose(self, hall: str, now: float, draws: random.Random) -> str:
+        region, _, number = hall.partition(" ")
+        kept = self.regions.kept(hall)
+        if kept is not None:
+            return kept
+        world, client = self.regions.world, int(number)
+        if client < STRAYS:
+            others = [r for r, seen in self.routers.items() if seen.hall != world.home[region]]
+            return others[client % len(others)]
+        by = self.regions.rows.get(region) or (world.choose(world, region) if world.choose else None)
+        to = place(by, world.address(region, client)) if by else None
+        return super().choose(to or world.home[region], now, draws)
+
+
+class Pools:
+    """The connections of all clients to one router, each from its own address."""
+
+    def __init__(self, regions: Regions, router: str, address: tuple[str, int]) -> None:
+        self.regions, self._router, self._address = regions, router, address
+        self.by_client: dict[str, ClientPool] = {}
+
+    @property
+    def all(self) -> list[Any]:
+        return [one for pool in self.by_client.values() for one in pool.all]
+
+    def send(self, one: Try, data: bytes, own: bool) -> None:
+        self.regions.crossed += own  # the connection was closed as this was sent, and it is sent again
+        who = one.planned.hall
+        pool = self.by_client.get(who)
+        if pool is None:
+            region, _, number = who.partition(" ")
+            source = self.regions.world.address(region, int(number))
+            pool = ClientPool(self.regions._clients, self._router, self._address, 8, source)
+            self.by_client[who] = pool
+        pool.send(one, data, False)
+
+    def close(self) -> None:
+        for pool in self.by_client.values():
+            pool.close()
+
+
+class Regions(LinkedRehearsal):
+    """A run with readers of regions."""
+
+    def __init__(self, scenario: Scenario, seed: int, world: World, **others: Any) -> None:
+        super().__init__(scenario, seed, plan=[], observe="/-/regions", every=1.0, **others)
+        self.world = world
+        self.rows: Mapping[str, Mapping[str, float]] = {}
+        self.crossed = 0
+
+    def _build(self, folder: Path) -> None:
+        super()._build(folder)
+        front = RegionFront(self._front.notice, self._front.routers, self._front.told, self._front.hot)
+        front.regions = self
+        self._clients._front = front
+        self.at_router = {
+            name: Pools(self, name, door.address) for name, door in self._linked.links.doors.items()
+        }
+        self._clients.pools = self.at_router  # type: ignore[assignment]
+        self.put_ways()
+
+    def put_ways(self) -> None:
+        """The world's ways, on the network."""
+        names = router_names(self._scenario)
+        ways = self._ground.network.ways  # type: ignore[attr-defined]
+        for region, by_hall in self.world.ways.items():
+            for number, _ in enumerate(names):
+                router = self._ground.address_of(number)  # type: ignore[attr-defined]
+                for client in range(CLIENTS):
+                    reader = self.world.address(region, client)
+                    seconds = by_hall[hall_of(self._scenario, number)]
+                    ways[reader, router] = ways[router, reader] = seconds
+
+    def kept(self, who: str) -> str | None:
+        """The router to which this client has a connection that is open."""
+        for router, pools in self.at_router.items():
+            pool = pools.by_client.get(who)
+            if pool is not None and any(not one.transport.is_closing() for one in pool.all):
+                return router
+        return None
+
+    async def _carry_out(self) -> None:
+        self._spawn(self._follow())
+        self._spawn(self._change())
+        await super()._carry_out()
+
+    async def _follow(self) -> None:
+        """Found the first policy, again while the offer is lost, and have fronts read the rows."""
+        while True:
+            versions = [s.body["versions"] for s in self.seen[-6:] if s.status in (200, 503)]
+            if not any(versions) and len(self.seen) < 20 * len(self._routers):
+                await self._found()
+            await asyncio.sleep(1.0)
+            said = next((s for s in reversed(self.seen) if s.status == 200), None)
+            if said is not None:
+                self.rows = said.body["rows"]
+
+    async def _found(self) -> None:
+        reader, writer = await asyncio.open_connection(*self._routers["router-1"].door)
+        body = b"epoch = 1\nversion = 1\n"
+        writer.write(
+            b"POST /-/policy/found HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        await reader.read()
+        writer.close()
+
+    async def _change(self) -> None:
+        for at, change in sorted(self.world.changes.items()):
+            await asyncio.sleep(max(0.0, at - self._world.now()))
+            change(self.world)
+            self.put_ways()
+
+
+@dataclass
+class Played:
+    """What came of it."""
+
+    virtual: Virtual
+    rehearsal: Regions
+
+    def served(self, since: float = 0.0, until: float = 1e9) -> list[float]:
+        """Seconds at the reader from the first try on; of who got nothing infinite."""
+        found: dict[int, float] = {}
+        for one in self.virtual.result.record.tries.values():
+            at = one.planned.at
+            if since <= at < until:
+                took = one.ended_at - at if one.outcome is Outcome.SERVED else float("inf")  # type: ignore
+                found[one.planned.number] = min(found.get(one.planned.number, float("inf")), took)
+        return sorted(found.values())
+
+    def let_go(self) -> int:
+        last = {s.router: s.body["let_go"] for s in self.rehearsal.seen if s.status in (200, 503)}
+        return sum(last.values())
+
+    def rows(self) -> list[tuple[float, tuple[int, ...], dict[str, dict[str, float]]]]:
+        """When fronts could read new rows first, and which."""
+        found: list[Any] = []
+        for s in sorted(self.rehearsal.seen, key=lambda s: s.at):
+            if s.status == 200 and len(s.body["versions"]) == 1:
+                if not found or s.body["versions"][0] > found[-1][1][0]:
+                    found.append((s.at, tuple(s.body["versions"]), s.body["rows"]))
+        return found
+
+
+def play(world: World, seed: int, folder: Path, steered: bool = True) -> Played:
+    made: list[Regions] = []
+
+    def rehearsal_of(*args: Any, **others: Any) -> Regions:
+        made.append(Regions(*args, world=world, **others))
+        return made[0]
+
+    scenario = world.scenario()
+    played = play_virtual(
+        scenario,
+        seed,
+        operator=world.operator(folder, steered),
+        schedule=world.schedule(seed),
+        ground_of=VirtualLinks,
+        rehearsal_of=partial(rehearsal_of),
+    )
+    return Played(played, made[0])
