--- a/ironrail/connections/downstream.py
+++ b/ironrail/connections/downstream.py
@@ -12,9 +12,7 @@
 from enum import Enum
 
 MOST_PIPELINED = 64  # commands of one connection in hand, beyond which none is parsed or read
-MOST_BAD = (
-    8  # commands in a row that were turned away, after which the connection is: they cost CPU for nothing
-)
+MOST_BAD = 8  # commands in a row that were turned away, after which the connection is: each costs CPU
 PATIENCE = 2.2  # seconds for a whole command: silence and halves would keep their descriptor for good
 LONG_PATIENCE = 20.0  # seconds for the whole of a long value: it keeps others waiting for its room
 STALLED = 1.0  # seconds without a byte of a command that has begun, while the router ends: it has stopped
@@ -34,7 +32,7 @@
     NOTHING = "nothing"
     PARSE = "parse"  # what was read and is not yet parsed
     FINISH = "finish"  # its last answer is written: end it once that is read
-    CLOSE = "close"  # it has nothing out, and the router ends
+    CLOSE = "close"  # it has nothing out, and the router ends, or its client belongs elsewhere
     MAKE_WAY = "make way"  # it rests now, and others may rest for too long
 
 
@@ -62,6 +60,8 @@
     more: bool = False  # what was read is not yet parsed to its end
     ending: bool = False  # nothing more is taken
     unread_since: float | None = None  # its answers are not taken
+    leaves: bool = False  # it is to end behind its next answer, as its client belongs elsewhere
+    left: bool = False  # and has
     reading: bool = field(default=True)  # as the host was last told
 
     def idle(self) -> bool:
@@ -182,7 +182,7 @@
         if place.open == 0 and place.ending:
             return Next.FINISH
         if place.idle() and not place.ending:
-            if self.draining:
+            if self.draining or place.leaves:
                 return Next.CLOSE
             if place in self._used:
                 self._resting[place] = None
--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -159,6 +159,7 @@
                 self.transport.write_eof()
                 asyncio.get_running_loop().call_later(LINGER, self.transport.abort)
             case Next.CLOSE if self.clear():  # else what has come is read first, or the answer goes out first
+                self.place.left = self.place.leaves
                 self.transport.close()
             case Next.MAKE_WAY:
                 self._clients.make_way()
--- a/ironrail/net/clients.py
+++ b/ironrail/net/clients.py
@@ -105,15 +105,6 @@
         """All connections that are up, the oldest first."""
         return list(self._connections.values())
 
-    def let_go(self, connection: ClientConnection) -> bool:
-        """Close one that rests, where that crosses nothing; whether it did."""
-        place = connection.place
-        if not place.idle() or place.ending or connection.transport.is_closing() or not connection.clear():
-            return False
-        self.remove(place)
-        connection.transport.close()
-        return True
-
     def remove(self, place: Place) -> None:
         """A connection has ended, or is about to."""
         self.places.gone(place)
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -18,8 +18,9 @@
 from ironrail.net.evidence import Evidence, One
 from ironrail.operator_file import Operator
 from ironrail.peers.accord import policy as p
-from ironrail.peers.regions.capacity import Server, Servers, halls_now, takes
-from ironrail.peers.regions.carried import Carrier, Resting
+from ironrail.peers.regions.capacity import Server, Servers, halls_now
+from ironrail.peers.regions.capacity import takes as takes_more
+from ironrail.peers.regions.carried import Carrier, Resting, place
 from ironrail.peers.regions.expected import Cells, Hall, Worth
 from ironrail.peers.regions.proposal import USUAL, Proposal, Rows
 from ironrail.peers.regions.regions import Regions
@@ -37,6 +38,7 @@
 
 TICK = 1.0  # seconds between looks at connections and at what is in force
 LOOKED_AT = 256  # connections a tick, at the most, that might be let go: 1 ms where none of them has to
+LEAVING = 30.0  # seconds in which one that is to leave has to ask once more: later it has ended by itself
 CELLS_FOR = 5.0  # seconds for which what is known is not reckoned anew: it changes in 15 at the soonest
 
 log = logging.getLogger(__name__)
@@ -80,6 +82,7 @@
         self.let_go = 0  # connections, since the start
         self._clients: Clients | None = None
         self._to_move = deque["ClientConnection"]()
+        self._leaving: dict[ClientConnection, tuple[str, float]] = {}  # to which hall, since when
         self._timer: asyncio.TimerHandle | None = None
 
     def serve(self, clients: Clients) -> None:
@@ -128,6 +131,8 @@
         self._versions, self._since = decided.versions, now
         # by the floor nobody is moved; between two policies only those whose row both have
         self._rows = decided.policy.steering if decided.policy is not None and decided.versions else {}
+        for connection in list(self._leaving):  # by rows that are not in force any more
+            self._stays(connection)
         if len(decided.versions) == 1:
             self.room.in_force(now, self._rows)
         if self._turn is not None:
@@ -145,20 +150,37 @@
         )  # fmt: skip
 
     def _move(self, now: float, clients: Clients) -> None:
-        """Let go resting connections of those whom the rows give to another hall."""
+        """Have resting connections end whose clients the rows give to another hall: behind their next answer.
+
+        Then no client that waits for an answer before it asks again can have asked meanwhile.
+        """
+        _, halls = self._known(now)
+        takes = takes_more(halls)
+        for connection, (to, since) in list(self._leaving.items()):
+            gone = connection.transport.is_closing()
+            self.let_go += gone and connection.place.left
+            if gone or now - since >= LEAVING or not takes.get(to, False):
+                self._stays(connection)
         if not self._to_move:
             self._to_move.extend(clients.all())
         resting: list[Resting] = []
         looked = [self._to_move.popleft() for _ in range(min(LOOKED_AT, len(self._to_move)))]
         for number, connection in enumerate(looked):
-            one, place = connection.reader, connection.place
-            if isinstance(one, One) and one.region in self._rows:
-                owed = not place.idle() or not place.used or place.unread_since is not None
-                resting.append(Resting(number, one.region, one.client, owed, now - place.heard, one.opened))
-        if resting:
-            _, halls = self._known(now)
-            for number in self._carrier.let_go(now, self._rows, resting, takes(halls)):
-                self.let_go += clients.let_go(looked[number])
+            one, at = connection.reader, connection.place
+            if isinstance(one, One) and one.region in self._rows and connection not in self._leaving:
+                owed = not at.idle() or not at.used or at.unread_since is not None
+                resting.append(Resting(number, one.region, one.client, owed, now - at.heard, one.opened))
+        if not resting:
+            return
+        by_number = {one.number: one for one in resting}
+        for number in self._carrier.let_go(now, self._rows, resting, takes):
+            which, connection = by_number[number], looked[number]
+            connection.place.leaves = True
+            self._leaving[connection] = place(self._rows[which.region], which.client) or "", now
+
+    def _stays(self, connection: ClientConnection) -> None:
+        connection.place.leaves = False
+        del self._leaving[connection]
 
     def _steer(self, now: float) -> None:
         """Propose rows, if there are better ones."""
