--- /dev/null
+++ b/tests/rehearsal/links/readers_world.py
@@ -0,0 +1,80 @@
+"""A world of regions: where readers are, how far the halls are from them, and what changes when."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+from ironrail.operator_file import Operator, Peers
+from ironrail.rehearsal.load.schedule import Planned, make_schedule
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.names import hall_of
+
+CLIENTS = 24  # of each region
+STRAYS = 6  # of these, who keep to a router of another hall whatever rows say: they are the evidence
+STRAYING = 0.1  # of a region's requests come from them
+Ways = dict[str, dict[str, float]]  # seconds one way, by region and hall
+Change = Callable[["World"], None]
+
+
+@dataclass
+class World:
+    """What is asked for, from where, and what changes when. Times in seconds."""
+
+    halls: tuple[str, ...]
+    ways: Ways
+    home: dict[str, str]  # the hall that a region's fronts send to by themselves
+    share: dict[str, float]  # of requests by region
+    rate: float = 40.0
+    length: float = 70.0
+    routers: int = 6
+    caches: int = 6
+    changes: dict[float, Change] = field(default_factory=dict)
+    shares_later: dict[float, dict[str, float]] = field(default_factory=dict)
+    choose: Callable[[World, str], Mapping[str, float]] | None = None  # rows that fronts have by themselves
+    steer_every: int = 6
+    per_weight: float = 40.0
+    faults: list[dict[str, Any]] = field(default_factory=list)
+
+    def scenario(self) -> Scenario:
+        return Scenario.model_validate(
+            {
+                "summary": "regions",
+                "length": f"{self.length} s",
+                "warm_up": "1 s",
+                "load": {"rate": self.rate},
+                "halls": {"names": list(self.halls), "between": "1 ms"},
+                "routers": {"count": self.routers},
+                "caches": {"count": self.caches, "memory": "4 MB"},
+                "class": [{"name": "page", "share": 1.0, "work": "20 ms", "spread": 0.5, "wanted": "150 ms"}],
+                "fault": self.faults,
+            }
+        )
+
+    def address(self, region: str, client: int) -> str:
+        return f"10.{sorted(self.ways).index(region)}.0.{client + 1}"
+
+    def operator(self, folder: Path, steered: bool) -> Operator:
+        (folder / "key").write_bytes(b"a key of all routers")
+        halls = tuple(hall_of(self.scenario(), n) for n in range(self.routers))
+        peers = Peers(
+            {1: str(folder / "key")}, 1, halls, voters=(0, 1, 2), lease_ms=1000, start="floor",
+            steer_every=self.steer_every if steered else 0, per_weight=self.per_weight,
+        )  # fmt: skip
+        ranges = {r: [f"10.{n}.0.0/16"] for n, r in enumerate(sorted(self.ways))}
+        return Operator(peers=peers, regions=ranges)
+
+    def schedule(self, seed: int) -> list[Planned]:
+        """Each request's `hall` names its region and client."""
+        draws, found = random.Random(seed), []
+        for planned in make_schedule(self.scenario(), seed):
+            later = [shares for at, shares in sorted(self.shares_later.items()) if planned.at >= at]
+            share = later[-1] if later else self.share
+            region = draws.choices(list(share), list(share.values()))[0]
+            stray = draws.random() < STRAYING
+            client = draws.randrange(STRAYS) if stray else draws.randrange(STRAYS, CLIENTS)
+            found.append(replace(planned, hall=f"{region} {client}", own_connection=False))
+        return found
