--- a/tests/rehearsal/links/test_readers.py
+++ b/tests/rehearsal/links/test_readers.py
@@ -11,7 +11,7 @@
 
 HALLS = ("hall-a", "hall-b", "hall-c")
 HOME = dict(zip(("north", "east", "south"), HALLS, strict=True))
-AT, LENGTH = 6.0, 40.0  # seconds: when the way becomes slow, and until when it is looked at
+AT, LENGTH = 6.0, 46.0  # seconds: when the way becomes slow, and until when it is looked at
 WANTED = 0.15
 
 
