--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -63,6 +63,8 @@
             '[regions]\nzuid = ["192.0.2.0/24"]\n',
             "regions: are told between routers, and there is no [peers]",
         ),
+        (PEERS + "steer_every = 60\n", "peers.steer_every: needs voters, per_weight and [regions]"),
+        (PEERS + "explore = 0.5\n", "peers.explore must be"),
         (PEERS + "[regions]\nzuid = 3\n", "regions: each must be a list of address ranges"),
         (PEERS + '[regions]\nzuid = ["192.0.2.1/24"]\n', "regions.zuid: 192.0.2.1/24 has host bits set"),
         ("#" * 100_000, "larger than"),
