--- a/tests/rehearsal/links/readers_stage.py
+++ b/tests/rehearsal/links/readers_stage.py
@@ -35,7 +35,8 @@
             return kept
         if client < STRAYS:
             others = [r for r, seen in self.routers.items() if seen.hall != world.home[region]]
-            return others[client % len(others)]
+            router = others[client % len(others)]
+            return router if self.routers[router].alive else super().choose(hall, now, draws)
         by = self.regions.rows.get(region) or told
         to = place(by, world.address(region, client)) if by else None
         return super().choose(to or world.home[region], now, draws)
@@ -81,7 +82,7 @@
         super()._build(folder)
         front = RegionFront(self._front.notice, self._front.routers, self._front.told, self._front.hot)
         front.regions = self
-        self._clients._front = front
+        self._front = self._clients._front = self._carrier.front = front
         self.at_router = {
             name: Pools(self, name, door.address) for name, door in self._linked.links.doors.items()
         }
