--- a/benchmarks/regions_worlds.py
+++ b/benchmarks/regions_worlds.py
@@ -122,13 +122,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--worlds", nargs="+", default=list(WORLDS), choices=list(WORLDS))
+    parser.add_argument("--by", nargs="+", default=list(BY), choices=BY)
     parser.add_argument("--at-once", type=int, default=2)
     args = parser.parse_args()
     print("| world | by | in time | p99 s (worst) | lost | let go | crossed | changes | taken back |")
     print("|---|---|--:|--:|--:|--:|--:|--:|--:|")
     with ProcessPoolExecutor(args.at_once) as pool:
         for name in args.worlds:
-            for by in BY:
+            for by in args.by:
                 found = list(pool.map(one, [(name, by, seed) for seed in range(1, args.seeds + 1)]))
                 in_time, p99, *rest = (mean(column) for column in zip(*found, strict=True))
                 worst = max(row[1] for row in found)
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -22,7 +22,7 @@
 from ironrail.peers.regions.capacity import takes as takes_more
 from ironrail.peers.regions.carried import Carrier, Resting, place
 from ironrail.peers.regions.expected import Cells, Hall, Worth
-from ironrail.peers.regions.proposal import USUAL, Proposal, Rows
+from ironrail.peers.regions.proposal import DWELLS, USUAL, Past, Proposal, Rows
 from ironrail.peers.regions.regions import Regions
 from ironrail.peers.regions.room import RegionsRoom
 from ironrail.peers.regions.table import STALE
@@ -73,7 +73,9 @@
         self._turn: Turn | None = None
         voters = sorted(operator.peers.voters)
         if operator.peers.steer_every and here.me in voters:
-            self._turn = Turn(now, voters.index(here.me), len(voters), operator.peers.steer_every)
+            every = operator.peers.steer_every
+            self._turn = Turn(now, voters.index(here.me), len(voters), every)
+            self.room.past = Past(DWELLS * every)
         self._versions: tuple[int, ...] = ()  # in force, as last looked at
         self._rows: Rows = {}
         self._since = now
--- a/ironrail/peers/regions/proposal.py
+++ b/ironrail/peers/regions/proposal.py
@@ -9,7 +9,8 @@
 STEP = 4  # units moved at once, before it is looked again at who gains most
 UNITS = 64  # of a region's readers, moved whole: 1/64 is written exactly
 Rows = Mapping[str, Mapping[str, float]]  # region -> hall -> share, as in a policy
-DWELL = 600.0  # seconds for which a share that was raised is not lowered for gain alone, nor the other way
+DWELLS = 10  # periods of proposals that a dwell has: a wrong first step is put right after as many
+DWELL = 600.0  # seconds, of periods of 60, in which what was raised isn't lowered for gain alone, nor back
 
 
 class Reason(Enum):
