--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
 
@@ -19,10 +20,13 @@
 from ironrail.net.system import System
 from ironrail.operator_file import Operator, OperatorError
 from ironrail.peers.faces import Room
+from ironrail.peers.regions.capacity import cut_off
 from ironrail.policy import interface as api
 
 if TYPE_CHECKING:
+    from ironrail.net.clients import Clients
     from ironrail.net.halls import HallsMap
+    from ironrail.net.readers import Readers
 
 
 class Part(Protocol):
@@ -72,26 +76,41 @@
             keeps = store if me in peers.voters else None
             if keeps is None and peers.keep and me in peers.voters:
                 keeps = FolderStore(folder_of(peers.keep, me))
-            self.policies = Policies(place, config.settings, peers, keeps, guide, system.now, self._go_on)
+            self.policies = Policies(
+                place, config.settings, peers, keeps, guide, system.now, self._go_on, tuple(operator.regions)
+            )
             self.peering.add(self.policies.room)
         self.parts: list[Part] = []
+        self.readers: Readers | None = None
         here = Here(me, start, system, peers.halls, random.Random(config.seed))
         self.halls: HallsMap | None = None
+        cut = None  # whether a hall is cut off from others, as far as the map tells
         if peers.map:
             from ironrail.net.halls import HallsMap  # noqa: PLC0415 - only where it is wanted
 
             self.halls = HallsMap(here, self._go_on, guide)
             self.parts.append(self.halls)
+            cut = partial(cut_off, self.halls.estimate, here.numbered()[0], system.now)
         if operator.regions:
             from ironrail.net.readers import Readers  # noqa: PLC0415 - only where they are wanted
 
-            self.readers = Readers(here, operator.regions, tuple(config.settings.classes), self._go_on)
+            self.readers = Readers(here, operator, config.settings, self._go_on, self.policies, cut)
             self.parts.append(self.readers)
         for part in self.parts:
             self.peering.add(part.room)
         # of voters only by those who speak with them: they answer 25 a second
         self._meet = self.policies.room.path.sources(system.now()) if self.policies is not None else ()
 
+    def serve(self, clients: Clients) -> None:
+        """Those whose requests come here."""
+        if self.readers is not None:
+            self.readers.serve(clients)
+
+    def servers(self, news: api.ServerList) -> None:
+        """Discovery has told something of the list of servers."""
+        if self.readers is not None:
+            self.readers.servers(news)
+
     async def open(self) -> None:
         """Listen to the others; OSError where that can't be done."""
         await self.peering.open([other for other in self._meet if other != self.peering.wire.me])
