--- /dev/null
+++ b/tests/peers/fuzz/accord.py
@@ -0,0 +1,163 @@
+"""Rooms of an accord among honest ones, with a member that lies: whatever it says, in whoever's name."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from ironrail.errors import IronrailError
+from ironrail.peers.accord import messages as m
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.room import AccordRoom
+from ironrail.peers.faces import Heard
+from tests.peers.accord.watching import FACTS, FLOOR, policy
+from tests.peers.fuzz.base import idle, must, size_of
+from tests.peers.fuzz.bodies import spoil, spoil_packed
+
+KEPT = 120  # bodies that are remembered, to be spoilt and said again
+BYTES = 200_000  # of all that a room of a small tier keeps
+DOCUMENTS, HELD = 16, 64
+
+
+class Accord:
+    """A few rooms; some of what they say is lost, all of it is remembered by the liar."""
+
+    def __init__(self, draws: random.Random) -> None:
+        self.draws, self.now, self.heard, self.said = draws, draws.choice((0.0, 1e6)), 0, 0
+        routers, self.disk = draws.choice((4, 5, 40)), draws.random() < 0.5
+        self.routers, self.voters = routers, tuple(range(draws.choice((3, 3, 5)) if routers > 4 else 3))
+        self.starts = dict.fromkeys(range(routers), 1)
+        self.live = [*self.voters, *range(routers - 3, routers)]
+        self.rooms = {me: self.room(me) for me in set(self.live)}
+        self.recorded: list[bytes] = [m.encode(one) for one in _samples()]
+        self.waiting: list[tuple[int, int, int, bytes]] = []  # to, sender, start, body
+        self.keeps: list[tuple[int, Any]] = []
+        self.version = 1
+        for me in self.rooms:
+            self.settle(me)
+
+    def room(self, me: int, record: bytes | None = None) -> AccordRoom:
+        disk = self.disk and me in self.voters
+        conf = Conf(me, self.starts[me], self.routers, self.voters, direct=self.draws.choice((32, 4)), disk=disk)
+        return AccordRoom(conf, FACTS, FLOOR, self.now, conf.start, record)
+
+    def settle(self, me: int) -> None:
+        """Take what a room says; to whom nobody is it is lost."""
+        room = self.rooms[me]
+        self.keeps += [(me, keep) for keep in room.keeps()]
+        for say in room.say():
+            self.said += len(say.body)
+            self.recorded[self.draws.randrange(len(self.recorded))] = say.body
+            if len(self.recorded) < KEPT:
+                self.recorded.append(say.body)
+            if say.to in self.rooms and self.draws.random() < 0.9:
+                self.waiting.append((say.to, me, self.starts[me], say.body))
+        del self.waiting[:-400]
+
+    def tell(self, to: int, sender: int, start: int, body: bytes) -> None:
+        room = self.rooms[to]
+        before, known = room.unusable, room.known
+        self.heard += len(body)
+        room.hear(self.now, Heard(sender, start, body))
+        if room.unusable > before:
+            must(room.known is known, "believed what makes no sense")
+        self.settle(to)
+
+    def step(self) -> None:
+        draws, me = self.draws, self.draws.choice(self.live)
+        match draws.randrange(20):
+            case 0 | 1 | 2 | 3 | 4 | 5 if self.waiting:
+                self.tell(*self.waiting.pop(draws.randrange(len(self.waiting))))
+            case 6 | 7 | 8 | 9 | 10:
+                self.lie(me)
+            case 11 | 12 | 13 | 14:
+                self.now += draws.choice((0.0, 0.01, 0.3, 1.0))
+                self.rooms[me].wake(self.now)
+                self.settle(me)
+            case 15:
+                self.now += draws.choice((5.0, 60.0, 1e5))
+            case 16 if self.keeps:
+                at, keep = self.keeps.pop(draws.choice((0, -1)))
+                told = draws.choice((self.rooms[at].kept, self.rooms[at].keep_failed))
+                told(self.now, keep.token)
+                self.settle(at)
+            case 17:
+                self.operate(me)
+            case 18 if draws.random() < 0.2:
+                self.starts[me] += 1
+                record = next((keep.record for at, keep in reversed(self.keeps) if at == me), None)
+                self.keeps = [keep for keep in self.keeps if keep[0] != me]
+                self.rooms[me] = self.room(me, record)
+                self.settle(me)
+            case 19 if draws.random() < 0.1:
+                idle(self.rooms[me], self.now)
+                self.settle(me)
+
+    def lie(self, to: int) -> None:
+        draws = self.draws
+        old = draws.choice(self.recorded)
+        match draws.randrange(6):
+            case 0:
+                body = spoil(draws, old, self.recorded)
+            case 1:
+                body = old
+            case 2:  # a document that somebody may have been made to want
+                wanted = policy(draws.randrange(1, 2000), draws.random())
+                self.tell(to, *self.liar(), m.encode(m.Offer(_state(draws, wanted))))
+                body = m.encode(m.Document(p.encode(wanted)))
+            case _:
+                body = spoil_packed(draws, old, self.recorded)
+        self.tell(to, *self.liar(), body)
+
+    def liar(self) -> tuple[int, int]:
+        """Who it says it is, and of which life: the wire would stop most of it."""
+        sender = self.draws.choice((self.routers - 1, *self.voters))
+        return sender, self.draws.choice((self.starts[sender], 1, self.draws.randrange(1, 2**48)))
+
+    def operate(self, me: int) -> None:
+        room, self.version = self.rooms[me], self.version + self.draws.choice((0, 1, 1))
+        try:
+            if self.draws.random() < 0.3:
+                room.found(self.now, self.draws.choice((1, 2, 2**20 - 1)), policy(self.version))
+            else:
+                room.propose(self.now, policy(self.version), self.draws.choice((0.5, 20.0)))
+        except IronrailError:
+            pass
+        self.settle(me)
+
+    def end(self) -> None:
+        for me, room in self.rooms.items():
+            room.troubles(self.now)
+            room.decides_until(self.now)
+            decided = room.decides_by(self.now)
+            must(decided.policy is None or p.check(decided.policy, FACTS) is None, "decides by what it can't")
+            documents = room.library._documents
+            must(all(p.digest(d) == name for name, d in documents.items()), "a document under another's name")
+            must(len(documents) <= DOCUMENTS, f"documents without end = {len(documents)}")
+            must(len(room.lent.entries) <= 4 * self.routers, "lives without end")
+            if room.voter:
+                must(len(room.voter.grants.entries) <= 4 * self.routers, "lives without end")
+                must(len(room.voter._held) <= HELD, f"held without end = {len(room.voter._held)}")
+            room.keeps()
+            must((size := size_of(room)) < BYTES, f"bytes without end = {size} at {me}")
+            self.now = max(self.now, idle(room, self.now))
+
+
+def _state(draws: random.Random, wanted: p.Policy) -> m.State:
+    ref = m.Ref(wanted.version, p.digest(wanted))
+    return m.State(draws.choice((1, 2, 3)) * m.EPOCH + draws.randrange(4), ref, tried=ref.version)
+
+
+def _samples() -> list[m.Message]:
+    """One of each, so that none has to come up by itself."""
+    ref, ballot = m.Ref(2, bytes(16)), m.Ballot(1, 1, 3, 1)
+    state = m.State(m.EPOCH + 1, ref, m.Ref(3, b"x" * 16), 3, (3, 1))
+    vouched, note = m.Vouched(ballot, ballot, state), m.Note(state.step, state.scope)
+    return [
+        m.Prepare(ballot), m.Promise(ballot, vouched, 1, (1, 1, 1), (3,), (3, 2, "no")),
+        m.Outvoted(ballot, ballot), m.Accept(ballot, state), m.Accepted(ballot, (1, 1, 1)), m.Blocked(ballot),
+        m.Decided(state), m.Recover(7), m.Report(7, True, (1, 1, 1), vouched, state), m.Offer(state),
+        m.Founded(state, (1, 1, 1)), m.Ask(9, note, note, 1, (3, 2, "no"), 3),
+        m.Answer(9, True, True, 1, state, 2.0), m.Want(bytes(16)), m.Document(p.encode(policy(3))),
+    ]  # fmt: skip
