--- a/ironrail/net/policies.py
+++ b/ironrail/net/policies.py
@@ -8,6 +8,7 @@
 
 import logging
 import math
+import re
 import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from ironrail.operator_file import OperatorError, Peers
 from ironrail.peers.accord import policy as p
 from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.messages import read_record
 from ironrail.peers.accord.proposer import Ticket
 from ironrail.peers.accord.room import AccordRoom, DecidedBy
 from ironrail.policy import interface as api
@@ -30,6 +32,10 @@
 log = logging.getLogger(__name__)
 
 RECORD = "accord"  # name of a voter's record
+MOST_TEXT = 16 * 1024  # bytes of a document as it is posted: five times its most on the wire
+MOST_DOTS = 64  # in one key, as many as a name has characters: the parser's time grows with their square
+MOST_TOLD = 1000  # characters of an answer: an error may repeat a name as long as the document
+_DOTS = re.compile(rb"(?:\.[^.\n={},]*+){%d}" % (MOST_DOTS + 1))
 FIRST = 1  # version of a policy without rows, which forbids nothing
 
 
@@ -93,11 +99,14 @@
         self._until = -math.inf  # when what is decided by has to be asked for anew
         self.ticket: Ticket | None = None  # of the latest call for a change here
 
-    def _kept(self, store: Store | None) -> tuple[bytes | None, RecordError | None]:
+    def _kept(self, store: Store | None) -> tuple[bytes | None, InputError | None]:
         """A record that can't be read is none: the voter then asks the others where things stand."""
         try:
-            return (store.read(RECORD) if store is not None else None), None
-        except RecordError as e:
+            record = store.read(RECORD) if store is not None else None
+            if record is not None:
+                read_record(record)
+            return record, None
+        except InputError as e:  # torn, or whole and of another version
             log.error("record_unusable", extra={"error": e.told()})
             return None, e
         except OSError as e:
@@ -190,23 +199,32 @@
     def found(self, body: bytes) -> Answer:
         """By hand, the first time or where the voters' memory is lost: a policy with `epoch` beside it."""
         try:
-            table = tomllib.loads(body.decode())
+            table = _table(body)
             epoch = table.pop("epoch", None)
             if not isinstance(epoch, int) or isinstance(epoch, bool):
                 raise InputError("must be a whole number that was never used before", "epoch")
             self.room.found(self._now(), epoch, p.read(table))
         except InputError as e:
             return _said(400, e.told())
-        except ValueError as e:
-            return _said(400, str(e))
         self._go_on()
         return _said(202, f"epoch {epoch} is offered to the voters")
 
 
 def _read(body: bytes) -> p.Policy:
+    return p.read(_table(body))
+
+
+def _table(body: bytes) -> dict[str, Any]:
+    """The document; InputError where it is none, or would cost the parser seconds or its stack."""
+    if len(body) > MOST_TEXT:
+        raise InputError(f"has more than {MOST_TEXT} bytes", "policy")
+    if _DOTS.search(body):
+        raise InputError(f"a key of more than {MOST_DOTS} parts", "policy")
     try:
-        return p.read(tomllib.loads(body.decode()))
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
+        return tomllib.loads(body.decode())
+    except RecursionError:
+        raise InputError("brackets within brackets", "policy") from None
+    except ValueError as e:  # no TOML, no UTF-8, a number of thousands of digits
         raise InputError(str(e), "policy") from e
 
 
@@ -219,4 +237,4 @@
 
 
 def _said(status: int, text: str) -> Answer:
-    return Answer(status, text.encode() + b"\n")
+    return Answer(status, text[:MOST_TOLD].encode() + b"\n")
--- a/ironrail/net/store.py
+++ b/ironrail/net/store.py
@@ -82,10 +82,23 @@
         self._store, self._name, self._done = store, name, done
         self._loop = asyncio.get_running_loop()
         self._writer = ThreadPoolExecutor(1, "keeper")
+        self._busy = False
+        self._next: tuple[int, bytes] | None = None  # waits until another one is written
 
     def keep(self, token: int, record: bytes) -> None:
-        """In order, one at a time."""
-        self._writer.submit(self._write, token, record)
+        """In order, one at a time. Of those that wait only the last is written: it stands for them all."""
+        if self._busy:
+            self._next = token, record
+        else:
+            self._busy = True
+            self._writer.submit(self._write, token, record)
+
+    def _written(self, token: int, failed: OSError | None) -> None:
+        self._busy = False
+        if self._next is not None:
+            waited, self._next = self._next, None
+            self.keep(*waited)
+        self._done(token, failed)
 
     def _write(self, token: int, record: bytes) -> None:
         failed: OSError | None = None
@@ -94,7 +107,7 @@
         except OSError as e:
             failed = e
         with contextlib.suppress(RuntimeError):  # the loop has ended
-            self._loop.call_soon_threadsafe(self._done, token, failed)
+            self._loop.call_soon_threadsafe(self._written, token, failed)
 
     def stop(self) -> None:
         self._writer.shutdown(wait=False, cancel_futures=True)
--- a/ironrail/peers/accord/core.py
+++ b/ironrail/peers/accord/core.py
@@ -147,4 +147,4 @@
         except PolicyError:
             return
         if p.digest(policy) in (*self.library.missing(self._states()), self._awaited):
-            self.library.add(policy)
+            self._have(policy)
--- a/ironrail/peers/accord/errors.py
+++ b/ironrail/peers/accord/errors.py
@@ -15,6 +15,14 @@
     )
 
 
+class RecordFormError(InputError):
+    """A record that was kept whole, and is none of this version's: the voter starts without it."""
+
+    advice: ClassVar[str] = (
+        "Move the file away and start again: a voter without a record asks the others where things stand"
+    )
+
+
 class VersionError(RefusedError):
     """The version is not above every one that was ever tried."""
 
--- a/ironrail/peers/accord/leasing.py
+++ b/ironrail/peers/accord/leasing.py
@@ -90,10 +90,20 @@
         self.proposer.known, self.proposer.epoch = state, state.step // m.EPOCH
         if self.voter:
             self.voter.decided_step = state.step
+        self.library.keep_only(self._needed())
+        self._fetch_at = now
+
+    def _needed(self) -> set[bytes]:
+        """Digests of the documents that may not go."""
         change = self.proposer.change
         needed = {ref.digest for s in self._states() if s for ref in s.refs()}
-        self.library.keep_only(needed | {change.ref.digest} if change and change.ref else needed)
-        self._fetch_at = now
+        return needed | {change.ref.digest} if change and change.ref else needed
+
+    def _have(self, policy: p.Policy) -> m.Ref:
+        """Keep a document. Whoever names many to a voter, or proposes many in vain, must not fill it up."""
+        ref = self.library.add(policy)
+        self.library.let_go(self._needed() | {ref.digest})
+        return ref
 
     def _aim(self, now: float) -> None:
         """Go on to the state that is known, once its documents are here and can be worked by."""
--- a/ironrail/peers/accord/library.py
+++ b/ironrail/peers/accord/library.py
@@ -9,6 +9,8 @@
 from ironrail.peers.accord.errors import PolicyError
 from ironrail.peers.accord.messages import Ref, State
 
+MOST_KEPT = 16  # documents: two of each state that a router knows of, and what is on its way
+
 
 class Library:
     """Documents by digest."""
@@ -22,9 +24,17 @@
     def add(self, policy: p.Policy) -> Ref:
         """Have it; its name."""
         ref = Ref(policy.version, p.digest(policy))
-        self._documents[ref.digest] = policy
+        self._documents.pop(ref.digest, None)
+        self._documents[ref.digest] = policy  # the latest last
         return ref
 
+    def let_go(self, needed: set[bytes]) -> None:
+        """The oldest beyond the most that are kept, but none of these."""
+        spare = [digest for digest in self._documents if digest not in needed]
+        over = len(self._documents) - MOST_KEPT
+        if over > 0:
+            self.keep_only(self._documents.keys() - set(spare[:over]))
+
     def get(self, digest: bytes) -> bytes | None:
         """The document as it goes on the wire."""
         found = self._documents.get(digest)
--- a/ironrail/peers/accord/messages.py
+++ b/ironrail/peers/accord/messages.py
@@ -9,11 +9,13 @@
 
 import msgspec
 
+from ironrail.peers.accord.errors import RecordFormError
 from ironrail.peers.faces import Priority
 
 EPOCH = 2**32  # steps (and versions) that one founding of the register may use
 Bytes16 = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+Why = Annotated[str, msgspec.Meta(max_length=80)]  # with any more a promise that tells it might not fit
 Scope = Annotated[tuple[Whole, ...], msgspec.Meta(max_length=2)]  # versions obeyed together, with the epoch
 
 
@@ -87,7 +89,7 @@
     held: Annotated[
         tuple[Whole, ...], msgspec.Meta(max_length=4)
     ] = ()  # some that may still decide by old alone
-    refusal: tuple[Whole, Whole, str] | None = None  # a router, and what it can't work by
+    refusal: tuple[Whole, Whole, Why] | None = None  # a router, and what it can't work by
 
 
 class Outvoted(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -147,7 +149,7 @@
     low: Note | None
     high: Note | None  # and by this one, once a majority grants it
     knows: Whole  # highest step that it knows to be decided
-    refuses: tuple[Whole, Whole, str] | None = None  # a router, a version (with its epoch), and why
+    refuses: tuple[Whole, Whole, Why] | None = None  # a router, a version (with its epoch), and why
     behind: Whole | None = None  # of those it answers for, one that holds it back
 
 
@@ -188,6 +190,14 @@
     return _DECODER.decode(body)
 
 
+def read_record(record: bytes) -> Vouched:
+    """What was kept; RecordFormError where the bytes are none of ours."""
+    try:
+        return msgspec.msgpack.decode(record, type=Vouched)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise RecordFormError(str(error), "record") from None
+
+
 def priority(message: Message) -> Priority:
     """What goes first."""
     if isinstance(message, (Ask, Answer)):
--- a/ironrail/peers/accord/register.py
+++ b/ironrail/peers/accord/register.py
@@ -18,6 +18,7 @@
 
 RECOVER_EVERY = 0.5  # seconds
 KEEP_EVERY = 1.0  # seconds until a record that couldn't be kept is tried again
+MOST_HELD = 64  # words that wait for the disk: older ones count as lost on the way, and are asked for again
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +62,7 @@
         self._held: list[tuple[int, int, m.Message]] = []  # token, to, what is told once it is kept
         self.keep_again = math.inf
         if record is not None:
-            self.vouched = msgspec.msgpack.decode(record, type=m.Vouched)
+            self.vouched = m.read_record(record)
             self.standing = True
 
     @property
@@ -95,7 +96,7 @@
         if self.failing:
             return
         if self.kept_token < self.token:
-            self._held.append((self.token, to, message))
+            self._held = [*self._held[1 - MOST_HELD :], (self.token, to, message)]
         else:
             self.out.append((to, message))
 
--- a/ironrail/peers/accord/room.py
+++ b/ironrail/peers/accord/room.py
@@ -67,7 +67,7 @@
         policy = p.normal(policy)
         if error := p.check(policy, self.library.facts):
             raise error
-        return self.library.add(policy)
+        return self._have(policy)
 
     def decides_by(self, now: float) -> DecidedBy:
         """What to act by at this very time; ask anew for each decision, with a clock that counts pauses."""
@@ -125,7 +125,7 @@
         """A message; what can't be used is counted and dropped."""
         try:
             message = m.decode(heard.body)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):  # the latter of a thousand arrays in one another
             self.unusable += 1
             return
         self._take(now, heard.sender, heard.start, message)
--- a/ironrail/peers/latency/reports.py
+++ b/ironrail/peers/latency/reports.py
@@ -86,6 +86,8 @@
 
 def decode(body: bytes, routers: int, halls: int) -> list[Report]:
     """The reports of a message; ReportError if anything in it is out of form or range."""
+    if len(body) > MOST_BODY:  # nobody says so much, and it would cost as much time as it has words
+        raise ReportError("is too long", "reports of latency")
     at = 0
 
     def byte() -> int:
--- a/ironrail/peers/latency/room.py
+++ b/ironrail/peers/latency/room.py
@@ -107,7 +107,8 @@
         return out
 
     def wake_at(self) -> float:
-        return min(self._look_at, self._sweep_at, self.evidence.due(), self._spread.due())
+        due = self._spread.due() if self._routers > 1 else math.inf  # alone it has nobody to tell
+        return min(self._look_at, self._sweep_at, self.evidence.due(), due)
 
     def facts(self) -> HallsSeen | None:
         """The latest table for whoever decides, once, if there is one since the last call."""
--- a/ironrail/peers/regions/reports.py
+++ b/ironrail/peers/regions/reports.py
@@ -119,6 +119,8 @@
     """
     if body[:DIGEST] != digest:
         raise ReportError("is of another file of regions", _WHERE)
+    if len(body) > MOST_BODY:  # nobody says so much, and it would cost as much time as it has words
+        raise ReportError("is too long", _WHERE)
     at = DIGEST
 
     def take(size: int) -> bytes:
--- a/ironrail/peers/regions/room.py
+++ b/ironrail/peers/regions/room.py
@@ -33,7 +33,8 @@
 PACE = 400.0  # bytes/s that go out, of the 2 kB/s that a router has for its peers
 ENVELOPE = 56  # bytes of a datagram beside the body
 COPIES = 4  # routers that each who learns a word passes it on to: 98 of 100 learn it, the rest by its renewal
-MOST_WAITING = 2048  # words to be passed on; beyond it the least change goes
+MOST_WAITING = 2048  # words to be passed on; beyond it those of the least change go
+LEFT_WAITING = MOST_WAITING * 7 // 8  # so many at once: to look through all for each word took 0.5 ms a word
 LOOK = 5  # seconds in which each region is looked at once for what is worth telling
 WORTH_TELLING = 2  # buckets of change, a step of 1.3, before the renewal
 LEAST_BETWEEN = 15.0  # seconds between two words on one region for the sake of figures
@@ -184,7 +185,10 @@
         before = self._waiting.get(key, (0, 0, 0.0))[0]
         self._waiting[key] = max(before, min(change, NEW)), COPIES, now
         if len(self._waiting) > MOST_WAITING:
-            del self._waiting[min(self._waiting, key=lambda k: (self._waiting[k][0], self._waiting[k][2]))]
+            kept = heapq.nlargest(
+                LEFT_WAITING, self._waiting.items(), key=lambda item: (item[1][0], item[1][2])
+            )
+            self._waiting = dict(kept)
 
     def _compose(self, now: float) -> None:
         most = MOST_BODY // 7  # no word takes less
