--- a/ironrail/peers/accord/grants.py
+++ b/ironrail/peers/accord/grants.py
@@ -29,6 +29,7 @@
 
     wait: float  # seconds by this clock in which any lease has run out by its router's
     entries: dict[tuple[int, int], Entry] = field(default_factory=dict)  # (router, start)
+    _lives: dict[int, tuple[int, ...]] = field(default_factory=dict)  # router -> starts, of the same
 
     def ask(self, now: float, life: tuple[int, int], ask: Ask, least: int, until: float) -> bool | None:
         """Whether it is granted; nothing if overtaken by a later one.
@@ -37,9 +38,11 @@
         """
         entry = self.entries.get(life)
         if entry is None:
-            self._forget(now)
-            if sum(router == life[0] for router, _ in self.entries) >= MOST_LIVES:
+            self._forget(now, life[0])
+            lives = self._lives.get(life[0], ())
+            if len(lives) >= MOST_LIVES:
                 return False
+            self._lives[life[0]] = (*lives, life[1])
             entry = self.entries[life] = Entry()
         if ask.sequence <= entry.sequence:
             return None
@@ -72,7 +75,13 @@
                 return entry.refuses
         return None
 
-    def _forget(self, now: float) -> None:
-        gone = [life for life, e in self.entries.items() if now >= max(e.until, e.heard + self.wait)]
-        for life in gone:
-            del self.entries[life]
+    def _forget(self, now: float, router: int) -> None:
+        """Of this router alone: a process that is refused asks again, and must not cost a look at all."""
+        kept = []
+        for start in self._lives.get(router, ()):
+            entry = self.entries.get((router, start))
+            if entry and now < max(entry.until, entry.heard + self.wait):
+                kept.append(start)
+            else:
+                self.entries.pop((router, start), None)
+        self._lives[router] = tuple(kept)
--- /dev/null
+++ b/tests/peers/test_fuzz.py
@@ -0,0 +1,217 @@
+"""Hostile input in its short form, and each thing that it or its reading found, by itself."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from ironrail.net.store import FolderStore, RecordError
+from ironrail.peers.accord import messages as m
+from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.errors import RecordFormError
+from ironrail.peers.accord.library import MOST_KEPT
+from ironrail.peers.accord.register import MOST_HELD
+from ironrail.peers.accord.room import AccordRoom
+from ironrail.peers.faces import Heard
+from ironrail.peers.latency.reports import MOST_BODY, Report, encode
+from ironrail.peers.latency.room import LatencyRoom
+from ironrail.peers.regions import reports as regions
+from ironrail.peers.regions.regions import Regions
+from ironrail.peers.regions.room import LEFT_WAITING, MOST_WAITING, RegionsRoom
+from tests.peers import scenario
+from tests.peers.accord.watching import FACTS, FLOOR, policy
+from tests.peers.fuzz.accord import Accord, _state
+from tests.peers.fuzz.base import Attack, Make, run, size_of
+from tests.peers.fuzz.gossip import Latency, OfRegions
+from tests.peers.fuzz.papers import Documents, Posts, Records, place
+from tests.peers.fuzz.wires import Outboxes, Wires
+
+TARGETS: dict[str, tuple[Make, int, int]] = {  # how many episodes of how many inputs
+    "wire": (Wires, 4, 200),
+    "outbox": (Outboxes, 4, 100),
+    "accord": (Accord, 3, 100),
+    "latency": (Latency, 2, 60),
+    "regions": (OfRegions, 2, 60),
+    "record": (Records, 1, 60),
+    "policy": (Documents, 2, 300),
+    "door": (Posts, 1, 150),
+}
+
+
+@pytest.mark.parametrize("name", TARGETS)
+def test_nothing_comes_out_and_all_is_bounded(name: str) -> None:
+    make, episodes, steps = TARGETS[name]
+    figures = run(name, make, range(1, 1 + episodes), steps)
+    assert not figures.found and figures.inputs == episodes * steps
+
+
+def test_the_runner_tells_what_is_raised_and_by_which_seed() -> None:
+    class Raises(Attack):
+        def step(self) -> None:
+            if self.draws.random() < 0.5:
+                raise KeyError("x")
+
+        def end(self) -> None:
+            raise AssertionError
+
+    figures = run("it", Raises, [7, 8], 50)
+    assert len(figures.found) == 1 and "--seed 7" in next(iter(figures.found.values()))
+
+
+def voter(disk: bool = False, record: bytes | None = None) -> AccordRoom:
+    return AccordRoom(Conf(0, 1, 5, (0, 1, 2), disk=disk), FACTS, FLOOR, 0.0, 1, record)
+
+
+def standing(disk: bool) -> AccordRoom:
+    first = m.Ballot(1)
+    state = m.State(m.EPOCH, m.Ref(1, p.digest(policy(1))), tried=1)
+    return voter(disk, msgspec.msgpack.encode(m.Vouched(first, first, state)))
+
+
+def test_arrays_within_arrays_are_counted_and_do_not_raise() -> None:
+    room = voter()
+    room.hear(0.0, Heard(3, 9, b"\x93\x0e\xc4\x10" + bytes(16) + b"\x91" * 3600 + b"\x90"))
+    assert room.unusable == 1 and not room.say()
+
+
+def test_documents_that_a_member_makes_a_voter_want_are_bounded() -> None:
+    room = standing(disk=False)
+    wanted = [policy(2 + n) for n in range(1000)]
+    for one in wanted:
+        accept = m.Accept(m.Ballot(1, 0, 3, 9), _state(random.Random(1), one))
+        room.hear(0.0, Heard(3, 9, m.encode(accept)))
+        room.hear(0.0, Heard(3, 9, m.encode(m.Document(p.encode(one)))))
+        room.say()
+    assert len(room.library._documents) == MOST_KEPT
+    assert room.library.get(p.digest(wanted[-1]))
+
+
+def test_documents_proposed_in_vain_are_bounded_and_needed_ones_stay() -> None:
+    room = place(None)
+    for version in range(1, 200):
+        room.found(b"epoch = 1\nversion = %d\n" % version)
+    assert len(room.room.library._documents) <= MOST_KEPT
+    offered = room.room.voter.offer if room.room.voter else None
+    assert offered and not room.room.library.missing([offered])
+
+
+def test_a_disk_that_hangs_makes_a_voter_hold_a_bounded_number_of_words() -> None:
+    room = standing(disk=True)
+    for number in range(1, 1000):
+        room.hear(0.0, Heard(3, 9, m.encode(m.Prepare(m.Ballot(1, number, 3, 9)))))
+    keeps = room.keeps()
+    assert room.voter and len(room.voter._held) == MOST_HELD and not room.say()
+    room.kept(0.0, keeps[-1].token)
+    told = [m.decode(say.body) for say in room.say()]
+    assert len(told) == MOST_HELD and isinstance(told[-1], m.Promise) and told[-1].ballot.number == 999
+
+
+def test_a_refusal_of_any_length_does_not_make_a_promise_too_long_to_be_sent() -> None:
+    room = voter()
+    note = m.Note(m.EPOCH, (m.EPOCH + 1,))
+    ask = m.Ask(1, note, None, 0, (3, m.EPOCH + 2, "x" * 81), None)
+    room.hear(0.0, Heard(3, 9, m.encode(ask)))
+    assert room.unusable == 1
+    room.hear(0.0, Heard(3, 9, m.encode(msgspec.structs.replace(ask, refuses=(3, 9, "x" * 80)))))
+    assert room.unusable == 1
+
+
+@scenario
+async def test_a_record_that_is_whole_and_no_record_is_told_and_the_voter_starts(tmp_path: Path) -> None:
+    store = FolderStore(tmp_path)
+    for record in (b"", b"\x93", msgspec.msgpack.encode([1, 2]), b"\x91" * 5000):
+        with pytest.raises(RecordFormError):
+            m.read_record(record)
+        store.write("accord", record)
+        policies = place(store)
+        assert not policies.room.voter.standing and b"Move the file away" in policies.page().body  # type: ignore[union-attr]
+        policies.stop()
+    store.write("accord", msgspec.msgpack.encode(m.Vouched()))
+    whole = (tmp_path / "accord").read_bytes()
+    (tmp_path / "accord").write_bytes(whole[:-1])
+    with pytest.raises(RecordError):
+        store.read("accord")
+    assert place(store).room.voter is not None
+
+
+def test_posts_that_would_cost_the_parser_seconds_or_its_stack_are_refused() -> None:
+    policies = place(None)
+    for body, why in (
+        (b"a=" + b"[" * 8000, b"brackets"),
+        (b"a=" + b"{a=" * 4000, b"brackets"),
+        (b"version=" + b"1" * 5000, b"digits"),
+        (b".".join([b"a"] * 8000) + b"=1", b"parts"),
+        (b" . ".join([b'"a"'] * 2000) + b"=1", b"parts"),
+        (b"#" * 17000, b"more than"),
+        (b"x" * 9000 + b"=1", b"xxx"),
+    ):
+        for post in (policies.propose, policies.found):
+            answer = post(body)
+            assert answer.status == 400 and len(answer.body) < 1100, answer
+            assert why in answer.body or post == policies.found, answer
+    rows = b"".join(b'"%s"=1.0\n' % (b"a.b" * 20 + b"%d" % n) for n in range(30))
+    assert policies.propose(b"version=2\n[rates]\n" + rows).status == 409  # whole: only not now
+
+
+def reports(count: int) -> Iterator[Report]:
+    return (Report(1, 9, 1, n, 1 << 16, 0.0) for n in range(count))
+
+
+def test_a_body_longer_than_any_router_says_is_not_read() -> None:
+    one = LatencyRoom(0.0, 0, 1, ["a", "b"], [0, 1], random.Random(1))
+    one.hear(0.0, Heard(1, 9, encode(reports(200), 3696)[0]))
+    assert one.unusable == 1 and len(one.table) == 0
+    one.hear(0.0, Heard(1, 9, encode(reports(200), MOST_BODY)[0]))
+    assert one.unusable == 1 and len(one.table) == 1
+    other = RegionsRoom(0.0, 0, 1, known := Regions({}), ["a"], [0, 0], [], random.Random(1))
+    words = [regions.Report(1, 9, 0, n, bytes(4), 0.0) for n in range(200)]
+    other.hear(0.0, Heard(1, 9, regions.encode(known.digest, words, 3696)[0]))
+    assert other.unusable == 1
+    other.hear(0.0, Heard(1, 9, regions.encode(known.digest, words)[0]))
+    assert other.unusable == 1 and other.table.held(1, 0)
+
+
+def test_words_that_find_no_room_go_many_at_once_and_the_largest_change_stays() -> None:
+    known = Regions({f"r{n}": [f"10.{n}.0.0/16"] for n in range(255)})
+    room = RegionsRoom(0.0, 0, 1, known, ["a"], [0] * 30, [], random.Random(1))
+    sizes = []
+    for witness in range(1, 13):
+        room.table._words.clear()
+        for region in range(256):
+            word = regions.Report(witness, 1, region, 1, bytes(4), 0.0)
+            room.hear(float(region), Heard(witness, 1, regions.encode(known.digest, [word])[0]))
+            sizes.append(len(room._waiting))
+    assert max(sizes) == MOST_WAITING
+    after = [after for before, after in zip(sizes, sizes[1:], strict=False) if after < before]
+    assert set(after) == {LEFT_WAITING} and len(after) > 2
+
+
+def test_a_router_alone_does_not_wake_without_end() -> None:
+    room = LatencyRoom(5.0, 0, 1, ["a"], [0], random.Random(1))
+    room.wake(5.0)
+    assert room.wake_at() > 5.0
+
+
+def test_more_is_not_kept_of_a_thousand_routers_of_many_lives() -> None:
+    """Five lives of each within a lease, at a voter: entries, bytes, and the CPU of one more."""
+    room = AccordRoom(Conf(0, 1, 1000, (0, 1, 2)), FACTS, FLOOR, 0.0)
+    note = m.Note(2**62, (2**62, 2**62))
+    for life in range(5):
+        for router in range(3, 1000):
+            ask = m.Ask(1, note, note, 0, (router, 2**62, "\U0001f682" * 80), 999)
+            room.hear(0.0, Heard(router, 2**47 + life, m.encode(ask)))
+        room.say()
+    assert room.voter and len(room.voter.grants.entries) == 4 * 997
+    assert size_of(room) < 6e6
+    began = time.thread_time()
+    for life in range(200):
+        room.hear(1.0, Heard(9, life, m.encode(ask)))
+    assert time.thread_time() - began < 0.1  # a look at all of them took 1 ms each
+    room.hear(1e6, Heard(9, 1, m.encode(ask)))
+    assert len(room.voter.grants.entries) == 4 * 997 - 3  # what ran out makes room
