--- a/ironrail/peers/accord/core.py
+++ b/ironrail/peers/accord/core.py
@@ -203,5 +203,5 @@
 
     def _take_early(self) -> None:
         if self._early and p.digest(self._early) in (*self.library.missing(self._states()), self._awaited):
-            self.library.add(self._early)
+            self._have(self._early)
             self._early = None
--- a/ironrail/peers/accord/leasing.py
+++ b/ironrail/peers/accord/leasing.py
@@ -99,13 +99,23 @@
         self.proposer.known, self.proposer.epoch = state, state.step // m.EPOCH
         if self.voter:
             self.voter.decided_step = state.step
-        change = self.proposer.change
-        needed = {ref.digest for s in self._states() if s for ref in s.refs()}
-        self.library.keep_only(needed | {change.ref.digest} if change and change.ref else needed)
+        self.library.keep_only(self._needed())
         self._fetch_at = now + SOON
         if self.voter:
             self._pass_on(state, self._own_part(self.voter.grants.lives(now)))
 
+    def _needed(self) -> set[bytes]:
+        """Digests of the documents that may not go."""
+        change = self.proposer.change
+        needed = {ref.digest for s in self._states() if s for ref in s.refs()}
+        return needed | {change.ref.digest} if change and change.ref else needed
+
+    def _have(self, policy: p.Policy) -> m.Ref:
+        """Keep a document. Whoever names many to a voter, or proposes many in vain, must not fill it up."""
+        ref = self.library.add(policy)
+        self.library.let_go(self._needed() | {ref.digest})
+        return ref
+
     def _own_part(self, lives: Iterable[tuple[int, int]]) -> list[int]:
         """Of those that ask all voters, the ones that this voter tells: an even part, not each one thrice."""
         voters = self.conf.voters
