--- a/ironrail/rehearsal/links/tier.py
+++ b/ironrail/rehearsal/links/tier.py
@@ -101,8 +101,7 @@
         address = self.addresses[number]
         return table | {"peer_listen": address, "peers": self.addresses, "peers_all": TO_ALL}
 
-    @staticmethod
-    def guided(guidance: object) -> None:
+    def guided(self, guidance: object) -> None:
         """Nobody decides anything here."""
 
     # Time
--- a/ironrail/rehearsal/links/tierrouter.py
+++ b/ironrail/rehearsal/links/tierrouter.py
@@ -8,25 +8,25 @@
 from contextlib import contextmanager
 from functools import partial
 from types import SimpleNamespace
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from ironrail.door.calls import Answer
 from ironrail.net import peering
 from ironrail.net.config import config_of_table
 from ironrail.net.policies import Policies
+from ironrail.net.system import System
 from ironrail.net.together import Together
+from ironrail.operator_file import Operator
 from ironrail.peers.accord.messages import EPOCH as EPOCH_STEPS
 from ironrail.peers.accord.messages import Scope
 from ironrail.rehearsal.draws import stream
 from ironrail.rehearsal.links.switch import Drifting, Slot, Switch
 from ironrail.rehearsal.links.tierdisk import MemoryDisk, VirtualKeeper, faulty
+from ironrail.rehearsal.links.tierwatch import TierWatch
 from ironrail.rehearsal.virtual.ground import EPOCH
 from ironrail.rehearsal.virtual.loop import START, VirtualLoop
 from ironrail.rehearsal.virtual.process import Process
 
-if TYPE_CHECKING:
-    from ironrail.rehearsal.links.tier import Tier
-
 USUAL_DRIFT = 0.0005  # of a clock that is being slewed; more is a fault, up to what is stated
 MOST_AHEAD = 1e4  # seconds that a router's clocks are ahead: no two agree
 
@@ -62,15 +62,32 @@
         vars(peering)["os"] = os
 
 
+class World(Protocol):
+    """What a router has of the tier that it stands in."""
+
+    seed: int
+    names: list[str]
+    loop: VirtualLoop
+    watch: TierWatch
+    operator: Operator
+    disks: bool  # voters keep their record
+
+    def table(self, router: TierRouter) -> dict[str, Any]:
+        """What the platform tells a router."""
+
+    def guided(self, guidance: object) -> None:
+        """Takes what is decided by."""
+
+
 class TierRouter:
     """A router's place: its number, clock and disk, and the process that stands there now."""
 
-    def __init__(self, tier: Tier, number: int) -> None:
+    def __init__(self, tier: World, number: int) -> None:
         draws = stream(tier.seed, f"tier.router.{number}")
         self.tier, self.number, self.name = tier, number, tier.names[number]
         self.switch = Switch()
         self.rate = self.switch[Slot.CLOCK] = draws.uniform(-USUAL_DRIFT, USUAL_DRIFT)
-        self.system = Drifting(TierSystem(tier.loop, draws.uniform(0.0, MOST_AHEAD)), self.switch)
+        self.system: System = Drifting(TierSystem(tier.loop, draws.uniform(0.0, MOST_AHEAD)), self.switch)
         self.disk = MemoryDisk()
         self.draws = draws
         self.starts = 0
--- a/ironrail/rehearsal/links/tierwatch.py
+++ b/ironrail/rehearsal/links/tierwatch.py
@@ -8,17 +8,31 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from ironrail.net.policies import Policies
+from ironrail.net.system import System
 from ironrail.peers.accord.messages import EPOCH, Scope, State
 from ironrail.peers.accord.stages import apart
 
-if TYPE_CHECKING:
-    from ironrail.rehearsal.links.tierrouter import TierRouter
-
 MOST_KEPT = 100  # mixed instants of which the words are kept
 
 
+class Watched(Protocol):
+    """A router's place."""
+
+    number: int
+    name: str
+    system: System
+
+    @property
+    def policies(self) -> Policies:
+        """Of the process that is here now."""
+
+    def scope(self) -> Scope:
+        """What a decision at this instant would obey."""
+
+
 class TierWatch:
     """Counts what must not be, and what was looked at."""
 
@@ -28,12 +42,12 @@
         self.began: dict[tuple[int, Scope], float] = {}  # when a router last began to decide by this
         self.looks = self.mixed = self.conflicts = 0
         self.words: list[str] = []
-        self._by: dict[Scope, dict[int, TierRouter]] = {}  # who decided by this when last looked at
+        self._by: dict[Scope, dict[int, Watched]] = {}  # who decided by this when last looked at
         self._last: dict[int, tuple[Scope, float]] = {}  # and until when by its own clock
         self._steps: dict[int, State] = {}  # each is decided once
         self._documents: dict[int, bytes] = {}  # each version, with its epoch, means one document
 
-    def looked(self, router: TierRouter, settled: Callable[[], None]) -> None:
+    def looked(self, router: Watched, settled: Callable[[], None]) -> None:
         """After each event of a router; `settled`: what the daemon does then."""
         settled()
         self.looks += 1
@@ -51,7 +65,7 @@
         if policies.room.known is not None:
             self._register(router, policies.room.known)
 
-    def _compare(self, router: TierRouter, scope: Scope) -> None:
+    def _compare(self, router: Watched, scope: Scope) -> None:
         for other, them in self._by.items():
             if not apart(scope, other):
                 continue
@@ -60,7 +74,7 @@
                     self._note(f"{router.name} decides by {scope}, {one.name} by {other}")
                     self.mixed += 1
 
-    def _register(self, router: TierRouter, known: State) -> None:
+    def _register(self, router: Watched, known: State) -> None:
         if (held := self._steps.get(known.step)) is known:
             return
         if self._steps.setdefault(known.step, known) != known:
