--- a/benchmarks/accord_storms.py
+++ b/benchmarks/accord_storms.py
@@ -57,7 +57,8 @@
         tier.run(45.0)  # beyond each ticket's patience
         for ticket in tickets:
             assert ticket is not None
-            ended["in force" if ticket.in_force else type(ticket.error).__name__] += 1
+            error = "open: its process ended" if ticket.open else type(ticket.error).__name__
+            ended["in force" if ticket.in_force else error] += 1
         watch = tier.watch
         return {
             "seed": seed, "founded": founded is not None, "back": back, "ended": ended, "looks": watch.looks,
