--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -162,6 +162,8 @@
                     self._back(errors.RefusedByError(why, f"router {router}"))
                 elif not change.held:
                     return state.next(ref)
+            case Goal.FORWARD if ref and change.sent and state.old.version > ref.version:
+                self._end(errors.OpenError("the last step was sent out, its fate is not known", "policy"))
             case Goal.FORWARD:
                 self._end(errors.WithdrawnError("was taken back", "policy"))
             case Goal.BACK if state.new:
