--- a/ironrail/net/policies.py
+++ b/ironrail/net/policies.py
@@ -8,8 +8,9 @@
 
 import logging
 import math
+import re
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -23,6 +24,8 @@
 from ironrail.operator_file import OperatorError, Peers
 from ironrail.peers.accord import policy as p
 from ironrail.peers.accord.conf import Conf
+from ironrail.peers.accord.errors import UnreadyError
+from ironrail.peers.accord.messages import read_record
 from ironrail.peers.accord.proposer import Ticket
 from ironrail.peers.accord.room import AccordRoom, DecidedBy
 from ironrail.policy import interface as api
@@ -30,6 +33,10 @@
 log = logging.getLogger(__name__)
 
 RECORD = "accord"  # name of a voter's record
+MOST_TEXT = 16 * 1024  # bytes of a document as it is posted: five times its most on the wire
+MOST_DOTS = 64  # in one key, as many as a name has characters: the parser's time grows with their square
+MOST_TOLD = 1000  # characters of an answer: an error may repeat a name as long as the document
+_DOTS = re.compile(rb"(?:\.[^.\n={},]*+){%d}" % (MOST_DOTS + 1))
 FIRST = 1  # version of a policy without rows, which forbids nothing
 
 
@@ -55,9 +62,9 @@
         raise OperatorError(str(e), path) from e
 
 
-def facts_of(settings: api.Settings, peers: Peers) -> p.Facts:
+def facts_of(settings: api.Settings, peers: Peers, regions: Collection[str] = ()) -> p.Facts:
     """What this router checks each policy against. Titles come with requests: any may be named."""
-    return p.Facts(frozenset(settings.classes), None, frozenset(peers.halls))
+    return p.Facts(frozenset(settings.classes), None, frozenset(peers.halls), frozenset(regions))
 
 
 class Policies:
@@ -72,6 +79,7 @@
         follow: Callable[[api.Guidance], None],
         now: Callable[[], float],
         go_on: Callable[[], None],
+        regions: Collection[str] = (),
     ) -> None:
         """`follow`: takes what is decided by from now on; `go_on`: sends what the room says."""
         self._follow, self._now, self._go_on = follow, now, go_on
@@ -85,7 +93,7 @@
             disk=store is not None,
             start_on_floor=peers.start == "floor",
         )
-        facts, floor = facts_of(settings, peers), read_floor(peers.floor)
+        facts, floor = facts_of(settings, peers, regions), read_floor(peers.floor)
         record, self._torn = self._kept(store)
         self.room = AccordRoom(conf, facts, floor, place.now, place.seed, record)
         self._keeper = Keeper(store, RECORD, self._done) if store is not None else None
@@ -93,11 +101,14 @@
         self._until = -math.inf  # when what is decided by has to be asked for anew
         self.ticket: Ticket | None = None  # of the latest call for a change here
 
-    def _kept(self, store: Store | None) -> tuple[bytes | None, RecordError | None]:
+    def _kept(self, store: Store | None) -> tuple[bytes | None, InputError | None]:
         """A record that can't be read is none: the voter then asks the others where things stand."""
         try:
-            return (store.read(RECORD) if store is not None else None), None
-        except RecordError as e:
+            record = store.read(RECORD) if store is not None else None
+            if record is not None:
+                read_record(record)
+            return record, None
+        except InputError as e:  # torn, or whole and of another version
             log.error("record_unusable", extra={"error": e.told()})
             return None, e
         except OSError as e:
@@ -145,6 +156,29 @@
         if self._keeper is not None:
             self._keeper.stop()
 
+    # Rows of steering
+
+    def in_force(self) -> DecidedBy:
+        """What is decided by now, with the versions."""
+        return self.room.decides_by(self._now())
+
+    def steer(self, rows: dict[str, dict[str, float]]) -> Ticket:
+        """Propose these rows in place of those of the policy in force, and nothing else changed.
+
+        Raises:
+            RefusedError: it can't be now.
+            PolicyError: the rows are none.
+        """
+        known, policy = self.room.known, self.in_force().policy
+        if known is None or policy is None:
+            raise UnreadyError("knows of no policy in force", "steering")
+        version = max(known.tried, policy.version) + 1
+        self.ticket = self.room.propose(
+            self._now(), msgspec.structs.replace(policy, version=version, steering=rows)
+        )
+        self._go_on()
+        return self.ticket
+
     # The operators' door
 
     def page(self) -> Answer:
@@ -190,23 +224,32 @@
     def found(self, body: bytes) -> Answer:
         """By hand, the first time or where the voters' memory is lost: a policy with `epoch` beside it."""
         try:
-            table = tomllib.loads(body.decode())
+            table = _table(body)
             epoch = table.pop("epoch", None)
             if not isinstance(epoch, int) or isinstance(epoch, bool):
                 raise InputError("must be a whole number that was never used before", "epoch")
             self.room.found(self._now(), epoch, p.read(table))
         except InputError as e:
             return _said(400, e.told())
-        except ValueError as e:
-            return _said(400, str(e))
         self._go_on()
         return _said(202, f"epoch {epoch} is offered to the voters")
 
 
 def _read(body: bytes) -> p.Policy:
+    return p.read(_table(body))
+
+
+def _table(body: bytes) -> dict[str, Any]:
+    """The document; InputError where it is none, or would cost the parser seconds or its stack."""
+    if len(body) > MOST_TEXT:
+        raise InputError(f"has more than {MOST_TEXT} bytes", "policy")
+    if _DOTS.search(body):
+        raise InputError(f"a key of more than {MOST_DOTS} parts", "policy")
     try:
-        return p.read(tomllib.loads(body.decode()))
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
+        return tomllib.loads(body.decode())
+    except RecursionError:
+        raise InputError("brackets within brackets", "policy") from None
+    except ValueError as e:  # no TOML, no UTF-8, a number of thousands of digits
         raise InputError(str(e), "policy") from e
 
 
@@ -219,4 +262,4 @@
 
 
 def _said(status: int, text: str) -> Answer:
-    return Answer(status, text.encode() + b"\n")
+    return Answer(status, text[:MOST_TOLD].encode() + b"\n")
--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -4,37 +4,29 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import orjson
 
 from ironrail.door.calls import Answer, Page, Post
 from ironrail.net.config import Config, ConfigError
+from ironrail.net.here import Here
 from ironrail.net.peering import Peering, read_tier, start_of
 from ironrail.net.policies import Place, Policies
+from ironrail.net.pool import Watch
 from ironrail.net.store import FolderStore, Store
 from ironrail.net.system import System
 from ironrail.operator_file import Operator, OperatorError
 from ironrail.peers.faces import Room
+from ironrail.peers.regions.capacity import cut_off
 from ironrail.policy import interface as api
 
-
-@dataclass(frozen=True, slots=True)
-class Here:
-    """Where this router stands among all."""
-
-    me: int
-    start: int  # of this process
-    system: System
-    halls: tuple[str, ...]  # of each router, by its number
-    draws: random.Random
-
-    def numbered(self) -> tuple[list[str], list[int]]:
-        """The different halls in an order that all routers share, and each router's among them."""
-        names = sorted(set(self.halls))
-        return names, [names.index(hall) for hall in self.halls]
+if TYPE_CHECKING:
+    from ironrail.net.clients import Clients
+    from ironrail.net.halls import HallsMap
+    from ironrail.net.readers import Readers
 
 
 class Part(Protocol):
@@ -62,7 +54,7 @@
         config: Config,
         operator: Operator,
         system: System,
-        guide: Callable[[api.Guidance], None],
+        guide: Callable[[api.Guidance | api.Halls], None],
         store: Store | None = None,
     ) -> None:
         """`guide`: takes what is decided by. `store`: in place of the folder that the file names."""
@@ -84,27 +76,44 @@
             keeps = store if me in peers.voters else None
             if keeps is None and peers.keep and me in peers.voters:
                 keeps = FolderStore(folder_of(peers.keep, me))
-            self.policies = Policies(place, config.settings, peers, keeps, guide, system.now, self._go_on)
+            self.policies = Policies(
+                place, config.settings, peers, keeps, guide, system.now, self._go_on, tuple(operator.regions)
+            )
             self.peering.add(self.policies.room)
         self.parts: list[Part] = []
+        self.readers: Readers | None = None
         here = Here(me, start, system, peers.halls, random.Random(config.seed))
+        self.halls: HallsMap | None = None
+        cut = None  # whether a hall is cut off from others, as far as the map tells
         if peers.map:
             from ironrail.net.halls import HallsMap  # noqa: PLC0415 - only where it is wanted
 
-            self.halls = HallsMap(here, self._go_on)
+            self.halls = HallsMap(here, self._go_on, guide)
             self.parts.append(self.halls)
+            cut = partial(cut_off, self.halls.estimate, here.numbered()[0], system.now)
         if operator.regions:
             from ironrail.net.readers import Readers  # noqa: PLC0415 - only where they are wanted
 
-            self.readers = Readers(here, operator.regions, tuple(config.settings.classes), self._go_on)
+            self.readers = Readers(here, operator, config.settings, self._go_on, self.policies, cut)
             self.parts.append(self.readers)
         for part in self.parts:
             self.peering.add(part.room)
-        self._meet = [voter for voter in peers.voters if voter != me]
+        # of voters only by those who speak with them: they answer 25 a second
+        self._meet = self.policies.room.path.sources(system.now()) if self.policies is not None else ()
+
+    def serve(self, clients: Clients) -> None:
+        """Those whose requests come here."""
+        if self.readers is not None:
+            self.readers.serve(clients)
+
+    def servers(self, news: api.ServerList) -> None:
+        """Discovery has told something of the list of servers."""
+        if self.readers is not None:
+            self.readers.servers(news)
 
     async def open(self) -> None:
         """Listen to the others; OSError where that can't be done."""
-        await self.peering.open(self._meet)
+        await self.peering.open([other for other in self._meet if other != self.peering.wire.me])
         self._settled()
 
     def close(self) -> None:
@@ -118,6 +127,10 @@
         """Whether clients may come, as far as the others are concerned."""
         return self.policies is None or self.policies.ready()
 
+    def watch(self, zone: str) -> Watch | None:
+        """Who is to be told of connections to servers there, if anybody."""
+        return self.halls.watch(zone) if self.halls is not None else None
+
     def check(self, now: float) -> None:
         """Before each decision."""
         if self.policies is not None:
--- /dev/null
+++ b/ironrail/rehearsal/links/accord_launch.py
@@ -0,0 +1,27 @@
+"""As `launch`, with other times for a change, which are the first three arguments.
+
+In seconds: until it is given up, until one left behind is taken back, until a voter finishes a step
+that it never heard the end of. The usual ones are too long for a run of seconds. Nothing else differs.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from ironrail.peers.accord import core
+from ironrail.peers.accord.room import AccordRoom
+from ironrail.rehearsal.links import launch
+
+
+def shorten(deadline: float, left_behind: float, unsettled: float) -> None:
+    """Have this process use these."""
+    constants = vars(core)
+    assert AccordRoom.propose.__defaults__ == (constants["DEADLINE"],), "the deadline stands elsewhere now"
+    AccordRoom.propose.__defaults__ = (deadline,)
+    constants["DEADLINE"], constants["LEFT_BEHIND"] = deadline, left_behind / deadline
+    constants["UNSETTLED"] = unsettled
+
+
+if __name__ == "__main__":
+    shorten(*map(float, sys.argv[1:4]))
+    sys.exit(launch.main(sys.argv[4:]))
