Accord: another head that may be gone is found out as soon as the first one

A router whose head was gone asked the next one at the pace that had been backed off to, 2 s a head. Change: asks begin anew at 0.3 s with each head.

--- a/ironrail/peers/accord/leasing.py
+++ b/ironrail/peers/accord/leasing.py
@@ -145,6 +145,9 @@
 
     def _renew(self, now: float) -> None:
         period = self.conf.lease / RENEWALS
+        before, targets = self.path.place, self.path.targets(now)
+        if self.path.place != before:
+            self._vain = 0  # another head may be gone as well, and is found out as soon
         self._renew_at = now + min(period, SOON * 2**self._vain)
         self._vain = min(self._vain + 1, MOST_VAIN)
         others = self.lent.live(now)
@@ -156,7 +159,7 @@
                 refuses = (self.conf.me, epoch + refused[0].version, str(refused[1])[:80])
             behind = self.lent.against(now, known.scope[-1:]) if others else []
             ask = msgspec.structs.replace(ask, refuses=refuses, behind=behind[0] if behind else None)
-        for to in self.path.targets(now):
+        for to in targets:
             self._post(to, ask)
 
     def _renewed(self, now: float) -> None:
