--- a/ironrail/peers/accord/conf.py
+++ b/ironrail/peers/accord/conf.py
@@ -13,6 +13,14 @@
 DEADLINE = 20.0  # seconds for a change: stages take 2 each, a lease that has to run out 3.1, documents 10
 
 
+def check_voters(voters: tuple[int, ...], routers: int) -> None:
+    """Raises InputError, with the field, unless these can be voters."""
+    if len(voters) not in (3, 5, 7) or len(set(voters)) < len(voters):
+        raise InputError("must be 3, 5 or 7 different numbers", "voters")
+    if not all(0 <= voter < routers for voter in voters):
+        raise InputError("names a router that isn't there", "voters")
+
+
 @dataclass(frozen=True, slots=True)
 class Conf:
     """A router's place, as the operator's file has it."""
@@ -31,10 +39,7 @@
         """Raises InputError, with the field."""
         if not 0 <= self.me < self.routers <= MOST_ROUTERS:
             raise InputError("is no router's number", "me")
-        if len(self.voters) not in (3, 5, 7) or len(set(self.voters)) < len(self.voters):
-            raise InputError("must be 3, 5 or 7 different numbers", "voters")
-        if not all(0 <= voter < self.routers for voter in self.voters):
-            raise InputError("names a router that isn't there", "voters")
+        check_voters(self.voters, self.routers)
         if not (self.lease > 0 and 0 <= self.drift < 0.5):
             raise InputError("must be above 0, and the drift below 0.5", "lease")
 
--- a/ironrail/peers/accord/core.py
+++ b/ironrail/peers/accord/core.py
@@ -47,7 +47,7 @@
         """Ask for documents: mostly any router, for the voters are few."""
         self._fetch_at = now + FETCH_EVERY
         for digest in self.library.missing(self._states()):
-            voters, source = self.conf.voters, int(self._draw() * self.conf.routers)
+            voters, source = self.path.voters, int(self._draw() * self.conf.routers)
             if self.path.speaks(now) and self._draw() < 1 / 3:
                 source = voters[int(self._draw() * len(voters))]
             if source != self.conf.me:
@@ -60,12 +60,14 @@
         voter = self.voter
         if not voter or not voter.standing or self.proposer.change:
             return math.inf
-        late = UNSETTLED * self.conf.voters.index(self.conf.me)
-        if self._accepted > (self.known.step if self.known else 0):
-            return self._left_at + UNSETTLED + late
-        if self.known and self.known.new:
-            return self._left_at + LEFT_BEHIND * DEADLINE + late
-        return math.inf
+        accepted, me = voter.vouched.accepted, self.conf.me
+        if accepted and self._accepted > (self.known.step if self.known else 0):
+            left, voters = UNSETTLED, accepted.named
+        elif self.known and self.known.new:
+            left, voters = LEFT_BEHIND * DEADLINE, self.known.voters
+        else:
+            return math.inf
+        return self._left_at + left + UNSETTLED * voters.index(me) if me in voters else math.inf
 
     def _tend(self, now: float) -> None:
         if self.voter:
@@ -77,42 +79,62 @@
 
     def _take(self, now: float, sender: int, start: int, message: m.Message) -> None:
         voter, proposer = self.voter, self.proposer
-        if voter and sender in voter.seen:
-            voter.seen[sender] = start
+        named = message.among if isinstance(message, m.Prepare) else ()
+        if self.conf.me in named:
+            self._be_voter(now)
+            voter = self.voter
+        if voter:
+            voter.heard(sender, start, isinstance(message, (m.Recover, m.Report)))
         match message:
             case m.Answer():
                 self._answered(now, sender, message)
-            case m.Promise() if sender in self.conf.voters:
+            case m.Promise():
                 proposer.promised(now, sender, start, message)
-            case m.Accepted() if sender in self.conf.voters:
+            case m.Accepted():
                 proposer.accepted(now, sender, start, message)
             case m.Outvoted():
                 proposer.outvoted(message.promised)
             case m.Decided():
                 self._learn(now, message.state)
+            case _ if voter and (not isinstance(message, m.Ask) or self._grants()):
+                self._vote(now, voter, sender, start, message)
+            case m.Ask():
+                self._lend(now, (sender, start), message)
+            case _:
+                pass
+        self._serve(sender, message)
+
+    def _serve(self, sender: int, message: m.Message) -> None:
+        """What any router tells any other."""
+        match message:
             case m.Want():
                 if found := self.library.get(message.digest):
                     self._post(sender, m.Document(found))
             case m.Document():
                 self._document(message.data)
-            case _ if voter:
-                self._vote(now, voter, sender, start, message)
-            case m.Ask():
-                self._lend(now, (sender, start), message)
+            case m.Where():
+                if self.known and self.known.step > message.knows:
+                    self._post(sender, m.Decided(self.known))
+            case _:
+                pass
+
+    def _grants(self) -> bool:
+        """Whether it is asked as a voter; else for a part of its own lease."""
+        return not self.known or self.conf.me in self.known.grantors
 
     def _vote(self, now: float, voter: Voter, sender: int, start: int, message: m.Message) -> None:
         match message:
             case m.Ask():
                 voter.ask(now, (sender, start), message, self.known)
             case m.Prepare():
-                voter.prepare(now, sender, message.ballot)
+                voter.prepare(now, sender, message)
             case m.Accept():
                 missing = self.library.missing([message.state])
                 voter.accept(now, sender, message.ballot, message.state, not missing)
                 self._source(sender, missing)
-            case m.Recover() if sender in self.conf.voters:
-                voter.recover(sender, message.nonce)
-            case m.Report() if sender in self.conf.voters:
+            case m.Recover():
+                voter.recover(sender, message)
+            case m.Report():
                 voter.report(sender, start, message)
             case m.Offer():
                 voter.offered(message.state)
@@ -132,10 +154,9 @@
     def _answered(self, now: float, sender: int, answer: m.Answer) -> None:
         if answer.decided:
             self._learn(now, answer.decided)
-        voter = sender in self.conf.voters
-        if self.voter and voter and sender != self.conf.me:
+        if self.voter and sender != self.conf.me:
             self.voter.epoch_of(now, sender, answer.standing, answer.epoch)
-        if answer.granted and voter != (answer.lasts > 0):
+        if answer.granted:
             self.path.granted(sender)
             if self.holder.granted(now, sender, answer.sequence, answer.lasts):
                 self._renew(now)  # the voters hear at once that it decides by the new state
--- a/ironrail/peers/accord/leasing.py
+++ b/ironrail/peers/accord/leasing.py
@@ -18,6 +18,7 @@
 from ironrail.peers.accord.stages import Holder
 from ironrail.peers.faces import Say, Topic
 
+LOST_AFTER = 6  # renewals without a lease, two leases' time
 RENEWALS = 3  # in a lease: two in a row may be lost
 
 
@@ -38,13 +39,13 @@
             raise error
         self.conf, self.library = conf, Library(facts, floor)
         self._seed, self._draws = seed, 0
-        self.need = len(conf.voters) // 2 + 1
-        self.holder = Holder(conf.lease, self.need)
+        self.holder = Holder(conf.lease)
         self.path, self.lent = Path(conf), Grants(conf.wait)  # to those that this router answers for
         me, start = conf.me, conf.start
-        self.voter = (
-            Voter(me, start, conf.voters, now, conf.wait, record, conf.disk) if me in conf.voters else None
-        )
+        self.voter: Voter | None = None
+        if me in conf.voters or record is not None:
+            self.voter = Voter(me, start, conf.voters, now, conf.wait, record, conf.disk)
+        self.bare = 0  # renewals in a row without a lease
         self.proposer = Proposer(me, start, conf.voters, self._draw)
         self.known: m.State | None = None  # the latest state that is decided, as far as heard
         self._accepted = 0  # step that this voter accepted last
@@ -77,9 +78,17 @@
             self._out.append(Say(to, Topic.ACCORD, m.encode(message), m.priority(message)))
 
     def _to_voters(self, message: m.Message) -> None:
-        for voter in self.conf.voters:
+        for voter in self.path.voters:
             self._post(voter, message)
 
+    def _be_voter(self, now: float) -> None:
+        """It was named as one: without a memory, and quiet for a lease's time like any that lost it."""
+        if not self.voter:
+            conf = self.conf
+            self.voter = Voter(conf.me, conf.start, self.path.voters, now, conf.wait, None, conf.disk)
+            if self.known:
+                self.voter.learned(self.known)
+
     # what is known
 
     def _learn(self, now: float, state: m.State) -> None:
@@ -88,8 +97,12 @@
             return
         self.known, self._left_at = state, now
         self.proposer.known, self.proposer.epoch = state, state.step // m.EPOCH
+        self.holder.learned(state)
+        self.path.follow(state.grantors)
+        if self.conf.me in state.grantors:
+            self._be_voter(now)
         if self.voter:
-            self.voter.decided_step = state.step
+            self.voter.learned(state)
         change = self.proposer.change
         needed = {ref.digest for s in self._states() if s for ref in s.refs()}
         self.library.keep_only(needed | {change.ref.digest} if change and change.ref else needed)
@@ -118,6 +131,10 @@
             ask = msgspec.structs.replace(ask, refuses=refuses, behind=behind[0] if behind else None)
         for to in self.path.targets(now):
             self._post(to, ask)
+        self.bare = 0 if self.holder.decides(now) else self.bare + 1
+        if self.bare > LOST_AFTER:  # the voters it knows may be gone: any router tells it who they are now
+            for to in {*self.conf.voters, int(self._draw() * self.conf.routers)} - {self.conf.me}:
+                self._post(to, m.Where(known.step if known else 0))
 
     def _lend(self, now: float, life: tuple[int, int], ask: m.Ask) -> None:
         """Another router asks for a part of this lease, as long as that lasts by the slower clock."""
--- a/ironrail/peers/accord/messages.py
+++ b/ironrail/peers/accord/messages.py
@@ -11,17 +11,24 @@
 
 from ironrail.peers.faces import Priority
 
+MOST_SEEN = 28  # routers: four sets of seven; two are in play, others were named and taken back
 EPOCH = 2**32  # steps (and versions) that one founding of the register may use
 Bytes16 = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+Voters = Annotated[tuple[Whole, ...], msgspec.Meta(max_length=7)]
 Scope = Annotated[tuple[Whole, ...], msgspec.Meta(max_length=2)]  # versions obeyed together, with the epoch
 
 
 class Ref(msgspec.Struct, frozen=True, array_like=True):
-    """A policy by its version and the digest of its document."""
+    """A policy by its version and the digest of its document, and who grants leases for it."""
 
     version: Whole
     digest: Bytes16
+    voters: Voters = ()  # empty only while it is not yet known in which place it is proposed
+
+    def same(self, other: Ref | None) -> bool:
+        """Whether it is the same document under the same version."""
+        return other is not None and (self.version, self.digest) == (other.version, other.digest)
 
 
 class State(msgspec.Struct, frozen=True, array_like=True):
@@ -32,6 +39,31 @@
     new: Ref | None = None
     tried: Whole = 0  # the highest version ever held or tried: no version is given to two documents
     by: tuple[Whole, Whole] = (0, 0)  # router and start of the process that proposed the change
+    left: Voters = ()  # the set that decided the state before, where it is another one
+
+    @property
+    def voters(self) -> Voters:
+        """Whose majority decides what follows."""
+        return self.old.voters
+
+    @property
+    def needed(self) -> tuple[Voters, ...]:
+        """The sets of which a majority each has to accept it: always also the one of the state before."""
+        return (self.old.voters, self.left) if self.left else (self.old.voters,)
+
+    @property
+    def grantors(self) -> Voters:
+        """All who grant leases in it."""
+        return self._union(self.old.voters, self.new.voters if self.new else ())
+
+    @property
+    def named(self) -> Voters:
+        """All voters it speaks of."""
+        return self._union(self.grantors, self.left)
+
+    @staticmethod
+    def _union(one: Voters, other: Voters) -> Voters:
+        return (*one, *(voter for voter in other if voter not in one))
 
     @property
     def scope(self) -> Scope:
@@ -45,7 +77,8 @@
 
     def next(self, old: Ref, new: Ref | None = None, by: tuple[int, int] = (0, 0)) -> State:
         """The state that follows."""
-        return State(self.step + 1, old, new, max(self.tried, new.version if new else 0), by)
+        left = self.voters if old.voters != self.voters else ()
+        return State(self.step + 1, old, new, max(self.tried, new.version if new else 0), by, left)
 
 
 class Ballot(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -72,11 +105,14 @@
     accepted: State | None = None
 
 
-Seen = tuple[Whole, ...]  # of each voter in order, the start that was last heard from itself; 0 if none
+# of voters that were heard, the start that was last heard from each itself
+Seen = Annotated[tuple[tuple[Whole, Whole], ...], msgspec.Meta(max_length=MOST_SEEN)]
+Among = Annotated[tuple[Whole, ...], msgspec.Meta(max_length=MOST_SEEN)]
 
 
 class Prepare(msgspec.Struct, frozen=True, array_like=True, tag=1):
     ballot: Ballot
+    among: Among = ()  # all who are asked: they have to have heard each other
 
 
 class Promise(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -116,7 +152,8 @@
 
 
 class Recover(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    nonce: Whole
+    nonce: Whole  # 0: only to be heard
+    among: Among = ()
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -137,7 +174,7 @@
     """These processes, a majority of the voters, had lost their memory and begin anew."""
 
     state: State
-    starts: Seen  # of each voter in order, 0 for those not counted
+    starts: Seen  # of those that are counted
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -168,9 +205,15 @@
     data: bytes
 
 
+class Where(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Who knows a later state, and with it who the voters are?"""
+
+    knows: Whole
+
+
 Message = (
     Prepare | Promise | Outvoted | Accept | Accepted | Blocked | Decided | Recover | Report | Offer | Founded
-    | Ask | Answer | Want | Document
+    | Ask | Answer | Want | Document | Where
 )  # fmt: skip
 Out = list[tuple[int, Message]]  # to be sent: to which router, what
 
@@ -192,4 +235,4 @@
     """What goes first."""
     if isinstance(message, (Ask, Answer)):
         return Priority.LEASE
-    return Priority.STATE if isinstance(message, (Want, Document)) else Priority.VOTE
+    return Priority.STATE if isinstance(message, (Want, Document, Where)) else Priority.VOTE
--- a/ironrail/peers/accord/path.py
+++ b/ironrail/peers/accord/path.py
@@ -21,14 +21,24 @@
     """One router's."""
 
     def __init__(self, conf: Conf) -> None:
-        self.conf = conf
-        members = [router for router in range(conf.routers) if router not in conf.voters]
+        self.conf, self.voters = conf, conf.voters
+        self.place = self.vain = 0
+        self.head_until = self.first_at = -math.inf
+        self._divide()
+
+    def follow(self, voters: tuple[int, ...]) -> None:
+        """These are the voters now."""
+        if voters != self.voters:
+            self.voters, self.place, self.vain = voters, 0, 0
+            self._divide()
+
+    def _divide(self) -> None:
+        conf = self.conf
+        members = [router for router in range(conf.routers) if router not in self.voters]
         groups = math.ceil(len(members) / GROUP)
-        direct = conf.me in conf.voters or conf.routers <= conf.direct
+        direct = conf.me in self.voters or conf.routers <= conf.direct
         # every so-manieth, so that neighbours in number, which may share a hall, don't fall together
         self.rota = [] if direct else members[members.index(conf.me) % groups :: groups]
-        self.place = self.vain = 0
-        self.head_until = self.first_at = -math.inf
 
     def speaks(self, now: float) -> bool:
         """Whether this router speaks with the voters itself."""
@@ -37,13 +47,13 @@
     def targets(self, now: float) -> tuple[int, ...]:
         """Whom to ask this time; called for each renewal."""
         if not self.rota:
-            return self.conf.voters
+            return self.voters
         self.vain += 1
         if self.vain > MOST_VAIN:
             self.place, self.vain = (self.place + 1) % len(self.rota), 1
         head = self.rota[self.place]
         if self.speaks(now):
-            return self.conf.voters
+            return self.voters
         if self.place and now >= self.first_at:
             self.first_at = now + FIRST_AGAIN
             if self.rota[0] != self.conf.me:
--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -58,19 +58,21 @@
     why: IronrailError | None = None  # it is taken back
     held: tuple[int, ...] = ()  # routers that didn't acknowledge, as last told
     ballot: m.Ballot = m.Ballot()
+    among: m.Voters = ()  # who is asked at this ballot
+    wider: m.Voters = ()  # voters that a state speaks of which was found, besides those that were known
     value: m.State | None = None  # that is to be accepted at this ballot
     final: bool = False  # the value is the goal's, not one that another left half done
     replies: dict[int, Reply] = field(default_factory=dict)
     again_at: float = math.inf
+    voters: m.Voters = ()  # that are to take the place of those in force; none: they stay
 
 
 class Proposer:
     """Runs one change at a time."""
 
     def __init__(self, me: int, start: int, voters: tuple[int, ...], draw: Callable[[], float]) -> None:
-        """`draw`: from 0 to 1."""
+        """`voters`: of the operator's file; `draw`: from 0 to 1."""
         self.me, self.start, self.voters, self._draw = me, start, voters, draw
-        self.need = len(voters) // 2 + 1
         self.epoch = self._number = 0
         self.known: m.State | None = None  # the latest that is decided, as the room tells
         self.change: Change | None = None
@@ -89,7 +91,9 @@
             change.ballot = m.Ballot(self.epoch, self._number, self.me, self.start)
             change.value, change.replies = None, {}
             change.again_at = now + AGAIN * (1 + self._draw())
-            self.out += [(voter, m.Prepare(change.ballot)) for voter in self.voters]
+            known = self.known.named if self.known else self.voters
+            change.among = tuple(dict.fromkeys((*known, *change.voters, *change.wider)))
+            self.out += [(voter, m.Prepare(change.ballot, change.among)) for voter in change.among]
 
     def outvoted(self, promised: m.Ballot) -> None:
         """Another one was faster; this one comes again with a higher ballot, not at once."""
@@ -100,16 +104,17 @@
     def promised(self, now: float, voter: int, start: int, message: m.Promise) -> None:
         """A voter's promise; with a majority of them a state is chosen and sent out."""
         change = self.change
-        if not change or change.value or message.ballot != change.ballot:
+        if not change or change.value or message.ballot != change.ballot or voter not in change.among:
             return
         change.replies[voter] = Reply(start, message.seen, message)
-        group = sound(change.replies, self.voters, self.need)
-        if not group:
-            return
-        told = [
-            r.message for v, r in change.replies.items() if v in group and isinstance(r.message, m.Promise)
-        ]
+        told = [r.message for r in change.replies.values() if isinstance(r.message, m.Promise)]
         best = max((p.vouched for p in told), key=lambda v: v.ballot).accepted
+        sets = self._asked(change, best)
+        if wider := tuple({v for s in sets for v in s if v not in change.among}):
+            change.wider, change.again_at = change.wider + wider, now
+            return
+        if not sound(change.replies, sets):
+            return
         decided = max((p.decided for p in told), default=0)
         if self.known:
             decided = max(decided, self.known.step)
@@ -123,17 +128,31 @@
             change.sent |= change.goal is Goal.FORWARD
             self._accept(change, value, final=True)
 
+    def _asked(self, change: Change, best: m.State | None) -> list[m.Voters]:
+        """The sets whose majorities have to have promised: none may have decided what isn't seen."""
+        sets = [self.known.voters] if self.known else [] if best else [self.voters]
+        if best and not (self.known and best.step <= self.known.step):
+            sets += best.needed
+        # those that are to come have to be there, or nothing is begun that needs them
+        if change.goal is Goal.JOIN:
+            sets += [change.voters] if change.voters else []
+        elif change.goal is Goal.FORWARD and best and best.new:
+            sets.append(best.new.voters)
+        return sets
+
     def _accept(self, change: Change, value: m.State, final: bool) -> None:
         change.value, change.final, change.replies = value, final, {}
-        self.out += [(voter, m.Accept(change.ballot, value)) for voter in self.voters]
+        self.out += [(voter, m.Accept(change.ballot, value)) for voter in value.named]
 
     def _next(self, change: Change, state: m.State, told: list[m.Promise]) -> m.State | None:
         """What follows a decided state, if it is the goal's to change it; else the change has ended."""
-        ref, mine = change.ref, state.new == change.ref and state.by == (self.me, self.start)
+        ref = change.ref
+        mine = ref is not None and ref.same(state.new) and state.by == (self.me, self.start)
         match change.goal:
             case Goal.JOIN if ref and state.new is None and ref.version > state.tried:
-                return state.next(state.old, ref, (self.me, self.start))
-            case Goal.JOIN | Goal.FORWARD if ref and state.new is None and state.old == ref:
+                new = m.Ref(ref.version, ref.digest, change.voters or state.voters)
+                return state.next(state.old, new, (self.me, self.start))
+            case Goal.JOIN | Goal.FORWARD if ref and state.new is None and ref.same(state.old):
                 self._end()
             case Goal.JOIN if mine:
                 change.goal = Goal.FORWARD
@@ -149,13 +168,13 @@
                     router, _, why = refusals[0]
                     self._back(errors.RefusedByError(why, f"router {router}"))
                 elif not change.held:
-                    return state.next(ref)
+                    return state.next(state.new or ref)
             case Goal.FORWARD:
                 self._end(errors.WithdrawnError("was taken back", "policy"))
             case Goal.BACK if state.new:
                 return state.next(state.old)
             case _:
-                self._end(None if state.old == ref else change.why)
+                self._end(None if ref and ref.same(state.old) else change.why)
         return None
 
     def accepted(self, now: float, voter: int, start: int, message: m.Accepted) -> None:
@@ -164,11 +183,11 @@
         if not change or not change.value or message.ballot != change.ballot:
             return
         change.replies[voter] = Reply(start, message.seen, message)
-        if not sound(change.replies, self.voters, self.need):
+        if not sound(change.replies, change.value.needed):
             return
         state, final = change.value, change.final
         self.decided.append(state)
-        self.out += [(v, m.Decided(state)) for v in self.voters]
+        self.out += [(v, m.Decided(state)) for v in change.among]
         change.value, change.ballot = None, m.Ballot()  # late votes count no more
         if not final:
             change.again_at = now
--- a/ironrail/peers/accord/quorum.py
+++ b/ironrail/peers/accord/quorum.py
@@ -1,10 +1,10 @@
-"""Which replies make a majority of the voters. Pure."""
+"""Which replies make a majority of each set of voters. Pure."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from itertools import combinations, permutations
+from itertools import combinations, permutations, product
 
 from ironrail.peers.accord import messages as m
 
@@ -18,13 +18,17 @@
     message: m.Promise | m.Accepted | m.Report
 
 
-def sound(replies: Mapping[int, Reply], voters: tuple[int, ...], need: int) -> list[int]:
-    """So many voters of which none knows another one's process as replaced; empty if there aren't."""
-    place = {voter: i for i, voter in enumerate(voters)}
-    for group in combinations(sorted(replies), need):
-        if all(
-            len(replies[a].seen) == len(voters) and replies[a].seen[place[b]] == replies[b].start
-            for a, b in permutations(group, 2)
-        ):
-            return list(group)
+def majority(voters: m.Voters) -> int:
+    """How many of them."""
+    return len(voters) // 2 + 1
+
+
+def sound(replies: Mapping[int, Reply], sets: Iterable[m.Voters]) -> list[int]:
+    """Majorities of all these sets in which none knows another one's process as replaced; else empty."""
+    parts = [list(combinations(sorted(replies.keys() & set(s)), majority(s))) for s in dict.fromkeys(sets)]
+    seen = {voter: dict(reply.seen) for voter, reply in replies.items()}
+    for choice in product(*parts) if parts else ():
+        group = sorted({voter for part in choice for voter in part})
+        if all(seen[a].get(b) == replies[b].start for a, b in permutations(group, 2)):
+            return group
     return []
--- a/ironrail/peers/accord/room.py
+++ b/ironrail/peers/accord/room.py
@@ -11,7 +11,7 @@
 from ironrail.peers.accord import errors
 from ironrail.peers.accord import messages as m
 from ironrail.peers.accord import policy as p
-from ironrail.peers.accord.conf import DEADLINE
+from ironrail.peers.accord.conf import DEADLINE, check_voters
 from ironrail.peers.accord.core import Core
 from ironrail.peers.accord.proposer import Change, Goal, Ticket
 from ironrail.peers.accord.register import Keep
@@ -34,20 +34,26 @@
 
     # what an operator or the router asks
 
-    def propose(self, now: float, policy: p.Policy, deadline: float = DEADLINE) -> Ticket:
+    def propose(
+        self, now: float, policy: p.Policy, deadline: float = DEADLINE, voters: m.Voters = ()
+    ) -> Ticket:
         """Have this policy take the old one's place everywhere; `deadline`: seconds.
 
+        `voters`: that keep the register once it is in force; none: those that do now.
+
         Raises:
             RefusedError: a change is under way here, or this router doesn't know where the register stands.
             PolicyError: it is no policy, or this router itself can't work by it.
         """
+        if voters:
+            check_voters(voters, self.conf.routers)
         if self.proposer.change:
             raise errors.BusyError("a change is under way here", "policy")
         if self.known is None or self.holder.decides(now) is None:
             raise errors.UnreadyError("holds no lease", f"router {self.conf.me}")
         ref = self._taken(policy)
         ticket = Ticket(ref)
-        self.proposer.begin(now, Change(Goal.JOIN, ref, ticket, deadline=now + deadline))
+        self.proposer.begin(now, Change(Goal.JOIN, ref, ticket, deadline=now + deadline, voters=voters))
         self._settle(now)
         return ticket
 
@@ -59,7 +65,9 @@
         if not 0 < epoch < 2**20:
             raise InputError("must be from 1 to 2**20", "epoch")
         ref = self._taken(policy)
-        self._to_voters(m.Offer(m.State(epoch * m.EPOCH, ref, tried=ref.version)))
+        voters = self.known.voters if self.known else self.conf.voters
+        named = m.Ref(ref.version, ref.digest, voters)
+        self._to_voters(m.Offer(m.State(epoch * m.EPOCH, named, tried=ref.version)))
         self._to_voters(m.Document(self.library.get(ref.digest) or b""))
         self._settle(now)
 
--- a/ironrail/peers/accord/stages.py
+++ b/ironrail/peers/accord/stages.py
@@ -10,9 +10,11 @@
 import math
 from collections.abc import Iterable
 
-from ironrail.peers.accord.messages import Ask, Note, Scope, State
+from ironrail.peers.accord.messages import EPOCH, Ask, Note, Scope, State, Voters
+from ironrail.peers.accord.quorum import majority
 
 MOST_ASKED = 32  # asks whose answers may still come; at one a second they outlast any lease
+MOST_VERSIONS = 8  # whose voters are remembered: two states have four at most, others may lag behind
 MOST_SCOPES = 2  # that may be asked for at once: two states that follow each other
 
 
@@ -29,9 +31,10 @@
 class Holder:
     """Which state a router decides in, and until when."""
 
-    def __init__(self, lease: float, majority: int) -> None:
+    def __init__(self, lease: float) -> None:
         """`lease`: seconds by the own clock, from when it was asked for."""
-        self.lease, self.majority = lease, majority
+        self.lease = lease
+        self.voters: dict[int, Voters] = {}  # version with the epoch -> who grants leases for it
         self.at: State | None = None  # it decides in this state while the lease lasts
         self.next: State | None = None  # it will, once a majority has granted it
         self.sequence = 0
@@ -40,10 +43,25 @@
         self.lent: dict[int, tuple[int, float]] = {}  # head -> the same, and for how long it grants
 
     def own_end(self, scope: Scope) -> float:
-        """Until when a majority of voters keeps others from what is apart from this scope."""
-        grants = [self._asked[sequence] for sequence in self._granted.values() if sequence in self._asked]
+        """Until when a majority of each version's voters keeps others from what is apart from this scope."""
+        return min(
+            (self._end_by(self.voters.get(version, ()), scope) for version in scope), default=-math.inf
+        )
+
+    def _end_by(self, voters: Voters, scope: Scope) -> float:
+        grants = [self._asked.get(self._granted.get(voter, 0), (0.0, ())) for voter in voters]
         times = sorted((at for at, scopes in grants if scope in scopes), reverse=True)
-        return times[self.majority - 1] + self.lease if len(times) >= self.majority else -math.inf
+        need = majority(voters)
+        return times[need - 1] + self.lease if len(times) >= need else -math.inf
+
+    def learned(self, state: State) -> None:
+        """A state that is decided: who grants leases in it."""
+        for ref in state.refs():
+            version = state.step // EPOCH * EPOCH + ref.version
+            self.voters.pop(version, None)
+            self.voters[version] = ref.voters
+        for version in list(self.voters)[:-MOST_VERSIONS]:
+            del self.voters[version]
 
     def end(self, scope: Scope) -> float:
         """The same, or until when another router's lease, which answers for this one, does."""
