--- a/benchmarks/accord_check.py
+++ b/benchmarks/accord_check.py
@@ -1,6 +1,6 @@
 """The long form of the checks of `ironrail/peers/accord/`, and what a voter's work for leases costs.
 
-    PYTHONPATH=. python benchmarks/accord_check.py votes|rooms|walks|cost|fleet [--most 2000000]
+    PYTHONPATH=. python benchmarks/accord_check.py votes|rooms|walks|moves|cost|fleet [--most 2000000]
 
 Each line: what was looked at, states or walks, whether all of it was, seconds.
 """
@@ -17,7 +17,9 @@
 from ironrail.peers.accord import policy as p
 from ironrail.peers.accord.stages import note
 from ironrail.peers.faces import Heard
+from ironrail.peers.accord.proposer import Goal
 from tests.peers.accord.explorer import Bounds, Explorer
+from tests.peers.accord.moves import Moves
 from tests.peers.accord.still import EVERY_TICK
 from tests.peers.accord.votes import Votes
 from tests.peers.accord.walk import walk
@@ -44,6 +46,34 @@
     {"faults": 1, "ticks": 8, "routers": 5},
     {"faults": 1, "ticks": 8, "routers": 5, "direct": 0},
 )
+TWO = {0: Goal.FORWARD, 1: Goal.BACK}
+# the register while its voters change: new ones, who asks for what, bounds
+MOVES: tuple[tuple[tuple[int, ...], dict[int, Goal], dict[str, Any]], ...] = (
+    ((1, 2, 3), {4: Goal.FORWARD, 0: Goal.BACK}, {}),
+    ((1, 2, 3), {4: Goal.FORWARD, 0: Goal.JOIN}, {"late": (0,)}),
+    ((2, 3, 4), TWO, {}),
+    ((1, 2, 3), {4: Goal.FORWARD}, {"crashes": 1, "victims": (1, 3)}),
+    ((1, 2, 3), {4: Goal.FORWARD, 0: Goal.BACK}, {"crashes": 1, "victims": (3,)}),
+    ((1, 2, 3), {4: Goal.JOIN, 0: Goal.JOIN}, {"moved": True, "late": (0,)}),
+    ((2, 3, 4), {5: Goal.JOIN, 0: Goal.JOIN}, {"moved": True, "late": (0,)}),
+    ((3, 4, 5), TWO, {}),
+)
+
+
+def moved(*named: int) -> tuple[Any, ...]:
+    """A change to these voters, and another one after it."""
+    return (1, max(named) + 1, 2, named), (8, 0, 3)
+
+
+SLOW = {"ticks": 14, "deadline": 8.0}
+ROOMS_MOVED: tuple[dict[str, Any], ...] = (
+    {"faults": 0, "slips": 1, "routers": 5, "proposals": moved(1, 2, 3)} | SLOW,
+    {"faults": 1, "routers": 5, "proposals": moved(1, 2, 3)} | SLOW,
+    {"faults": 1, "routers": 6, "proposals": moved(2, 3, 4)} | SLOW,
+    {"faults": 0, "slips": 1, "routers": 7, "proposals": moved(3, 4, 5)} | SLOW,
+    {"faults": 1, "routers": 7, "proposals": moved(3, 4, 5)} | SLOW,
+    {"faults": 1, "routers": 6, "disk": True, "kinds": "crash forget", "proposals": moved(2, 3, 4)} | SLOW,
+)
 
 
 def looked(what: str, check: Any) -> None:
@@ -156,7 +186,7 @@
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("what", choices=("votes", "rooms", "walks", "cost", "fleet"))
+    parser.add_argument("what", choices=("votes", "rooms", "walks", "moves", "cost", "fleet"))
     parser.add_argument("--most", type=int, default=2_000_000, help="states of each check")
     parser.add_argument("--walks", type=int, default=1000)
     given = parser.parse_args()
@@ -172,13 +202,23 @@
                 walk(seed, voters=named)
             spent = time.perf_counter() - began
             print(f"{given.walks} walks of {len(named)} voters, {spent:.0f} s", flush=True)
+        began, sets = time.perf_counter(), 0
+        for seed in range(1000, 1000 + given.walks):
+            world = walk(seed, moves=True, routers=8)
+            sets += len({state.voters for state in world.decided.values()}) - 1
+        spent = time.perf_counter() - began
+        print(f"{given.walks} walks with {sets} other sets of voters, {spent:.0f} s", flush=True)
     elif given.what == "votes":
         for bound in VOTES:
             looked(f"votes {bound}", Votes(most=given.most, **bound))
+    elif given.what == "moves":
+        for new, goals, bound in MOVES:
+            asked = {router: goal.name for router, goal in goals.items()}
+            looked(f"moves {new} {asked} {bound}", Moves(new, goals, most=given.most, **bound))
     else:
         for (module, name), value in EVERY_TICK.items():
             setattr(module, name, value)
-        for bound in ROOMS:
+        for bound in (*ROOMS, *ROOMS_MOVED):
             looked(f"rooms {bound}", Explorer(Bounds(most=given.most, **bound)))
 
 
--- a/tests/peers/accord/explorer.py
+++ b/tests/peers/accord/explorer.py
@@ -47,8 +47,12 @@
     ticks: int = 8
     faults: int = 1
     slips: int = 0
-    # tick at the earliest, router, version
-    proposals: tuple[tuple[int, int, int], ...] = ((1, 3, 2), (2, 0, 3))
+    # tick at the earliest, router, version, and the voters that it names
+    proposals: tuple[tuple[int, int, int] | tuple[int, int, int, tuple[int, ...]], ...] = (
+        (1, 3, 2),
+        (2, 0, 3),
+    )
+    deadline: float = 4.0  # ticks
     routers: int = 4
     disk: bool = False
     direct: int = 32  # 0: a router answers for those that are no voters
@@ -63,6 +67,7 @@
     def __init__(self, bounds: Bounds, room: Callable[..., Any] = Still) -> None:
         self.bounds, self.room = bounds, room
         self.voters = (0, 1, 2)
+        self.fast = {v for _, _, _, *named in bounds.proposals for v in (*self.voters, *sum(named, ()))}
         self.rooms = Saved()
         self.memo: dict[tuple[int, int, Any], Done] = {}
         self.scope: dict[tuple[int, int], m.Scope] = {}
@@ -71,7 +76,7 @@
 
     def clock(self, me: int, tick: int) -> float:
         """Voters' clocks are as fast as may be, others' as slow: a lease lasts longest."""
-        return tick * (1 + DRIFT if me in self.voters else 1 - DRIFT)
+        return tick * (1 + DRIFT if me in self.fast else 1 - DRIFT)
 
     def local(self, me: int, node: int, tick: int, event: Any) -> Done:
         """What a room does: its next state, what it sends, decides, and which tickets ended in vain."""
@@ -80,7 +85,7 @@
             return self.memo[key]
         now = self.clock(me, tick)
         if event[0] == "start":
-            disk = self.bounds.disk and me in self.voters
+            disk = self.bounds.disk and me in self.fast
             direct = self.bounds.direct
             conf = Conf(
                 me, event[1], self.bounds.routers, self.voters, LEASE, DRIFT, direct=direct, disk=disk
@@ -94,9 +99,9 @@
                 room.hear(now, Heard(sender, start, body))
             case ("wake",) if room.wake_at() <= now:
                 room.wake(now)
-            case ("propose", version):
+            case ("propose", version, *voters):
                 try:
-                    room.tickets += (room.propose(now, policy(version), 4.0),)
+                    room.tickets += (room.propose(now, policy(version), self.bounds.deadline, *voters),)
                 except RefusedError:
                     self.ended["at once"] = self.ended.get("at once", 0) + 1
             case ("found",):
@@ -183,7 +188,7 @@
                 if kind in self.bounds.kinds and not state.away[me]:
                     yield spent._replace(away=(*state.away[:me], away, *state.away[me + 1 :]))
             for kind in ("crash", "forget"):
-                if kind in self.bounds.kinds and (kind == "forget" or self.bounds.disk and me in self.voters):
+                if kind in self.bounds.kinds and (kind == "forget" or self.bounds.disk and me in self.fast):
                     yield self.restart(spent, me, kind == "forget")
 
     def restart(self, state: State, me: int, forget: bool) -> State:
@@ -212,7 +217,7 @@
             calls = self.bounds.proposals[state.calls :]
             if calls and state.tick - self.bounds.up >= calls[0][0] and not state.away[calls[0][1]]:
                 yield self.apply(
-                    ticked._replace(calls=state.calls + 1), calls[0][1], ("propose", calls[0][2])
+                    ticked._replace(calls=state.calls + 1), calls[0][1], ("propose", *calls[0][2:])
                 )
             else:
                 yield ticked
--- a/tests/peers/accord/votes.py
+++ b/tests/peers/accord/votes.py
@@ -63,6 +63,9 @@
         room.record, room.writing = record, ()
         return room
 
+    def told(self, room: Any) -> None:
+        """Others tell a process that started anew which state was decided long ago: here nothing."""
+
     def propose(self, room: Any, version: int) -> None:
         """It is asked for a change."""
         ref = room.library.add(policy(version))
@@ -87,6 +90,7 @@
                     room.kept(NOW, keep.token)
                 case ("crash", start):
                     room = self.start(me, start, room.record)
+                    self.told(room)
                     room.wake(BEFORE)
                     # leases aren't asked for here, by which others hear of it
                     if room.voter and room.voter.standing:
@@ -135,13 +139,13 @@
                 case m.Accepted():
                     void = not change or change.ballot != message.ballot
                 case m.Prepare() | m.Accept():
-                    void = voter.standing and message.ballot < voter.vouched.promised
+                    void = voter and voter.standing and message.ballot < voter.vouched.promised
                 case m.Report():
-                    heard = voter.seen[mail[0]] == mail[1]
+                    heard = voter and voter.seen.get(mail[0]) == mail[1]
                     void = heard and (voter.standing or message.nonce != voter.nonce)
                 case _:
                     void = False
-            self.voids[key] = void
+            self.voids[key] = bool(void)
         return self.voids[key]
 
     def after(self, state: State) -> Iterator[State]:
@@ -223,13 +227,17 @@
         state, taken = self.begin(), 0
         for step in plan.split(", "):
             where, what = step.split()
+            if what == "again":
+                state = self.apply(state, int(where), ("again",))
+                taken += 1
+                continue
             if what == "crash":
                 spent = state._replace(starts=state.starts + 1)
                 state = self.apply(spent, int(where), ("crash", state.starts + 1))
                 taken += 1
                 continue
             sender, to = (int(part) for part in where.split(">"))
-            for mail in sorted(sorted(state.mail), key=lambda mail: -mail[1]):  # of the latest process
+            for mail in sorted(state.mail, key=lambda mail: mail[1:], reverse=True):  # the latest
                 if (mail[0], mail[2], type(m.decode(mail[3])).__name__) == (sender, to, what):
                     state = self.apply(state, to, ("hear", *mail[:2], mail[3]))
                     taken += 1
--- a/tests/peers/accord/walk.py
+++ b/tests/peers/accord/walk.py
@@ -11,8 +11,8 @@
 AT_ONCE = 12.0  # and a change among routers that are all there
 
 
-def walk(seed: int, **how: Any) -> World:
-    """One walk; raises Broken where a promise is."""
+def walk(seed: int, moves: bool = False, **how: Any) -> World:
+    """One walk; raises Broken where a promise is. `moves`: some changes name other voters."""
     draw = random.Random(seed)
     size = how.pop("voters", (0, 1, 2))
     routers = how.pop("routers", len(size) + draw.choice((2, 4)))
@@ -25,16 +25,26 @@
     world.loss, world.slow = bad, slow
     version = 2
     for _ in range(draw.randrange(8, 20)):
-        version = act(world, draw, version, disk)
+        version = act(world, draw, version, disk, moves)
         world.run(draw.choice((0.02, 0.3, 1.0, 3.0, 8.0)))
     calm(world, version)
     return world
 
 
-def act(world: World, draw: random.Random, version: int, disk: bool) -> int:
+def spared(world: World, me: int) -> bool:
+    """Whether this one mustn't forget: more of a set that is in play would have than can be."""
+    latest = world.decided[max(world.decided)]
+    for voters in (latest.old.voters, latest.new.voters if latest.new else (), latest.left):
+        rooms = [world.nodes[v].room for v in voters if v in world.nodes and v != me]
+        standing = sum(room.voter is not None and room.voter.standing for room in rooms)
+        if me in voters and standing < len(voters) // 2 + 1:
+            return True
+    return False
+
+
+def act(world: World, draw: random.Random, version: int, disk: bool, moves: bool) -> int:
     """Something happens."""
     me = draw.randrange(world.routers)
-    lost = sum(v not in world.nodes or not world.nodes[v].room.voter.standing for v in world.voters)
     match draw.choice(
         ("propose", "propose", "propose", "cut", "cut", "mend", "crash", "pause", "twin", "disk")
     ):
@@ -45,6 +55,7 @@
                     draw.randrange(world.routers),
                     policy(version, draw.choice((0.0, 7.0))),
                     draw.choice((5.0, 20.0)),
+                    other_voters(world, draw) if moves else (),
                 )
             version += draw.choice((0, 1, 1))
         case "cut":
@@ -53,21 +64,23 @@
             world.cut = set()
         case "crash":
             # no more lose their memory than can be
-            if (
-                not (forget := not disk or draw.random() < 0.3)
-                or me not in world.voters
-                or lost < (len(world.voters) - 1) // 2
-            ):
+            if not (forget := not disk or draw.random() < 0.3) or not spared(world, me):
                 world.crash(me, forget, draw.choice((0.0, 0.5, 6.0)))
         case "pause" if me in world.nodes:
             world.nodes[me].paused_until = world.now + draw.choice((0.5, 2.0, 3.2, 10.0))
-        case "twin" if me not in world.voters:
+        case "twin" if not spared(world, me) if moves else me not in world.voters:
             world.twin(me)
         case "disk":
             world.keep_fails, world.keep_slow = draw.choice((0.0, 0.0, 0.5)), draw.choice((0.02, 0.3))
     return version
 
 
+def other_voters(world: World, draw: random.Random) -> tuple[int, ...]:
+    """Mostly others than now, of another number too."""
+    size = draw.choice([n for n in (3, 3, 5, 7) if n <= world.routers])
+    return tuple(draw.sample(range(world.routers), size)) if draw.random() < 0.6 else ()
+
+
 def calm(world: World, version: int) -> None:
     """All is well again: within a stated time all decide by one policy, and the next change takes hold."""
     world.cut, world.loss, world.slow, world.keep_fails, world.keep_slow = set(), 0.0, 0.01, 0.0, 0.02
--- a/tests/peers/accord/watching.py
+++ b/tests/peers/accord/watching.py
@@ -109,6 +109,7 @@
                 continue
             part, now = other.room.voter, self.clock(other)
             if part is None:
+                backing += 1  # it forgot that it was one, and will be quiet once it is told
                 continue
             entry = part.grants.entries.get(life)
             holds = entry is not None and scope in {n.scope for n in entry.notes} and now < entry.until
