--- a/tests/rehearsal/links/test_accord.py
+++ b/tests/rehearsal/links/test_accord.py
@@ -66,3 +66,32 @@
     assert any(len(d.versions) == 2 for d in stage.seen)  # the joint state, in which the meet holds
     assert result.no_verdict or not result.broken
     assert all((tmp_path / f"keep-{voter}" / "accord").stat().st_size > 0 for voter in VOTERS)
+
+
+@pytest.mark.sockets
+def test_voters_that_are_gone_for_good_were_replaced(tmp_path: Path) -> None:
+    for new in (3, 4, 5):
+        (tmp_path / f"keep-{new}").mkdir()
+    gone = [f"router-{voter + 1}" for voter in VOTERS]
+    plan = [link_fault("kill", name, 9.0, 4.0) for name in gone]
+    took: dict[str, float] = {}
+
+    async def meanwhile(stage: Stage) -> None:
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        await founded(stage)
+        status, said = await stage.call("router-7", "/-/policy", "version = 2\nvoters = [3, 4, 5]\n")
+        assert status == 202, said
+        took["other voters"] = await stage.until(2, *ALL)
+        assert (await stage.policy("router-1"))["voters"] == [[3, 4, 5]]
+        await asyncio.sleep(max(0.0, began + 9.2 - clock()))
+        took["the old ones gone"] = await changed(stage, "router-7", 3, *(set(ALL) - set(gone)))
+        await asyncio.sleep(max(0.0, began + 13.2 - clock()))
+        # with files that name themselves, and records of when they were voters
+        took["and back"] = await stage.until(3, *ALL, within=8.0)
+
+    stage, _ = play(tmp_path, plan, 16.5, meanwhile)
+    assert len(took) == 3, took
+    assert stage.mixed() == []
+    assert {d.versions for d in stage.seen} >= {(1,), (1, 2), (2,), (3,)}
+    assert all((tmp_path / f"keep-{new}" / "accord").stat().st_size > 0 for new in (3, 4, 5))
