--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -130,7 +130,7 @@
 
     def _asked(self, change: Change, best: m.State | None) -> list[m.Voters]:
         """The sets whose majorities have to have promised: none may have decided what isn't seen."""
-        sets = [self.known.voters] if self.known else [] if best else [self.voters]
+        sets = [self.known.voters] if self.known else []
         if best and not (self.known and best.step <= self.known.step):
             sets += best.needed
         # those that are to come have to be there, or nothing is begun that needs them
--- a/tests/peers/accord/test_moves.py
+++ b/tests/peers/accord/test_moves.py
@@ -111,6 +111,13 @@
     assert change(world, 0, 3, (), 5).in_force and len(world.scopes()) == 7
 
 
+def test_removed_voters_answer_for_others() -> None:
+    world = World(5, routers=7, direct=0).up()
+    assert change(world, 6, 2, (3, 4, 5)).in_force
+    assert len(world.scopes()) == 7
+    assert any(world.nodes[voter].room.lent.entries for voter in (0, 1, 2))
+
+
 def test_new_ones_that_are_not_there_change_nothing() -> None:
     world = World(3, routers=7).up()
     for voter in (4, 5):
