--- a/tests/peers/accord/test_moves.py
+++ b/tests/peers/accord/test_moves.py
@@ -127,6 +127,18 @@
     assert change(world, 6, 3, (), 5).in_force
 
 
+def test_new_ones_that_die_in_the_joint_state_block_nothing() -> None:
+    world = World(6, routers=7).up()
+    ticket = world.propose(6, policy(2), 10.0, (3, 4, 5))
+    while set(world.scopes().values()) != {(m.EPOCH + 1, m.EPOCH + 2)}:
+        world.run(0.005)
+    for voter in (3, 4, 5):
+        world.crash(voter, True, 1e9)
+    world.run(20)
+    assert ticket and isinstance(ticket.error, errors.NoMajorityError)
+    assert change(world, 6, 3, (0, 1, 6), 8).in_force
+
+
 def test_founding_for_others_than_are_in_force_is_nothing() -> None:
     voter = Voter(0, 1, (0, 1, 2), 0.0, 1.0, None, False)
     voter.learned(PLAIN.next(PLAIN.old, m.Ref(2, b"x" * 16, (3, 4, 5))))
