--- a/ironrail/peers/accord/leasing.py
+++ b/ironrail/peers/accord/leasing.py
@@ -19,6 +19,7 @@
 from ironrail.peers.accord.stages import Holder
 from ironrail.peers.faces import Say, Topic
 
+LOST_AFTER = 3  # renewals without a lease: a lease's time after one ended, 2 s after a start
 RENEWALS = 3  # in a lease: two in a row may be lost
 SOON = 0.3  # seconds until what had no answer is asked again, doubled each time: round trips of 0.2 fit in
 MOST_VAIN = 8  # doublings that are counted
@@ -42,16 +43,14 @@
             raise error
         self.conf, self.library = conf, Library(facts, floor)
         self._seed, self._draws = seed, 0
-        self.need = len(conf.voters) // 2 + 1
-        self.holder = Holder(conf.lease, self.need)
-        self.path, self.lent = (
-            Path(conf, self._draw),
-            Grants(conf.wait),
-        )  # to those that this router answers for
+        self.holder = Holder(conf.lease)
+        self.path = Path(conf, self._draw)
+        self.lent = Grants(conf.wait)  # to those that this router answers for
         me, start = conf.me, conf.start
-        self.voter = (
-            Voter(me, start, conf.voters, now, conf.wait, record, conf.disk) if me in conf.voters else None
-        )
+        self.voter: Voter | None = None
+        if me in conf.voters or record is not None:
+            self.voter = Voter(me, start, conf.voters, now, conf.wait, record, conf.disk)
+        self.bare = 0  # renewals in a row without a lease
         self.proposer = Proposer(me, start, conf.voters, self._draw)
         self.known: m.State | None = None  # the latest state that is decided, as far as heard
         self._accepted = 0  # step that this voter accepted last
@@ -86,23 +85,35 @@
             self._out.append(Say(to, Topic.ACCORD, m.encode(message), m.priority(message)))
 
     def _to_voters(self, message: m.Message) -> None:
-        for voter in self.conf.voters:
+        for voter in self.path.voters:
             self._post(voter, message)
 
+    def _be_voter(self, now: float) -> None:
+        """It was named as one: without a memory, and quiet for a lease's time like any that lost it."""
+        if not self.voter:
+            conf = self.conf
+            self.voter = Voter(conf.me, conf.start, self.path.voters, now, conf.wait, None, conf.disk)
+            if self.known:
+                self.voter.learned(self.known)
+
     # what is known
 
     def _learn(self, now: float, state: m.State) -> None:
         """A state that is decided. Its documents are mostly right behind it; else they are asked for."""
         if self.known and state.step <= self.known.step:
             return
+        told = self._own_part(self.voter.grants.lives(now)) if self.voter else []
         self.known, self._left_at = state, now
         self.proposer.known, self.proposer.epoch = state, state.step // m.EPOCH
+        self.holder.learned(state)
+        self.path.follow(state.grantors)
+        if self.conf.me in state.grantors:
+            self._be_voter(now)
         if self.voter:
-            self.voter.decided_step = state.step
+            self.voter.learned(state)
         self.library.keep_only(self._needed())
         self._fetch_at = now + SOON
-        if self.voter:
-            self._pass_on(state, self._own_part(self.voter.grants.lives(now)))
+        self._pass_on(state, told)
 
     def _needed(self) -> set[bytes]:
         """Digests of the documents that may not go."""
@@ -117,8 +128,11 @@
         return ref
 
     def _own_part(self, lives: Iterable[tuple[int, int]]) -> list[int]:
-        """Of those that ask all voters, the ones that this voter tells: an even part, not each one thrice."""
-        voters = self.conf.voters
+        """Of those that ask all voters, the ones that this voter tells: an even part, not each one thrice.
+
+        By the voters of before: of new ones nobody has asked for a lease yet.
+        """
+        voters = self.path.voters
         return [router for router, _ in lives if voters[router % len(voters)] == self.conf.me]
 
     def _pass_on(self, state: m.State, routers: Iterable[int]) -> None:
@@ -158,6 +172,10 @@
             ask = msgspec.structs.replace(ask, refuses=refuses, behind=behind[0] if behind else None)
         for to in self.path.targets(now):
             self._post(to, ask)
+        self.bare = 0 if self.holder.decides(now) else self.bare + 1
+        if self.bare > LOST_AFTER:  # the voters it knows may be gone: any router tells it who they are now
+            # one at a time, drawn anew: in a fleet that lost its voters all ask, and none is asked by all
+            self._post(int(self._draw() * self.conf.routers), m.Where(known.step if known else 0))
 
     def _renewed(self, now: float) -> None:
         """The latest ask was granted: the next has time."""
--- a/ironrail/peers/accord/proposer.py
+++ b/ironrail/peers/accord/proposer.py
@@ -8,12 +8,11 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
 from ironrail.errors import IronrailError
 from ironrail.peers.accord import errors
 from ironrail.peers.accord import messages as m
+from ironrail.peers.accord.change import Change, Goal
 from ironrail.peers.accord.quorum import Reply, sound
 
 AGAIN = (
@@ -22,61 +21,16 @@
 PATIENCE = 2.0  # times its deadline that a ticket whose last step was sent out waits to hear what came of it
 
 
-class Goal(Enum):
-    """What the next step of the register is to be."""
-
-    JOIN = "both"  # from the old policy to the joint state
-    FORWARD = "new"  # from the joint state to the new policy
-    BACK = "old"  # from the joint state to the old policy
-    SETTLE = "as it is"  # the same state, for certain
-
-
 def _held(reply: Reply) -> bool:
     return isinstance(reply.message, m.Promise) and bool(reply.message.held)
 
 
-@dataclass(slots=True)
-class Ticket:
-    """One call for a change. It ends once, with `in_force` or with an error that tells why not."""
-
-    ref: m.Ref
-    in_force: bool = False
-    error: IronrailError | None = None
-
-    @property
-    def open(self) -> bool:
-        """Whether it hasn't ended."""
-        return not self.in_force and self.error is None
-
-
-@dataclass(slots=True)
-class Change:
-    """What is being done about the register."""
-
-    goal: Goal
-    ref: m.Ref | None = None
-    ticket: Ticket | None = None
-    began: float = 0.0
-    deadline: float = math.inf  # of the ticket
-    sent: bool = False  # the step to the new policy was sent out
-    why: IronrailError | None = None  # it is taken back
-    unaware: bool = True  # of the ballots that voters know: it comes again at once, but only once
-    refusal: tuple[int, int, str] | None = None  # of any voter's promise
-    held: tuple[int, ...] = ()  # routers that didn't acknowledge, as last told
-    ballot: m.Ballot = m.Ballot()
-    value: m.State | None = None  # that is to be accepted at this ballot
-    final: bool = False  # the value is the goal's, not one that another left half done
-    replies: dict[int, Reply] = field(default_factory=dict)
-    again_at: float = math.inf
-
-
 class Proposer:
     """Runs one change at a time."""
 
     def __init__(self, me: int, start: int, voters: tuple[int, ...], draw: Callable[[], float]) -> None:
-        """`draw`: from 0 to 1."""
+        """`voters`: of the operator's file; `draw`: from 0 to 1."""
         self.me, self.start, self.voters, self._draw = me, start, voters, draw
-        self.need = len(voters) // 2 + 1
         self.epoch = self._number = 0
         self.known: m.State | None = None  # the latest that is decided, as the room tells
         self.change: Change | None = None
@@ -95,7 +49,9 @@
             change.ballot = m.Ballot(self.epoch, self._number, self.me, self.start)
             change.value, change.replies = None, {}
             change.again_at = now + AGAIN * (1 + self._draw())
-            self.out += [(voter, m.Prepare(change.ballot)) for voter in self.voters]
+            known = self.known.named if self.known else self.voters
+            change.among = tuple(dict.fromkeys((*known, *change.voters, *change.wider)))
+            self.out += [(voter, m.Prepare(change.ballot, change.among)) for voter in change.among]
 
     def outvoted(self, now: float, promised: m.Ballot) -> None:
         """A higher ballot: at first only news, for it may be long past; later somebody else is faster."""
@@ -109,20 +65,21 @@
     def promised(self, now: float, voter: int, start: int, message: m.Promise) -> None:
         """A voter's promise; with a majority of them a state is chosen and sent out."""
         change = self.change
-        if not change or change.value or message.ballot != change.ballot:
+        if not change or change.value or message.ballot != change.ballot or voter not in change.among:
             return
         change.replies[voter] = Reply(start, message.seen, message)
-        # any majority without leases against it will do: each lease needs one of them
+        told = [r.message for r in change.replies.values() if isinstance(r.message, m.Promise)]
+        best = max((p.vouched for p in told), key=lambda v: v.ballot).accepted
+        sets = self._asked(change, best)
+        if wider := tuple({v for s in sets for v in s if v not in change.among}):
+            change.wider, change.again_at = change.wider + wider, now
+            return
+        # any majorities without leases against it will do: each lease needs one of each set it is granted by
         clear = {v: r for v, r in change.replies.items() if not _held(r)}
-        group = sound(clear, self.voters, self.need) or sound(change.replies, self.voters, self.need)
+        group = sound(clear, sets) or sound(change.replies, sets)
         if not group:
             return
-        refusals = [r.message.refusal for r in change.replies.values() if isinstance(r.message, m.Promise)]
-        change.refusal = next((refusal for refusal in refusals if refusal), None)
-        told = [
-            r.message for v, r in change.replies.items() if v in group and isinstance(r.message, m.Promise)
-        ]
-        best = max((p.vouched for p in told), key=lambda v: v.ballot).accepted
+        change.refusal = next((promise.refusal for promise in told if promise.refusal), None)
         decided = max((p.decided for p in told), default=0)
         if self.known:
             decided = max(decided, self.known.step)
@@ -131,22 +88,37 @@
         if best.step > decided:
             self._accept(change, best, final=False)
             return
-        value = self._next(change, best, told)
+        clearest = [p for v in group if isinstance(p := change.replies[v].message, m.Promise)]
+        value = self._next(change, best, clearest)
         if value and self.change is change:
             change.sent |= change.goal is Goal.FORWARD
             self._accept(change, value, final=True)
 
+    def _asked(self, change: Change, best: m.State | None) -> list[m.Voters]:
+        """The sets whose majorities have to have promised: none may have decided what isn't seen."""
+        sets = [self.known.voters] if self.known else []
+        if best and not (self.known and best.step <= self.known.step):
+            sets += best.needed
+        # those that are to come have to be there, or nothing is begun that needs them
+        if change.goal is Goal.JOIN:
+            sets += [change.voters] if change.voters else []
+        elif change.goal is Goal.FORWARD and best and best.new:
+            sets.append(best.new.voters)
+        return sets
+
     def _accept(self, change: Change, value: m.State, final: bool) -> None:
         change.value, change.final, change.replies = value, final, {}
-        self.out += [(voter, m.Accept(change.ballot, value)) for voter in self.voters]
+        self.out += [(voter, m.Accept(change.ballot, value)) for voter in value.named]
 
     def _next(self, change: Change, state: m.State, told: list[m.Promise]) -> m.State | None:
         """What follows a decided state, if it is the goal's to change it; else the change has ended."""
-        ref, mine = change.ref, state.new == change.ref and state.by == (self.me, self.start)
+        ref = change.ref
+        mine = ref is not None and ref.same(state.new) and state.by == (self.me, self.start)
         match change.goal:
             case Goal.JOIN if ref and state.new is None and ref.version > state.tried:
-                return state.next(state.old, ref, (self.me, self.start))
-            case Goal.JOIN | Goal.FORWARD if ref and state.old == ref:
+                new = m.Ref(ref.version, ref.digest, change.voters or state.voters)
+                return state.next(state.old, new, (self.me, self.start))
+            case Goal.JOIN | Goal.FORWARD if ref and ref.same(state.old):
                 self._end()  # another may have finished its last step, and begun a change from it
             case Goal.JOIN if mine:
                 change.goal = Goal.FORWARD
@@ -161,7 +133,7 @@
                     router, _, why = change.refusal
                     self._back(errors.RefusedByError(why, f"router {router}"))
                 elif not change.held:
-                    return state.next(ref)
+                    return state.next(state.new or ref)
             case Goal.FORWARD if ref and change.sent and state.old.version > ref.version:
                 self._end(errors.OpenError("the last step was sent out, its fate is not known", "policy"))
             case Goal.FORWARD:
@@ -169,7 +141,7 @@
             case Goal.BACK if state.new:
                 return state.next(state.old)
             case _:
-                self._end(None if state.old == ref else change.why)
+                self._end(None if ref and ref.same(state.old) else change.why)
         return None
 
     def accepted(self, now: float, voter: int, start: int, message: m.Accepted) -> None:
@@ -178,11 +150,11 @@
         if not change or not change.value or message.ballot != change.ballot:
             return
         change.replies[voter] = Reply(start, message.seen, message)
-        if not sound(change.replies, self.voters, self.need):
+        if not sound(change.replies, change.value.needed):
             return
         state, final = change.value, change.final
         self.decided.append(state)
-        self.out += [(v, m.Decided(state)) for v in self.voters]
+        self.out += [(v, m.Decided(state)) for v in change.among]
         change.value, change.ballot = None, m.Ballot()  # late votes count no more
         if not final:
             change.again_at = now
--- a/ironrail/peers/accord/room.py
+++ b/ironrail/peers/accord/room.py
@@ -11,9 +11,9 @@
 from ironrail.peers.accord import errors
 from ironrail.peers.accord import messages as m
 from ironrail.peers.accord import policy as p
-from ironrail.peers.accord.conf import DEADLINE
+from ironrail.peers.accord.change import Change, Goal, Ticket
+from ironrail.peers.accord.conf import DEADLINE, check_voters
 from ironrail.peers.accord.core import Core
-from ironrail.peers.accord.proposer import Change, Goal, Ticket
 from ironrail.peers.accord.register import Keep
 from ironrail.peers.faces import Heard, Say, Topic
 
@@ -34,20 +34,27 @@
 
     # what an operator or the router asks
 
-    def propose(self, now: float, policy: p.Policy, deadline: float = DEADLINE) -> Ticket:
+    def propose(
+        self, now: float, policy: p.Policy, deadline: float = DEADLINE, voters: m.Voters = ()
+    ) -> Ticket:
         """Have this policy take the old one's place everywhere; `deadline`: seconds.
 
+        `voters`: that keep the register once it is in force; none: those that do now.
+
         Raises:
             RefusedError: a change is under way here, or this router doesn't know where the register stands.
+            VotersError: these can't be voters.
             PolicyError: it is no policy, or this router itself can't work by it.
         """
+        if voters:
+            check_voters(voters, self.conf.routers)
         if self.proposer.change:
             raise errors.BusyError("a change is under way here", "policy")
         if self.known is None or self.holder.decides(now) is None:
             raise errors.UnreadyError("holds no lease", f"router {self.conf.me}")
         ref = self._taken(policy)
         ticket = Ticket(ref)
-        self.proposer.begin(now, Change(Goal.JOIN, ref, ticket, deadline=now + deadline))
+        self.proposer.begin(now, Change(Goal.JOIN, ref, ticket, deadline=now + deadline, voters=voters))
         self._settle(now)
         return ticket
 
@@ -59,10 +66,35 @@
         if not 0 < epoch < 2**20:
             raise InputError("must be from 1 to 2**20", "epoch")
         ref = self._taken(policy)
-        self._to_voters(m.Offer(m.State(epoch * m.EPOCH, ref, tried=ref.version)))
+        voters = self.known.voters if self.known else self.conf.voters
+        named = m.Ref(ref.version, ref.digest, voters)
+        self._to_voters(m.Offer(m.State(epoch * m.EPOCH, named, tried=ref.version)))
         self._to_voters(m.Document(self.library.get(ref.digest) or b""))
         self._settle(now)
 
+    def settled(self, now: float) -> p.Policy:
+        """The one policy in force.
+
+        Raises:
+            RefusedError: a change is under way, or this router doesn't know where the register stands.
+        """
+        state = self.holder.decides(now)
+        if state is None or state is not self.known:
+            raise errors.UnreadyError("holds no lease for the latest state", f"router {self.conf.me}")
+        if state.new:
+            raise errors.BusyError(f"version {state.new.version} is on its way", "policy")
+        return self.library.effective(state)
+
+    def voters_now(self) -> list[m.Voters]:
+        """Of the latest state that is known: the set in force, and in a change the one that is to be."""
+        known = self.known
+        if known is None:
+            return []
+        return [
+            known.voters,
+            *((known.new.voters,) if known.new and known.new.voters != known.voters else ()),
+        ]
+
     def _taken(self, policy: p.Policy) -> m.Ref:
         policy = p.normal(policy)
         if error := p.check(policy, self.library.facts):
--- a/tests/peers/fuzz/accord.py
+++ b/tests/peers/fuzz/accord.py
@@ -177,11 +177,13 @@
     """One of each, so that none has to come up by itself."""
     ref, ballot = m.Ref(2, bytes(16)), m.Ballot(1, 1, 3, 1)
     state = m.State(m.EPOCH + 1, ref, m.Ref(3, b"x" * 16), 3, (3, 1))
+    seen = ((0, 1), (1, 1), (2, 1))
     vouched, note = m.Vouched(ballot, ballot, state), m.Note(state.step, state.scope)
     return [
-        m.Prepare(ballot), m.Promise(ballot, vouched, 1, (1, 1, 1), (3,), (3, 2, "no")),
-        m.Outvoted(ballot, ballot), m.Accept(ballot, state), m.Accepted(ballot, (1, 1, 1)), m.Blocked(ballot),
-        m.Decided(state), m.Recover(7), m.Report(7, True, (1, 1, 1), vouched, state), m.Offer(state),
-        m.Founded(state, (1, 1, 1)), m.Ask(9, note, note, 1, (3, 2, "no"), 3),
+        m.Prepare(ballot, (0, 1, 2)), m.Promise(ballot, vouched, 1, seen, (3,), (3, 2, "no")),
+        m.Outvoted(ballot, ballot), m.Accept(ballot, state), m.Accepted(ballot, seen), m.Blocked(ballot),
+        m.Decided(state), m.Recover(7, (0, 1, 2)), m.Report(7, True, seen, vouched, state), m.Offer(state),
+        m.Founded(state, seen), m.Ask(9, note, note, 1, (3, 2, "no"), 3),
         m.Answer(9, True, True, 1, state, 2.0), m.Want(bytes(16)), m.Document(p.encode(policy(3))),
+        m.Where(3),
     ]  # fmt: skip
