--- a/tests/peers/accord/test_moves.py
+++ b/tests/peers/accord/test_moves.py
@@ -13,6 +13,7 @@
 from ironrail.peers.accord import messages as m
 from ironrail.peers.accord.change import Goal
 from ironrail.peers.accord.register import Voter
+from ironrail.peers.accord.stages import Holder
 from tests.peers.accord import moved
 from tests.peers.accord.explorer import Bounds, Explorer
 from tests.peers.accord.moves import PLAIN, Moves
@@ -139,6 +140,24 @@
     assert change(world, 6, 3, (0, 1, 6), 8).in_force
 
 
+def test_new_voters_tell_the_news_at_once() -> None:
+    world = World(4, routers=7).up()
+    assert change(world, 6, 2, (3, 4, 5)).in_force
+    assert change(world, 6, 3, (), 1.2).in_force  # by the next renewals alone it takes 1.5 s
+    assert set(world.scopes().values()) == {(m.EPOCH + 3,)} and len(world.scopes()) == 7
+
+
+def test_a_renewal_takes_a_majority_of_each_set() -> None:
+    holder = Holder(3.0)
+    holder.ask(0.0, PLAIN)
+    sets = ((0, 1, 2), (2, 3, 4))
+    for voter, fresh in ((0, False), (1, False), (2, False), (3, True)):
+        holder.granted(0.1, voter, 1)
+        assert holder.fresh(sets) is fresh
+    holder.ask(1.0, PLAIN)
+    assert not holder.fresh(sets)
+
+
 def test_founding_for_others_than_are_in_force_is_nothing() -> None:
     voter = Voter(0, 1, (0, 1, 2), 0.0, 1.0, None, False)
     voter.learned(PLAIN.next(PLAIN.old, m.Ref(2, b"x" * 16, (3, 4, 5))))
