--- a/tests/peers/accord/moves.py
+++ b/tests/peers/accord/moves.py
@@ -54,7 +54,7 @@
         if goal is Goal.JOIN:
             ref = room.library.add(policy(version + 10))
         room.proposer.epoch = 1
-        room.proposer.begin(NOW, Change(goal, ref, Ticket(ref)))
+        room.proposer.begin(NOW, Change(goal, ref, Ticket(ref), unaware=False))
         room._settle(NOW)
 
     def begin(self) -> State:
