--- a/ironrail/net/policies.py
+++ b/ironrail/net/policies.py
@@ -8,7 +8,6 @@
 
 import logging
 import math
-import re
 import tomllib
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
@@ -20,23 +19,20 @@
 
 from ironrail.door.calls import Answer
 from ironrail.errors import InputError, RefusedError
+from ironrail.net import posted
 from ironrail.net.store import Keeper, RecordError, Store
 from ironrail.operator_file import OperatorError, Peers
 from ironrail.peers.accord import policy as p
+from ironrail.peers.accord.change import Ticket
 from ironrail.peers.accord.conf import Conf
 from ironrail.peers.accord.errors import UnreadyError
 from ironrail.peers.accord.messages import read_record
-from ironrail.peers.accord.proposer import Ticket
 from ironrail.peers.accord.room import AccordRoom, DecidedBy
 from ironrail.policy import interface as api
 
 log = logging.getLogger(__name__)
 
 RECORD = "accord"  # name of a voter's record
-MOST_TEXT = 16 * 1024  # bytes of a document as it is posted: five times its most on the wire
-MOST_DOTS = 64  # in one key, as many as a name has characters: the parser's time grows with their square
-MOST_TOLD = 1000  # characters of an answer: an error may repeat a name as long as the document
-_DOTS = re.compile(rb"(?:\.[^.\n={},]*+){%d}" % (MOST_DOTS + 1))
 FIRST = 1  # version of a policy without rows, which forbids nothing
 
 
@@ -194,8 +190,9 @@
         told: dict[str, Any] = {
             "versions": list(decided.versions),
             "ready": decided.policy is not None,
+            "voters": self.room.voters_now(),
             "lease_left": round(ends - now, 3) if ends > now and ends < math.inf else None,
-            "policy": _builtins(decided.policy),
+            "policy": posted.rows(decided.policy),
             "troubles": [error.told() for error in self.room.troubles(now)],
         }
         if self._torn is not None:
@@ -211,55 +208,31 @@
         return "under way" if ticket.open else "in force" if ticket.in_force else "refused"
 
     def propose(self, body: bytes) -> Answer:
-        """A policy as TOML: 202 once it is under way, 409 where it can't be now, 400 where it is none."""
+        """A policy as TOML: 202 once it is under way, 409 where it can't be now, 400 where it is none.
+
+        With `voters` beside it these take the place of those in force; with `version` and `voters` alone the
+        policy in force stays as it is, under that version.
+        """
+        now = self._now()
         try:
-            self.ticket = self.room.propose(self._now(), _read(body))
+            policy, voters = posted.read(body, lambda: self.room.settled(now))
+            self.ticket = self.room.propose(now, policy, voters=voters)
         except RefusedError as e:
-            return _said(409, e.told())
+            return posted.line(409, e.told())
         except InputError as e:
-            return _said(400, e.told())
+            return posted.line(400, e.told())
         self._go_on()
-        return _said(202, f"version {self.ticket.ref.version} is under way: ask for its state")
+        return posted.line(202, f"version {self.ticket.ref.version} is under way: ask for its state")
 
     def found(self, body: bytes) -> Answer:
         """By hand, the first time or where the voters' memory is lost: a policy with `epoch` beside it."""
         try:
-            table = _table(body)
+            table = posted.table(body)
             epoch = table.pop("epoch", None)
             if not isinstance(epoch, int) or isinstance(epoch, bool):
                 raise InputError("must be a whole number that was never used before", "epoch")
             self.room.found(self._now(), epoch, p.read(table))
         except InputError as e:
-            return _said(400, e.told())
+            return posted.line(400, e.told())
         self._go_on()
-        return _said(202, f"epoch {epoch} is offered to the voters")
-
-
-def _read(body: bytes) -> p.Policy:
-    return p.read(_table(body))
-
-
-def _table(body: bytes) -> dict[str, Any]:
-    """The document; InputError where it is none, or would cost the parser seconds or its stack."""
-    if len(body) > MOST_TEXT:
-        raise InputError(f"has more than {MOST_TEXT} bytes", "policy")
-    if _DOTS.search(body):
-        raise InputError(f"a key of more than {MOST_DOTS} parts", "policy")
-    try:
-        return tomllib.loads(body.decode())
-    except RecursionError:
-        raise InputError("brackets within brackets", "policy") from None
-    except ValueError as e:  # no TOML, no UTF-8, a number of thousands of digits
-        raise InputError(str(e), "policy") from e
-
-
-def _builtins(policy: p.Policy | None) -> Any:
-    """A policy's rows by name, those that say nothing left out."""
-    if policy is None:
-        return None
-    rows = {name: getattr(policy, name) for name in policy.__struct_fields__}
-    return {name: msgspec.to_builtins(row) for name, row in rows.items() if row or name == "version"}
-
-
-def _said(status: int, text: str) -> Answer:
-    return Answer(status, text[:MOST_TOLD].encode() + b"\n")
+        return posted.line(202, f"epoch {epoch} is offered to the voters")
--- a/tests/peers/fuzz/papers.py
+++ b/tests/peers/fuzz/papers.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ironrail.net import policies
+from ironrail.net import policies, posted
 from ironrail.net.policies import Place, Policies
 from ironrail.net.store import MAGIC, FolderStore, RecordError
 from ironrail.operator_file import Peers
@@ -101,7 +101,7 @@
 
     def __init__(self, draws: random.Random) -> None:
         super().__init__(draws)
-        self.whole = [p.encode(policies._read(text.replace(b"epoch = 1", b""))) for text in TEXTS]
+        self.whole = [p.encode(p.read(posted.table(text.replace(b"epoch = 1", b"")))) for text in TEXTS]
         self.whole += [p.encode(policy(3)), p.encode(p.Policy(1))]
 
     def step(self) -> None:
