--- a/ironrail/peers/accord/path.py
+++ b/ironrail/peers/accord/path.py
@@ -28,14 +28,24 @@
 
     def __init__(self, conf: Conf, draw: Callable[[], float] = lambda: 0.5) -> None:
         """`draw`: from 0 to 1."""
-        self.conf, self._draw = conf, draw
-        members = [router for router in range(conf.routers) if router not in conf.voters]
+        self.conf, self.voters, self._draw = conf, conf.voters, draw
+        self.head_until = self.first_at = -math.inf
+        self._divide()
+
+    def follow(self, voters: tuple[int, ...]) -> None:
+        """These are the voters now."""
+        if voters != self.voters:
+            self.voters = voters
+            self._divide()
+
+    def _divide(self) -> None:
+        conf = self.conf
+        members = [router for router in range(conf.routers) if router not in self.voters]
         groups = math.isqrt(len(members)) + 1  # head and voter have as many to answer
-        direct = conf.me in conf.voters or conf.routers <= conf.direct
+        direct = conf.me in self.voters or conf.routers <= conf.direct
         # every so-manieth, so that neighbours in number, which may share a hall, don't fall together
         self.rota = [] if direct else members[members.index(conf.me) % groups :: groups]
         self.place = self.vain = self.gone = 0  # gone: heads in a row that did not answer
-        self.head_until = self.first_at = -math.inf
         self.move_on_at = math.inf
 
     def speaks(self, now: float) -> bool:
@@ -51,14 +61,14 @@
     def targets(self, now: float) -> tuple[int, ...]:
         """Whom to ask this time; called for each renewal."""
         if not self.rota:
-            return self.conf.voters
+            return self.voters
         self.vain += 1
         if self.vain > MOST_VAIN or now >= self.move_on_at:
             self.gone = self.gone + 1 if self.vain > MOST_VAIN else 0
             self.place = (self.place + max(1, len(self.heads()))) % len(self.rota)
             self.vain, self.move_on_at = 1, math.inf
         if self.speaks(now):
-            return self.conf.voters
+            return self.voters
         heads = self.heads()
         if self.place and now >= self.first_at:
             self.first_at = now + FIRST_AGAIN
@@ -68,7 +78,7 @@
 
     def answered(self, now: float, by: int, granted: bool) -> None:
         """It lives; whether it granted what was asked for."""
-        if by not in self.rota and by not in self.conf.voters:
+        if by not in self.rota and by not in self.voters:
             return
         self.vain = 0
         if granted:
@@ -80,7 +90,7 @@
 
     def sources(self, now: float) -> tuple[int, ...]:
         """Who has the documents of what this router learns."""
-        return self.conf.voters if self.speaks(now) else tuple(self.heads())
+        return self.voters if self.speaks(now) else tuple(self.heads())
 
     def asked(self, now: float) -> bool:
         """Another router has this one answer for it; whether that is new."""
