--- a/benchmarks/halls_worlds.py
+++ b/benchmarks/halls_worlds.py
@@ -16,19 +16,18 @@
 import multiprocessing
 import random
 import tempfile
-from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import Any
 
+from halls_figures import Figures, line, mean
+
 from ironrail.operator_file import Operator, Peers
 from ironrail.policy import interface as api
-from ironrail.rehearsal.account.record import Ended
 from ironrail.rehearsal.links.grounds import VirtualLinks
 from ironrail.rehearsal.links.paths import path_of
 from ironrail.rehearsal.links.plan import LinkFault, link_fault
 from ironrail.rehearsal.links.rig import LinkedRehearsal
-from ironrail.rehearsal.run import Result
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, hall_of, router_names
 from ironrail.rehearsal.standins.lanes import Way
@@ -155,40 +154,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Figures:
-    """What came of one run."""
-
-    worth: float  # share served in time
-    late: float  # seconds, the 99th percentile of reads that were served, of the worse class
-    hits: float  # share of reads at caches
-    fetches: int  # at the archive
-    crossing: int  # attempts at caches of other halls
-
-    @classmethod
-    def of(cls, result: Result) -> Figures:
-        there = [
-            a
-            for one in result.record.tries.values()
-            if one.planned.at >= 0
-            for a in one.attempts
-            if not a.archive
-        ]
-        hits, misses = (sum(a.ended is e for a in there) for e in (Ended.SERVED, Ended.MISS))
-        halls = result.scenario
-
-        def hall(name: str) -> str:
-            return hall_of(halls, int(name.rpartition("-")[2]) - 1)
-
-        return cls(
-            result.service.whole.share,
-            max(result.service.latencies[kind][0.99] for kind in ("grid-read", "quick-read")),
-            hits / max(1, hits + misses),
-            sum(at >= 0 for at in result.record.archive_fetches),
-            sum(hall(a.router) != hall(a.server) for a in there),
-        )
-
-
 def play(job: tuple[int, int, str, str, float]) -> Figures:
     """One world in one mode."""
     halls, seed, fault, mode, once = job
@@ -216,17 +181,6 @@
     return Figures.of(played.result)
 
 
-def line(name: str, figures: Figures) -> str:
-    f = figures
-    return f"{name:24s} {f.worth:.4f} {f.late:6.3f} s  {f.hits:.4f} {f.fetches:6.0f} {f.crossing:7.0f}"
-
-
-def mean(all_of: list[Figures]) -> Figures:
-    n = len(all_of)
-    sums = [sum(getattr(f, field) for f in all_of) / n for field in Figures.__slots__]
-    return Figures(*sums)
-
-
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--halls", type=int, nargs="+", default=[3, 6])
