Peers: callbacks that nobody called, and a filter and a count that stood twice, are gone

Read once more: the drivers of the map and of regions took a go_on that they never called; whoever asked for a path's sources took itself out of them, so the path does; two benchmarks counted shares taken back by the same loop.

--- a/benchmarks/peers_regions.py
+++ b/benchmarks/peers_regions.py
@@ -11,17 +11,34 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from statistics import mean
 
-from ironrail.peers.regions.proposal import USUAL
+from ironrail.peers.regions.proposal import USUAL, Rows
 from tests.peers.regions.ours import Ours
 from tests.peers.regions.world import WORLDS, Choice, draw, fixed, nearest, run, truth
 
 HOW = ("fixed", "nearest", "ours", "exploring", "truth")
 
 
+def taken_back(changes: Iterable[Rows]) -> int:
+    """Shares that were raised and later lowered at one hall, as rows follow one another."""
+    rows: Rows = {}
+    raised, back = set(), 0
+    for new in changes:
+        for region, row in new.items():
+            before = rows.get(region, row)
+            for hall in {*row, *before}:
+                step = row.get(hall, 0.0) - before.get(hall, 0.0)
+                back += step < 0 and (region, hall) in raised
+                if step > 0:
+                    raised.add((region, hall))
+        rows = new
+    return back
+
+
 def one(job: tuple[str, str, int]) -> list[float]:
     """Figures of one draw."""
     name, how, seed = job
@@ -36,18 +53,7 @@
     if isinstance(choose, Ours):
         changes = [p for p in choose.proposals if p.rows is not None]
         figures += [len(changes), sum(p.moved for p in changes) / sum(world.demand.values())]
-        raised, back = set(), 0
-        rows: dict[str, dict[str, float]] = {}
-        for change in changes:
-            for region, row in (change.rows or {}).items():
-                before = rows.get(region, row)
-                for hall in {*row, *before}:
-                    step = row.get(hall, 0.0) - before.get(hall, 0.0)
-                    back += step < 0 and (region, hall) in raised
-                    if step > 0:
-                        raised.add((region, hall))
-            rows = change.rows or {}
-        figures.append(back)
+        figures.append(taken_back(change.rows or {} for change in changes))
     return figures
 
 
--- a/benchmarks/regions_worlds.py
+++ b/benchmarks/regions_worlds.py
@@ -19,9 +19,11 @@
 from pathlib import Path
 from statistics import mean
 
+from peers_regions import taken_back
+
 from ironrail.rehearsal.account.record import Outcome
 from ironrail.rehearsal.links.plan import link_fault
-from tests.rehearsal.links.readers_stage import Played, play
+from tests.rehearsal.links.readers_stage import play
 from tests.rehearsal.links.readers_world import World
 
 HALLS = ("hall-a", "hall-b", "hall-c")
@@ -98,26 +100,10 @@
         played.let_go(),
         played.rehearsal.crossed,
         len(played.rows()),
-        taken_back(played),
+        taken_back(new for _, _, new in played.rows()),
     ]
 
 
-def taken_back(played: Played) -> int:
-    """Shares that were raised and later lowered at one hall."""
-    rows: dict[str, dict[str, float]] = {}
-    raised, back = set(), 0
-    for _, _, new in played.rows():
-        for region, row in new.items():
-            before = rows.get(region, row)
-            for hall in {*row, *before}:
-                step = row.get(hall, 0.0) - before.get(hall, 0.0)
-                back += step < 0 and (region, hall) in raised
-                if step > 0:
-                    raised.add((region, hall))
-        rows = new
-    return back
-
-
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
--- a/ironrail/net/halls.py
+++ b/ironrail/net/halls.py
@@ -51,9 +51,9 @@
 class HallsMap:
     """One router's part in the map."""
 
-    def __init__(self, here: Here, go_on: Callable[[], None], tell: Callable[[api.Halls], None]) -> None:
-        """`go_on`: sends what the room says; `tell`: takes what is decided by."""
-        self._system, self._go_on, self._tell = here.system, go_on, tell
+    def __init__(self, here: Here, tell: Callable[[api.Halls], None]) -> None:
+        """`tell`: takes what is decided by."""
+        self._system, self._tell = here.system, tell
         self._names, hall_of = here.numbered()
         self._map = LatencyRoom(here.system.now(), here.me, here.start, self._names, hall_of, here.draws)
         self.room = Echoing(self._map, hall_of)
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -54,13 +54,12 @@
         here: Here,
         operator: Operator,
         settings: api.Settings,
-        go_on: Callable[[], None],
         policies: Policies | None,
         cut: Callable[[str], bool] | None,
     ) -> None:
-        """`go_on`: sends what the room says; `cut`: whether a hall is cut off, where a map tells."""
+        """`cut`: whether a hall is cut off, where a map tells."""
         assert operator.peers is not None
-        self._system, self._go_on, self._policies = here.system, go_on, policies
+        self._system, self._policies = here.system, policies
         self._settings, self._peers, self._halls_of = settings, operator.peers, here.halls
         self._cut = cut or (lambda hall: False)
         names, hall_of = here.numbered()
--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -88,13 +88,13 @@
         if peers.map:
             from ironrail.net.halls import HallsMap  # noqa: PLC0415 - only where it is wanted
 
-            self.halls = HallsMap(here, self._go_on, guide)
+            self.halls = HallsMap(here, guide)
             self.parts.append(self.halls)
             cut = partial(cut_off, self.halls.estimate, here.numbered()[0], system.now)
         if operator.regions:
             from ironrail.net.readers import Readers  # noqa: PLC0415 - only where they are wanted
 
-            self.readers = Readers(here, operator, config.settings, self._go_on, self.policies, cut)
+            self.readers = Readers(here, operator, config.settings, self.policies, cut)
             self.parts.append(self.readers)
         for part in self.parts:
             self.peering.add(part.room)
@@ -113,7 +113,7 @@
 
     async def open(self) -> None:
         """Listen to the others; OSError where that can't be done."""
-        await self.peering.open([other for other in self._meet if other != self.peering.wire.me])
+        await self.peering.open(self._meet)
         self._settled()
 
     def close(self) -> None:
--- a/ironrail/peers/accord/core.py
+++ b/ironrail/peers/accord/core.py
@@ -51,7 +51,7 @@
     def _fetch(self, now: float) -> None:
         """Ask again for documents; who told of a state was asked for them before."""
         self._fetch_at = now + FETCH_EVERY
-        sources = [source for source in self.path.sources(now) if source != self.conf.me]
+        sources = self.path.sources(now)
         for digest in self.library.missing(self._states()):
             if sources:
                 self._post(sources[int(self._draw() * len(sources))], m.Want(digest))
--- a/ironrail/peers/accord/path.py
+++ b/ironrail/peers/accord/path.py
@@ -89,8 +89,10 @@
             self.move_on_at = now + PATIENT * (1 + self._draw())
 
     def sources(self, now: float) -> tuple[int, ...]:
-        """Who has the documents of what this router learns."""
-        return self.voters if self.speaks(now) else tuple(self.heads())
+        """Which others have the documents of what this router learns."""
+        if not self.speaks(now):
+            return tuple(self.heads())
+        return tuple(voter for voter in self.voters if voter != self.conf.me)
 
     def asked(self, now: float) -> bool:
         """Another router has this one answer for it; whether that is new."""
