Origin: it is told the time that is left, as caches are, not the client's whole time

Further attempts here are nearly all fetches after a miss; caches get d from what is left (CacheConnection.encode), the origin's Request-Info was the client's own list (net/origin.py, _request_of). One function now writes the list for both.

System.hung_up and Passage.left tell that a client has gone also while nothing is read from it; what is sent on will ask them.

--- a/ironrail/net/caches.py
+++ b/ironrail/net/caches.py
@@ -26,8 +26,7 @@
         self._parser = memcache.ReplyParser()
 
     def encode(self, attempt: Attempt) -> list[bytes]:
-        wait_ms = max(1, round((attempt.until - self.pool.system.now()) * 1000))
-        return [memcache.write_command(attempt.command, wait_ms)]
+        return [memcache.write_command(attempt.command, self.wait_ms(attempt))]
 
     def data_received(self, data: bytes) -> None:
         replies: list[upstream.Reply] = []
--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -133,6 +133,12 @@
             self._clients.host.room.give_back(slot)
             self._clients.let_in()
 
+    def left(self) -> bool:
+        """Whether the client has gone. While nothing is read from it nobody is told: the system is asked."""
+        if self.transport.is_closing():
+            return True
+        return not self.place.reading and self._clients.system.hung_up(self.transport)
+
     def _flush(self) -> None:
         """Write the answers whose turn it is, and do what is due then."""
         ready: list[bytes] = []
--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -95,6 +95,10 @@
     def encode(self, attempt: Attempt) -> list[bytes]:
         raise NotImplementedError
 
+    def wait_ms(self, attempt: Attempt) -> int:
+        """What its server is told of the time that is left, as its first byte is written."""
+        return max(1, round((attempt.until - self.pool.system.now()) * 1000))
+
     def hold(self, full: bool) -> None:
         """The client of a long value takes no more for now, or again: what it does not take is not read."""
         if self._held is not full and not self.transport.is_closing():
--- a/ironrail/net/memcache.py
+++ b/ironrail/net/memcache.py
@@ -11,8 +11,8 @@
 
 __all__ = [
     "MAX_VALUE", "SHORT", "BadCommand", "Command", "CommandParser", "FramingError", "Noop", "Opening",
-    "Piece", "Reply", "ReplyKind", "ReplyParser", "is_printable", "read_fields", "read_figure", "write_busy",
-    "write_command", "write_opening", "write_served",
+    "Piece", "Reply", "ReplyKind", "ReplyParser", "info_with", "is_printable", "read_fields", "read_figure",
+    "write_busy", "write_command", "write_opening", "write_served",
 ]  # fmt: skip
 
 LINE_END = b"\r\n"
@@ -21,10 +21,15 @@
 TOO_LATE, TOO_MANY = b"CLIENT_ERROR no whole command in time\r\n", b"SERVER_ERROR too many connections\r\n"
 
 
+def info_with(command: Command, wait_ms: int) -> bytes:
+    """The list of names and values for a server: as it came, but for how long the router will wait."""
+    pairs = command.info.split(b",")
+    return b",".join(b"d=%d" % wait_ms if pair[:2] == b"d=" else pair for pair in pairs)
+
+
 def write_command(command: Command, wait_ms: int) -> bytes:
     """The command for a cache server: as it came, but for how long the router will wait."""
-    pairs = [b"d=%d" % wait_ms if pair[:2] == b"d=" else pair for pair in command.info.split(b",")]
-    flags = b"O%b P%b" % (command.request_id, b",".join(pairs))
+    flags = b"O%b P%b" % (command.request_id, info_with(command, wait_ms))
     if command.value is None:
         return b"mg %b v %b\r\n" % (command.key, flags)
     return b"ms %b %d %b\r\n%b\r\n" % (command.key, len(command.value), flags, command.value)
--- a/ironrail/net/origin.py
+++ b/ironrail/net/origin.py
@@ -9,7 +9,7 @@
 
 from ironrail.connections.upstream import Link, Reply
 from ironrail.net.connection import Attempt, Connection, Told
-from ironrail.net.memcache import MAX_VALUE, SHORT, Command, is_printable
+from ironrail.net.memcache import MAX_VALUE, SHORT, Command, info_with, is_printable
 from ironrail.policy.interface import Status
 
 SAFE_IN_PATH = "/:@!$&'()*+,;=-._~"  # of a key: as it is, all else is percent-encoded
@@ -31,7 +31,8 @@
         command = attempt.command
         body = command.value or b""
         http = self._http
-        head = http.send(_request_of(command, "{}:{}".format(*self.pool.address), len(body))) or b""
+        info = info_with(command, self.wait_ms(attempt))
+        head = http.send(_request_of(command, info, "{}:{}".format(*self.pool.address), len(body))) or b""
         if body:
             http.send_with_data_passthrough(h11.Data(body))
         http.send(h11.EndOfMessage())  # nothing on the wire behind a body of stated length
@@ -115,8 +116,8 @@
         return status, body
 
 
-def _request_of(command: Command, host: str, length: int) -> h11.Request:
-    headers = [(b"Host", host.encode()), (b"Request-Id", command.request_id), (b"Request-Info", command.info)]
+def _request_of(command: Command, info: bytes, host: str, length: int) -> h11.Request:
+    headers = [(b"Host", host.encode()), (b"Request-Id", command.request_id), (b"Request-Info", info)]
     if command.write:
         headers.append((b"Content-Length", b"%d" % length))
     target = "/" + quote_from_bytes(command.key, SAFE_IN_PATH)
--- a/ironrail/net/slots.py
+++ b/ironrail/net/slots.py
@@ -26,6 +26,9 @@
     def answered(self, slot: Slot) -> None:
         """An answer is whole."""
 
+    def left(self) -> bool:
+        """Whether the client has gone, told or not."""
+
 
 class Slot:
     """The place of one command's answer, which may come at once or as a long value in pieces."""
@@ -45,6 +48,9 @@
     def reader(self) -> Reader | None:
         return self._connection.reader
 
+    def left(self) -> bool:
+        return self._connection.left()
+
     def give(self, answer: bytes) -> None:
         """The whole answer."""
         self.answer = answer
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -39,6 +39,9 @@
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Tells, each time it is called, whether something has come that is not yet read, or the end."""
 
+    def hung_up(self, transport: asyncio.Transport) -> bool:
+        """Whether the other end sends no more, seen also while nothing is read from it."""
+
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         """Seconds to the other end and back, as the system itself has measured them; None if it hasn't."""
 
@@ -76,6 +79,11 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         return lambda: bool(poll.poll(0))
 
+    def hung_up(self, transport: asyncio.Transport) -> bool:
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         try:
             told = transport.get_extra_info("socket").getsockopt(
--- a/ironrail/rehearsal/links/switch.py
+++ b/ironrail/rehearsal/links/switch.py
@@ -81,4 +81,5 @@
         self.now: Callable[[], float] = Pace(system.now, switch)
         self.wall: Callable[[], float] = Pace(system.wall, switch)
         self.listen, self.served, self.unread = system.listen, system.served, system.unread
+        self.hung_up = system.hung_up
         self.round_trip, self.settled = system.round_trip, system.settled
--- a/ironrail/rehearsal/links/tierrouter.py
+++ b/ironrail/rehearsal/links/tierrouter.py
@@ -48,6 +48,9 @@
     def unread(self, transport: Any) -> Any:
         raise NotImplementedError
 
+    def hung_up(self, transport: Any) -> bool:
+        raise NotImplementedError
+
     def round_trip(self, transport: Any) -> float | None:
         raise NotImplementedError
 
--- a/ironrail/rehearsal/virtual/ground.py
+++ b/ironrail/rehearsal/virtual/ground.py
@@ -52,6 +52,9 @@
         waiting: Callable[[], bool] = transport.get_extra_info("socket").waiting
         return waiting
 
+    def hung_up(self, transport: asyncio.Transport) -> bool:
+        return bool(transport.get_extra_info("socket").hung_up())
+
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         return self._network.round_trip(transport.get_extra_info("socket"))
 
--- a/ironrail/rehearsal/virtual/socket.py
+++ b/ironrail/rehearsal/virtual/socket.py
@@ -158,6 +158,10 @@
         """Whether there is something to read, the end among it."""
         return bool(self.inbox) or self.ended or self.error is not None
 
+    def hung_up(self) -> bool:
+        """Whether the other end sends no more, unread bytes before that or not."""
+        return self.ended or self.error is not None
+
     def recv(self) -> bytes:
         """What has come; the other end may send more then."""
         data = bytes(self.inbox[:MOST_READ])
