Requests without a tenant are taken where the settings have none

The parser of commands wanted the field t of every request (net/commands.py, _read_command). What the settings have decides now: Settings.tenants, asked in Host.take.

The test fails without it.

--- a/ironrail/net/commands.py
+++ b/ironrail/net/commands.py
@@ -56,7 +56,7 @@
     if not (is_printable(given[b"O"], 64) and is_printable(given[b"P"], MAX_LINE)) or given.get(b"v"):
         raise ValueError("bad flags")
     fields = read_fields(given[b"P"])
-    for name in ("c", "t", "d"):
+    for name in ("c", "d"):
         if name not in fields:
             raise ValueError(f"missing {name}")
     return Command(words[1], given[b"O"], given[b"P"], fields, value)
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -67,6 +67,9 @@
         if known is None:
             answer(b"CLIENT_ERROR unknown class\r\n")
             return None
+        if self._router.settings.tenants and "t" not in command.fields:
+            answer(b"CLIENT_ERROR missing t\r\n")
+            return None
         time_left = float(command.fields["d"]) / 1000
         if time_left > known.give_up:  # guards memory and timers against what no client waits for
             answer(b"CLIENT_ERROR bad d\r\n")
--- a/tests/test_node_input.py
+++ b/tests/test_node_input.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ironrail.settings import read_settings
 from tests.peers import World, scenario
 
 P = b"Pc=read,t=x,d=500"
@@ -62,6 +63,23 @@
     assert await client.value("2") == b"v"
 
 
+@scenario
+async def test_where_there_are_no_tenants_no_request_has_to_name_one() -> None:
+    """As some customers have none: each of their requests was turned away."""
+    assert not read_settings({"classes": [{"name": "read"}]}).tenants
+    assert read_settings({"classes": [{"name": "read"}], "tenants": [{"name": "x"}]}).tenants
+    world = await World(tenants=False).start()
+    client = await world.client()
+    client.send(b"mg k v O1 Pc=read,d=5000\r\n")
+    got = await world.cache.next()
+    assert got.flag == b"O1"
+    got.reply(b"EN O1\r\n")
+    fetch = await world.origin.next()
+    assert fetch.headers["request-info"].startswith("c=read,d=")
+    fetch.respond(b"v")
+    assert await client.value("1") == b"v"
+
+
 @scenario
 @pytest.mark.parametrize(
     ("data", "answer"),
