Connections: a server is never told more time than is left

Cause: Connection.wait_ms rounded to the nearest millisecond, so up to half a millisecond more than was left was told (99.9 ms left told 100). Now rounded down, and 1 where less is left. That the time is reckoned at the write, also for a first attempt that waited for a connection, held already and had no test.

--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -96,8 +96,8 @@
         raise NotImplementedError
 
     def wait_ms(self, attempt: Attempt) -> int:
-        """What its server is told of the time that is left, as its first byte is written."""
-        return max(1, round((attempt.until - self.pool.system.now()) * 1000))
+        """What its server is told of the time that is left as it is written: never more than that."""
+        return max(1, int((attempt.until - self.pool.system.now()) * 1000))
 
     def hold(self, full: bool) -> None:
         """The client of a long value takes no more for now, or again: what it does not take is not read."""
--- a/tests/outcomes/test_links.py
+++ b/tests/outcomes/test_links.py
@@ -9,9 +9,12 @@
 import pytest
 
 from ironrail.connections import upstream
+from ironrail.connections.upstream import Link
 from ironrail.net import host
 from ironrail.net.caches import CacheConnection
-from ironrail.net.pool import Attempt
+from ironrail.net.memcache import Command
+from ironrail.net.pool import Attempt, Pool
+from ironrail.net.system import RealSystem
 from ironrail.policy import interface as api
 from ironrail.policy.interface import Status
 from tests.outcomes.bench import Bench, Script, quick_replies
@@ -210,3 +213,30 @@
     for name in "567":
         bench.take(name)
     assert len({(await peer.next()).writer for _ in "567"}) == 3
+
+
+@scenario
+async def test_a_server_is_told_what_is_left_as_its_command_is_written() -> None:
+    """A first attempt that waited for a connection has less left than its client had."""
+    peer, script = await Peer().start(), Script()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1", b"v")
+    first = await peer.next()
+    began = time.monotonic()
+    bench.take("2", b"v", wait=1000)
+    await asyncio.sleep(0.05)
+    waited = time.monotonic() - began
+    first.reply(b"HD O1 cr\r\n")
+    assert int((await peer.next()).head.rpartition(b"d=")[2]) <= 1000 * (1.0 - waited)
+
+
+def test_a_server_is_never_told_more_than_is_left() -> None:
+    class Told(Pool):
+        def __init__(self) -> None:
+            self.system = RealSystem()
+            self.system.now = lambda: 100.0
+
+    connection = CacheConnection(Told(), Link("a"))
+    command = Command(b"k", b"1", b"c=read", {}, None)
+    for left, told in ((0.0999, 99), (0.1004, 100), (0.0002, 1)):  # none is told that nothing is left
+        assert connection.wait_ms(Attempt("1", 0, 99.0, 100.0 + left, command, None)) == told
