Requests that are over: what is unsent for them is taken back, whatever mayCancel

Need: where limits.mayCancel is false the module emits no Cancel, so an attempt of a request whose client had left, or that had its answer, stayed in its pool's queue and was written when a connection fell free or came up (Host.gone, Answers._close and _on_begun told the pools nothing). And a client's close is not seen while nothing is read from it: the next attempts for all it had sent went out (Host._send, Pool._look).

Change: the host takes back what is unsent whenever a request ends: waiting for a connection or a dial, or still in the send buffer (then the connection ends, so that it never becomes whole). Its one outcome is Status.UNSENT: the place is given back and nothing is learned of the server (MOOT, CANCELLED and CONNECT_FAILED after half of the aim count as a loss). Before an attempt is sent, and before one that waited is written, Passage.left is asked; if the client has gone its connection is cut, which ends all that it sent. What the module itself cancels before it has a connection never ran, and says so.

--- a/ironrail/connections/book.py
+++ b/ironrail/connections/book.py
@@ -37,6 +37,11 @@
     def __len__(self) -> int:
         return len(self._all) + len(self._dialling)
 
+    @property
+    def waiting(self) -> list[Attempt]:
+        """Attempts that are not written yet, the oldest first."""
+        return list(self._waiting)
+
     def __contains__(self, link: Link) -> bool:
         return link in self._all
 
@@ -63,6 +68,14 @@
         link.out.append(attempt)
         self._do(Write(link, attempt))
 
+    @staticmethod
+    def unsent(attempt: Attempt) -> bool:
+        """Whether it surely never ran, and won't if it is taken back now: its last byte is still here."""
+        link = attempt.link
+        return attempt.open and (
+            link is None or link.held_back and bool(link.out) and link.out[-1] is attempt
+        )
+
     def _end_all(self, link: Link, oldest: Status, others: Status) -> None:
         status = oldest
         while link.out:
--- a/ironrail/connections/upstream.py
+++ b/ironrail/connections/upstream.py
@@ -58,10 +58,10 @@
         """Stop waiting for an attempt; if written, its connection is in use until the reply has come."""
         if attempt in self._waiting:
             self._waiting.remove(attempt)
-            if status is Status.TIMEOUT:  # of a connection that never came up, or never was free
-                status = Status.CONNECT_FAILED if self._dialling else Status.MOOT
+            # of a connection that never came up, or never was free
+            status = Status.CONNECT_FAILED if self._dialling else Status.MOOT
         link, was_open = attempt.link, attempt.open
-        if was_open and link is not None and link.held_back and link.out and link.out[-1] is attempt:
+        if link is not None and self.unsent(attempt):
             # never whole, so it never ran; and what is still to be written would stay in memory
             self._end(attempt, Status.CONNECT_FAILED)
             self._broken(now, link, "it does not take what it is sent")
@@ -74,6 +74,18 @@
             self._close_idle(now)
         return self._take()
 
+    def withdraw(self, now: float, attempt: Attempt) -> list[Action]:
+        """Nobody waits for an attempt any more: it is taken back if unsent, and else left to its server."""
+        if self.unsent(attempt):
+            link = attempt.link
+            self._end(attempt, Status.UNSENT)
+            if link is None:
+                self._waiting.remove(attempt)
+            else:  # what is still here would go out by and by
+                link.out.pop()  # no fault of the server's
+                self._broken(now, link, "a command that nobody waits for is half written")
+        return self._take()
+
     # Connections
 
     def up(self, now: float, link: Link, closing: bool) -> list[Action]:
--- a/ironrail/net/answers.py
+++ b/ironrail/net/answers.py
@@ -96,6 +96,7 @@
         counts[held.command.fields["c"]] += 1
         del self._held[held.request]
         held.timer.cancel()
+        self._withdraw(held)
         if self._note is None and held.reader is None:
             return
         figures = self.figures
@@ -131,6 +132,12 @@
             attempt, pool = self._open[name, number]
             pool.abandon(attempt, status)
 
+    def _withdraw(self, held: Held) -> None:
+        """Nobody waits for more: what is surely unsent never runs, whatever the settings say of the rest."""
+        for attempt in held.attempts:
+            if attempt is not held.streaming and (attempt.request, attempt.number) in self._open:
+                self._open[attempt.request, attempt.number][1].withdraw(attempt)
+
     # Long values
 
     def _on_begun(self, attempt: Attempt, length: int, connection: Connection) -> None:
@@ -146,6 +153,7 @@
         held.timer.cancel()
         if attempt.timer is not None:
             attempt.timer.cancel()
+        self._withdraw(held)
         passage.begin(memcache.write_opening(held.command.request_id, length), connection.hold)
         self._feed(api.Streaming(attempt.request, attempt.number))
 
--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -47,6 +47,7 @@
     report: Callable[[Attempt, Status, bytes], None] | None
     begun: Callable[[Attempt, int, Connection], None] | None = None  # a long value comes in pieces
     piece: Callable[[Attempt, bytes], None] | None = None
+    wanted: Callable[[Attempt], bool] | None = None  # asked before it is written, where it had to wait
     timer: asyncio.TimerHandle | None = None
     lent: bool = False  # it has room for a long value
 
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -103,6 +103,7 @@
         held = self._held.pop(name, None)
         if held is not None:
             held.timer.cancel()
+            self._withdraw(held)
             held.ended(self._now(), Ended.LEFT)
             if self._note is not None:
                 self._note(held.command, self._now() - held.taken_at, Ended.LEFT, 0)
@@ -110,6 +111,14 @@
                 self._give_up(name, held.streaming.number, api.Status.CANCELLED)
             self._feed(api.ClientGone(name))
 
+    def _left(self, held: Held) -> bool:
+        """Whether its client has left untold, for nothing is read from it: told now, for all that it sent."""
+        if held.passage is None or not held.passage.left():
+            return False
+        held.passage.cut()
+        self.gone(held.request)
+        return True
+
     def servers(self, news: api.ServerList, addresses: dict[str, Address]) -> None:
         """Discovery has told something of the list of servers."""
         # the module hears of the list before it hears what becomes of attempts by it, or what came meanwhile
@@ -158,9 +167,12 @@
         if held is None or self._ending:
             self._feed(api.Outcome(name, action.attempt, api.Status.MOOT, True))
             return
+        if self._left(held):
+            self._feed(api.Outcome(name, action.attempt, api.Status.UNSENT, True))
+            return
         until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
         attempt = Attempt(name, len(held.attempts), now, until, held.command, self._on_outcome)
-        attempt.begun, attempt.piece = self._on_begun, self._on_piece
+        attempt.begun, attempt.piece, attempt.wanted = self._on_begun, self._on_piece, self._wanted
         attempt.alone = held.command.write  # a repeat may not be harmless: its risks are its own
         held.attempts.append(attempt)
         if pool is None:
@@ -171,3 +183,8 @@
         status = api.Status.TIMEOUT
         attempt.timer = self._loop.call_later(until - now, self._give_up, name, attempt.number, status)
         pool.send(attempt)
+
+    def _wanted(self, attempt: Attempt) -> bool:
+        """Whether an attempt that had to wait is still to be sent."""
+        held = self._held.get(attempt.request)
+        return held is not None and not self._left(held)
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -96,6 +96,11 @@
             self._watch.silent(self._now() - since)
         self._tell(self.upstream.abandon, attempt, status)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Nobody waits for it any more: what is not sent of it never is."""
+        if self.upstream.unsent(attempt):
+            self._tell(self.upstream.withdraw, attempt)
+
     def read(self, link: Link, replies: list[Reply], part: bool, fault: object) -> None:
         if self._watch is not None:
             self._watch.heard()
@@ -167,9 +172,18 @@
 
     def _look(self, look: upstream.Look) -> None:
         """Answer at once: what it brings about comes before what is left, as deep as there are idle ones."""
+        if look.attempt is None:
+            self._look_through_waiting()
         quiet = self._connections[look.link].quiet()
         self._carry_out(self.upstream.looked(self._now(), look, quiet))
 
+    def _look_through_waiting(self) -> None:
+        """Guards against beginning what nobody waits for any more: that may be told late, or not at all."""
+        for waiting in self.upstream.waiting:
+            attempt = cast(Attempt, waiting)
+            if attempt.wanted is not None and not attempt.wanted(attempt):
+                self._carry_out(self.upstream.withdraw(self._now(), attempt))
+
     def _write(self, write: upstream.Write) -> None:
         connection = self._connections[write.link]
         data = connection.encode(cast(Attempt, write.attempt))
@@ -214,6 +228,7 @@
             elif self._watch is not None and isinstance(e, TimeoutError):
                 self._watch.unconnected()
             self._dialling.discard(task)
+            self._look_through_waiting()  # a place behind others is found for them now
             self._tell(self.upstream.down, link)
         else:
             self._connected(began)
--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -19,7 +19,7 @@
 MOST_LATER = 0.5  # of the aim that a long link puts that off: what is out for an aim is late in any case
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 BROKEN = (api.Status.RESET, api.Status.ERROR, api.Status.CANCELLED)  # the server may be well
-NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS)
+NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS, api.Status.UNSENT)
 
 
 def group_of(group: api.Group, entry: api.ServerEntry) -> str | int:  # of those that know a keyed request
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -48,15 +48,9 @@
         self.attempts = Attempts(settings, self.health, self.guide, self.links)
         self.ring = Ring(settings, self.cold, self.guide)
         self.walk = Walk(
-            self.servers,
-            self.ring,
-            self.attempts,
-            self.limits,
-            self.cold,
-            self.health,
-            self.asking,
+            self.servers, self.ring, self.attempts, self.limits, self.cold, self.health, self.asking,
             self.links,
-        )
+        )  # fmt: skip
         self.queue = Queue()  # for a place at the origin
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -192,11 +186,12 @@
         if attempt is None:
             return
         now, out, cache = self.now, self.out, attempt.server.cache
-        if self.limits.crowd and cache:
-            self.limits.linger(now, attempt, event.status)
-        self.health.learn(now, attempt, event, out)
-        self.limits.learn(now, attempt, event, out)
-        self.links.learn(attempt, event)
+        if event.status is not api.Status.UNSENT:
+            if self.limits.crowd and cache:
+                self.limits.linger(now, attempt, event.status)
+            self.health.learn(now, attempt, event, out)
+            self.limits.learn(now, attempt, event, out)
+            self.links.learn(attempt, event)
         held = self.held.get(event.request)
         missed = event.status is api.Status.MISS and self.settings.second_copies
         if held is not None:
--- a/tests/connections/test_upstream.py
+++ b/tests/connections/test_upstream.py
@@ -186,3 +186,26 @@
     assert link in host.leaving
     assert host.written[attempt] is host.up() if attempt in host.written else host.up() is not link
     assert host.written[attempt] is not link
+
+
+def test_what_is_given_up_before_it_has_a_connection_never_ran_whoever_gave_it_up() -> None:
+    host = Host()
+    dialling = host.want()
+    host.abandon(dialling, Status.CANCELLED)
+    assert host.status(dialling) == [Status.CONNECT_FAILED]
+    link = host.up()
+    write = host.want(alone=True)
+    assert host.written == {write: link}  # the connection that came up late is used
+
+
+def test_what_is_taken_back_leaves_its_predecessors_and_the_connection_that_came_up_for_it() -> None:
+    host = Host(most=1)
+    first = host.want(alone=True)
+    host.up()
+    second, third = host.want(alone=True), host.want(alone=True)
+    for _ in "12":  # of one that is written, or taken back already, nothing is taken back
+        host.do(host.upstream.withdraw(host.now, second))
+        host.do(host.upstream.withdraw(host.now, first))
+    assert host.status(first, second, third) == [None, Status.UNSENT, Status.MOOT]
+    host.read(host.links[0], Status.OK)
+    assert host.status(first) == [Status.OK] and list(host.written) == [first]
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -11,7 +11,7 @@
 READ = api.RequestClass("read", aim=1.0)
 KEYED = api.RequestClass("keyed", 1.0, api.Effect.KEYED, api.Group.ALL, window=1.5, worth=5.0)
 ONCE = api.RequestClass("once", 1.0, api.Effect.UNSAFE, worth=5.0)
-NEVER_RAN = {api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS}
+NEVER_RAN = {api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS, api.Status.UNSENT}
 
 
 def settings(**changes: Any) -> api.Settings:
--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -8,6 +8,7 @@
 
 from ironrail.connections.upstream import Link
 from ironrail.net.caches import CacheConnection
+from ironrail.net.held import Passage
 from ironrail.net.host import Host
 from ironrail.net.memcache import Command, read_fields
 from ironrail.net.pool import Connection, Pool
@@ -66,11 +67,13 @@
         self.host = Host(script, make, lambda: None, most)
         self.host.servers(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s"),)), {"s": (LOCAL, port)})
 
-    def take(self, name: str, value: bytes | None = None, wait: int = 5000) -> None:
+    def take(
+        self, name: str, value: bytes | None = None, wait: int = 5000, passage: Passage | None = None
+    ) -> None:
         info = b"c=once,t=x,d=%d" % wait
         command = Command(b"k", name.encode(), info, read_fields(info), value)
         answers = self.answers[name] = []
-        self.host.take(command, answers.append)
+        self.host.take(command, answers.append, passage)
 
 
 async def quick_replies(bench: Bench, peer: Peer, script: Script) -> None:
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -164,3 +164,18 @@
     assert d.request("r2", key="k") == first
     assert d.end("r", api.Status.MISS) == "o"
     assert d.end("r2", status, latency=0.9) == "o"  # after a long wait it is no connection's fault
+
+
+def test_what_was_taken_back_unsent_gives_its_place_back_and_tells_nothing_of_its_server() -> None:
+    d = Driver(settings(may_cancel=False))
+    d.list(*fleet("a"))
+    d.request("r")
+    server = d.router.servers["a"]
+    known = (server.latency, server.slowness, server.limit, server.losses, server.trial_at)
+    d.now += 0.9  # overdue: any other end would speak against the server
+    d.finish("r", "gone")
+    d.feed(api.Outcome("r", 0, api.Status.UNSENT, True, 0.9))
+    d.feed(api.ClientGone("r"))
+    assert (server.latency, server.slowness, server.limit, server.losses, server.trial_at) == known
+    assert (server.load, server.work, d.router.attempts.ring_load) == (0, 0.0, 0)
+    assert not d.router.attempts.out and not d.router.held
