Keyed requests: a further attempt begins within the window, or never

Cause: Attempts.permits looks at the window as it decides, but what it sends may wait for a dial (up to the connect timeout) or for a connection that is taken, or stand in the send buffer, and was written after the window was over (Placing._place, Book._fill knew of no bound).

Change: api.Send says within how many seconds the last byte has to be out, reckoned from the first send that may have run; the host takes the attempt back when they are over and it is still unsent (it never ran, so no outcome of it stands for one that did), and looks at the clock once more before it writes what waited, for a timer may be late. The simulator sends at once: nothing of it goes on that wire.

--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol, cast
@@ -48,6 +49,7 @@
     begun: Callable[[Attempt, int, Connection], None] | None = None  # a long value comes in pieces
     piece: Callable[[Attempt, bytes], None] | None = None
     wanted: Callable[[Attempt], bool] | None = None  # asked before it is written, where it had to wait
+    begin_by: float = math.inf  # on the host's clock; after that nothing of it may be sent
     timer: asyncio.TimerHandle | None = None
     lent: bool = False  # it has room for a long value
 
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -101,6 +101,9 @@
         if self.upstream.unsent(attempt):
             self._tell(self.upstream.withdraw, attempt)
 
+    def unsent(self, attempt: Attempt) -> bool:
+        return self.upstream.unsent(attempt)
+
     def read(self, link: Link, replies: list[Reply], part: bool, fault: object) -> None:
         if self._watch is not None:
             self._watch.heard()
--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -76,6 +76,9 @@
             if idle <= conf.connection_idle:
                 out.append(api.CloseIdle(server.entry.server))
             idle = math.inf
+        ran = [a.sent_at for a in held.attempts if a.may_have_run]
+        keyed = held.request_class.effect is api.Effect.KEYED
+        within = min(ran) + held.request_class.window - now if ran and keyed else None
         attempt = Attempt(server, target * aim, aim, held.request.hint or 1.0, now, idle, OVERDUE * aim)
         if self._links.known and server.cache:
             attempt.link, attempt.trip = self._links.adds(server), self._links.trip(server)
@@ -90,7 +93,7 @@
         server.work += attempt.cost
         self.ring_load += server.cache
         server.credit -= attempt.cost
-        out.append(api.Send(name, server.entry.server, attempt=number))
+        out.append(api.Send(name, server.entry.server, attempt=number, within=within))
         if server.cache and held.request_class.effect is not api.Effect.UNSAFE:
             out.append(api.SetTimer(attempt.overdue, f"late:{name}:{number}"))
 
--- a/ironrail/policy/interface.py
+++ b/ironrail/policy/interface.py
@@ -147,6 +147,7 @@
     server: str
     timeout: float | None = None  # None: until the client gives up
     attempt: int = field(default=0, compare=False)  # its number
+    within: float | None = None  # seconds in which its last byte is sent, or nothing of it
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/outcomes/test_nobody_waits.py
+++ b/tests/outcomes/test_nobody_waits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -180,6 +181,57 @@
         assert not len(bench.host._pools["s"].upstream)
 
 
+class Bound(Script):
+    """Has the second request begin soon or not at all."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        actions = super().handle(now, event)
+        if isinstance(event, api.Request) and event.request == "2":
+            return [api.Send("2", "s", within=0.05)]
+        return actions
+
+
+@scenario
+async def test_what_may_not_begin_any_more_is_taken_back() -> None:
+    peer, script = await Peer().start(), Bound()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1", b"v")
+    first = await peer.next()
+    bench.take("2", b"v")
+    outcome = await script.outcome()
+    assert (outcome.request, outcome.status, outcome.closed) == ("2", Status.MOOT, False)
+    first.reply(b"HD O1 cr\r\n")
+    bench.take("3", b"v")
+    assert (await peer.next()).flag == b"O3"
+
+
+@scenario
+async def test_a_connection_that_falls_free_as_the_time_to_begin_is_over_is_not_used_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The timer may be late, as the loop is: the clock is looked at."""
+    peer, script = await Peer().start(), Bound()
+    bench = Bench(script, peer.port, most=1)
+    bench.take("1", b"v")
+    first = await peer.next()
+    bench.take("2", b"v")
+    read = bench.host._pools["s"].read
+    ended = asyncio.Event()
+
+    def late(*what: object) -> None:
+        time.sleep(0.06)
+        read(*what)  # type: ignore[arg-type]
+        ended.set()
+
+    bench.host._pools["s"].read = late  # type: ignore[assignment]
+    first.reply(b"HD O1 cr\r\n")
+    await ended.wait()
+    ends = [e for e in told(script, "2") if isinstance(e, api.Outcome)]
+    assert [(e.status, e.closed) for e in ends] == [(Status.UNSENT, False)]
+    bench.take("3", b"v")
+    assert (await peer.next()).flag == b"O3"
+
+
 @scenario
 async def test_nothing_else_is_sent_once_a_long_value_has_begun() -> None:
     """The further copy that waits for a connection is taken back, though it may not be cancelled."""
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -166,6 +166,42 @@
     assert d.end("r2", status, latency=0.9) == "o"  # after a long wait it is no connection's fault
 
 
+def sent(actions: list[api.Action]) -> list[api.Send]:
+    return [a for a in actions if isinstance(a, api.Send)]
+
+
+def test_a_further_attempt_of_a_keyed_request_is_told_what_is_left_of_the_window() -> None:
+    """It may have to wait for a connection: the host is to know until when."""
+    d = Driver(settings())
+    d.list(*fleet("a", "b", "c"))
+    d.request("r", request_class="keyed", time_left=3.0)
+    assert [s.within for s in sent(d.last)] == [None]  # nothing has run yet
+    d.now += 0.4
+    d.end("r", api.Status.RESET)
+    assert [s.within for s in sent(d.last)] == [pytest.approx(1.1)]
+    d.now += 0.5
+    d.end("r", api.Status.CONNECT_FAILED)  # from the first that may have run, not from the last
+    assert [s.within for s in sent(d.last)] == [pytest.approx(0.6)]
+
+
+@pytest.mark.parametrize(("name", "first"), [("keyed", api.Status.FULL), ("read", api.Status.RESET)])
+def test_nothing_bounds_a_further_attempt_of_what_never_ran_or_is_safe(name: str, first: api.Status) -> None:
+    d = Driver(settings())
+    d.list(*fleet("a", "b", "c"))
+    d.request("r", request_class=name, time_left=3.0)
+    d.end("r", first)
+    assert [s.within for s in sent(d.last)] == [None]
+
+
+def test_a_second_copy_of_a_keyed_request_is_bounded_too() -> None:
+    d = Driver(settings())
+    d.list(*fleet("a", "b", "c"))
+    d.request("r", request_class="keyed", time_left=3.0)
+    d.now += 0.5
+    d.feed(api.TimerFired("late:r:0"))
+    assert [s.within for s in sent(d.last)] == [pytest.approx(1.0)]
+
+
 def test_what_was_taken_back_unsent_gives_its_place_back_and_tells_nothing_of_its_server() -> None:
     d = Driver(settings(may_cancel=False))
     d.list(*fleet("a"))
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -183,6 +183,8 @@
 def test_actions_in_wire_form() -> None:
     send = simhost.WRITERS[api.Send](api.Send("1", "a", 0.5))
     assert send == {"op": "Send", "ticket": "1", "server": "a", "timeout": 0.5}
+    begins_at_once = simhost.WRITERS[api.Send](api.Send("1", "a", within=0.3))
+    assert begins_at_once == {"op": "Send", "ticket": "1", "server": "a"}
     assert simhost.WRITERS[api.Log](api.Log("x")) == {"op": "Record", "line": "x"}
 
 
