Test: the window counts from the first of several attempts that may have run

Need: only one earlier attempt was tested, so a window reckoned from the latest would have passed. Holds with the present code, fails with the wrong base.

--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -180,7 +180,7 @@
     d.end("r", api.Status.RESET)
     assert [s.within for s in sent(d.last)] == [pytest.approx(1.1)]
     d.now += 0.5
-    d.end("r", api.Status.CONNECT_FAILED)  # from the first that may have run, not from the last
+    d.end("r", api.Status.RESET)  # from the first that may have run, not from the last
     assert [s.within for s in sent(d.last)] == [pytest.approx(0.6)]
 
 
