--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol, cast
@@ -47,6 +48,8 @@
     report: Callable[[Attempt, Status, bytes], None] | None
     begun: Callable[[Attempt, int, Connection], None] | None = None  # a long value comes in pieces
     piece: Callable[[Attempt, bytes], None] | None = None
+    wanted: Callable[[Attempt], bool] | None = None  # asked before it is written, where it had to wait
+    begin_by: float = math.inf  # on the host's clock; after that nothing of it may be sent
     timer: asyncio.TimerHandle | None = None
     lent: bool = False  # it has room for a long value
 
@@ -96,8 +99,8 @@
         raise NotImplementedError
 
     def wait_ms(self, attempt: Attempt) -> int:
-        """What its server is told of the time that is left, as its first byte is written."""
-        return max(1, round((attempt.until - self.pool.system.now()) * 1000))
+        """What its server is told of the time that is left as it is written: never more than that."""
+        return max(1, int((attempt.until - self.pool.system.now()) * 1000))
 
     def hold(self, full: bool) -> None:
         """The client of a long value takes no more for now, or again: what it does not take is not read."""
--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -19,7 +19,7 @@
 MOST_LATER = 0.5  # of the aim that a long link puts that off: what is out for an aim is late in any case
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 BROKEN = (api.Status.RESET, api.Status.ERROR, api.Status.CANCELLED)  # the server may be well
-NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS)
+NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS, api.Status.UNSENT)
 
 
 def group_of(group: api.Group, entry: api.ServerEntry) -> str | int:  # of those that know a keyed request
@@ -76,6 +76,9 @@
             if idle <= conf.connection_idle:
                 out.append(api.CloseIdle(server.entry.server))
             idle = math.inf
+        ran = [a.sent_at for a in held.attempts if a.may_have_run]
+        keyed = held.request_class.effect is api.Effect.KEYED
+        within = min(ran) + held.request_class.window - now if ran and keyed else None
         attempt = Attempt(server, target * aim, aim, held.request.hint or 1.0, now, idle, OVERDUE * aim)
         if self._links.known and server.cache:
             attempt.link, attempt.trip = self._links.adds(server), self._links.trip(server)
@@ -90,7 +93,7 @@
         server.work += attempt.cost
         self.ring_load += server.cache
         server.credit -= attempt.cost
-        out.append(api.Send(name, server.entry.server, attempt=number))
+        out.append(api.Send(name, server.entry.server, attempt=number, within=within))
         if server.cache and held.request_class.effect is not api.Effect.UNSAFE:
             out.append(api.SetTimer(attempt.overdue, f"late:{name}:{number}"))
 
