--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -76,6 +76,12 @@
         self.host.take(command, answers.append, passage)
 
 
+def told(script: Script, name: str) -> list[api.Event]:
+    """What the module has been told of one request, after its coming."""
+    events = [script.told.get_nowait() for _ in range(script.told.qsize())]
+    return [e for e in events if getattr(e, "request", "") == name and not isinstance(e, api.Request)]
+
+
 async def quick_replies(bench: Bench, peer: Peer, script: Script) -> None:
     """Replies come at once, so that waiting for one costs less than one more connection."""
     for name in ("q1", "q2"):  # the first one on a connection has its handshake to wait for
--- a/tests/outcomes/test_nobody_waits.py
+++ b/tests/outcomes/test_nobody_waits.py
@@ -1,12 +1,12 @@
-"""Attempts of requests that are over, or that may not begin any more: what is unsent never is."""
+"""Attempts of requests that are over: what is unsent never is sent."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import pytest
 
@@ -17,7 +17,7 @@
 from ironrail.net.system import REAL
 from ironrail.policy import interface as api
 from ironrail.policy.interface import Status
-from tests.outcomes.bench import Bench, Script
+from tests.outcomes.bench import Bench, Script, told
 from tests.peers import LOCAL, Peer, World, scenario, until
 
 
@@ -45,12 +45,6 @@
         self.cuts += 1
 
 
-def told(script: Script, name: str) -> list[api.Event]:
-    """What the module has been told of one request, after its coming."""
-    events = [script.told.get_nowait() for _ in range(script.told.qsize())]
-    return [e for e in events if getattr(e, "request", "") == name and not isinstance(e, api.Request)]
-
-
 class Answering(Script):
     """Answers the second request as the third one comes, as another copy might, and cancels nothing."""
 
@@ -181,57 +175,6 @@
         assert not len(bench.host._pools["s"].upstream)
 
 
-class Bound(Script):
-    """Has the second request begin soon or not at all."""
-
-    def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        actions = super().handle(now, event)
-        if isinstance(event, api.Request) and event.request == "2":
-            return [api.Send("2", "s", within=0.05)]
-        return actions
-
-
-@scenario
-async def test_what_may_not_begin_any_more_is_taken_back() -> None:
-    peer, script = await Peer().start(), Bound()
-    bench = Bench(script, peer.port, most=1)
-    bench.take("1", b"v")
-    first = await peer.next()
-    bench.take("2", b"v")
-    outcome = await script.outcome()
-    assert (outcome.request, outcome.status, outcome.closed) == ("2", Status.MOOT, False)
-    first.reply(b"HD O1 cr\r\n")
-    bench.take("3", b"v")
-    assert (await peer.next()).flag == b"O3"
-
-
-@scenario
-async def test_a_connection_that_falls_free_as_the_time_to_begin_is_over_is_not_used_for_it(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """The timer may be late, as the loop is: the clock is looked at."""
-    peer, script = await Peer().start(), Bound()
-    bench = Bench(script, peer.port, most=1)
-    bench.take("1", b"v")
-    first = await peer.next()
-    bench.take("2", b"v")
-    read = bench.host._pools["s"].read
-    ended = asyncio.Event()
-
-    def late(*what: object) -> None:
-        time.sleep(0.06)
-        read(*what)  # type: ignore[arg-type]
-        ended.set()
-
-    bench.host._pools["s"].read = late  # type: ignore[assignment]
-    first.reply(b"HD O1 cr\r\n")
-    await ended.wait()
-    ends = [e for e in told(script, "2") if isinstance(e, api.Outcome)]
-    assert [(e.status, e.closed) for e in ends] == [(Status.UNSENT, False)]
-    bench.take("3", b"v")
-    assert (await peer.next()).flag == b"O3"
-
-
 @scenario
 async def test_nothing_else_is_sent_once_a_long_value_has_begun() -> None:
     """The further copy that waits for a connection is taken back, though it may not be cancelled."""
@@ -256,3 +199,40 @@
     client.get("2")
     assert (await world.cache.next()).flag == b"O2"
     assert world.origin.messages.empty()
+
+
+class Refused:
+    """The loop, but for dials: they wait until they are to be refused."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.refuse = asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *what: object) -> None:
+        await self.refuse.wait()
+        raise ConnectionRefusedError
+
+
+@scenario
+async def test_a_client_that_left_untold_has_nothing_begun_behind_others_as_a_dial_is_refused() -> None:
+    peer, script, client = await Peer().start(), Script(), Client()
+    bench = Bench(script, peer.port, most=2, connect_timeout=5.0)
+    bench.take("0")
+    first = await peer.next()
+    pool = bench.host._pools["s"]
+    refused = pool._loop = Refused()  # type: ignore[assignment]
+    bench.take("1", passage=client)  # how long a reply takes is not known yet: it dials
+    bench.take("2")  # no more than two connections: behind the first
+    second = await peer.next()
+    first.reply(b"VA 1 O0 h1\r\nv\r\n")  # the server works: what the dial was for would go behind others
+    assert (await script.outcome()).request == "0"
+    client.gone = True
+    refused.refuse.set()
+    await until(lambda: not pool._dialling)
+    second.reply(b"VA 1 O2 h1\r\nv\r\n")
+    bench.take("3")
+    assert (await peer.next()).flag == b"O3"
+    assert client.cuts == 1 and not [key for key in bench.host._open if key[0] == "1"]
