Keyed requests: what may not begin is taken back, its server is not thought lost

Cause: an attempt whose window ended while it waited for a dial was given up as TIMEOUT, which the pool tells as a connect that failed (Upstream.abandon): a few milliseconds of the window would have had the server passed over. It is taken back as what nobody waits for is.

Measured: tests/outcomes, connections and policy pass; tests/outcomes/test_too_late.py is red without the timer.

--- a/ironrail/connections/upstream.py
+++ b/ironrail/connections/upstream.py
@@ -75,7 +75,7 @@
         return self._take()
 
     def withdraw(self, now: float, attempt: Attempt) -> list[Action]:
-        """Nobody waits for an attempt any more: it is taken back if unsent, and else left to its server."""
+        """An attempt is not to begin any more: it is taken back if unsent, and else left to its server."""
         if self.unsent(attempt):
             link = attempt.link
             self._end(attempt, Status.UNSENT)
@@ -83,7 +83,7 @@
                 self._waiting.remove(attempt)
             else:  # what is still here would go out by and by
                 link.out.pop()  # no fault of the server's
-                self._broken(now, link, "a command that nobody waits for is half written")
+                self._broken(now, link, "a command that is not wanted any more is half written")
         return self._take()
 
     # Connections
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -184,16 +184,10 @@
         attempt.timer = self._loop.call_later(until - now, self._give_up, name, attempt.number, status)
         if action.within is not None:
             attempt.begin_by = now + action.within
-            self._loop.call_later(action.within, self._on_too_late, attempt, pool)
+            self._loop.call_later(action.within, pool.withdraw, attempt)
         pool.send(attempt)
 
     def _wanted(self, attempt: Attempt) -> bool:
         """Whether an attempt that had to wait is still to be sent."""
         held = self._held.get(attempt.request)
         return held is not None and not self._left(held) and self._now() < attempt.begin_by
-
-    @staticmethod
-    def _on_too_late(attempt: Attempt, pool: Pool) -> None:
-        """It may not begin any more."""
-        if pool.unsent(attempt):
-            pool.abandon(attempt, api.Status.TIMEOUT)
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -97,13 +97,10 @@
         self._tell(self.upstream.abandon, attempt, status)
 
     def withdraw(self, attempt: Attempt) -> None:
-        """Nobody waits for it any more: what is not sent of it never is."""
+        """Nobody waits for it any more, or it may not begin any more: what is not sent of it never is."""
         if self.upstream.unsent(attempt):
             self._tell(self.upstream.withdraw, attempt)
 
-    def unsent(self, attempt: Attempt) -> bool:
-        return self.upstream.unsent(attempt)
-
     def read(self, link: Link, replies: list[Reply], part: bool, fault: object) -> None:
         if self._watch is not None:
             self._watch.heard()
--- a/ironrail/policy/interface.py
+++ b/ironrail/policy/interface.py
@@ -43,7 +43,7 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     MISS = "miss"
-    UNSENT = "unsent"  # taken back, as nobody waits for it any more: tells nothing of the server
+    UNSENT = "unsent"  # taken back, as it is not to begin any more: tells nothing of the server
 
 
 @dataclass(slots=True, frozen=True)
