--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -164,10 +164,7 @@
         name, now = action.request, self._now()
         held, pool = self._held.get(name), self._pools.get(action.server)
         # guards against work for a request that has its answer, or that nobody will be there to answer
-        if held is None or self._ending:
-            self._feed(api.Outcome(name, action.attempt, api.Status.MOOT, True))
-            return
-        if self._left(held):
+        if held is None or self._ending or self._left(held):
             self._feed(api.Outcome(name, action.attempt, api.Status.UNSENT, True))
             return
         until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
