--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -167,10 +167,7 @@
         name, now = action.request, self._now()
         held, pool = self._held.get(name), self._pools.get(action.server)
         # guards against work for a request that has its answer, or that nobody will be there to answer
-        if held is None or self._ending:
-            self._feed(api.Outcome(name, action.attempt, api.Status.MOOT, True))
-            return
-        if self._left(held):
+        if held is None or self._ending or self._left(held):
             self._feed(api.Outcome(name, action.attempt, api.Status.UNSENT, True))
             return
         until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
@@ -187,16 +184,10 @@
         attempt.timer = self._loop.call_later(until - now, self._give_up, name, attempt.number, status)
         if action.within is not None:
             attempt.begin_by = now + action.within
-            self._loop.call_later(action.within, self._on_too_late, attempt, pool)
+            self._loop.call_later(action.within, pool.withdraw, attempt)
         pool.send(attempt)
 
     def _wanted(self, attempt: Attempt) -> bool:
         """Whether an attempt that had to wait is still to be sent."""
         held = self._held.get(attempt.request)
         return held is not None and not self._left(held) and self._now() < attempt.begin_by
-
-    @staticmethod
-    def _on_too_late(attempt: Attempt, pool: Pool) -> None:
-        """It may not begin any more."""
-        if pool.unsent(attempt):
-            pool.abandon(attempt, api.Status.TIMEOUT)
