Where a request may be out once only, what is given up ends with its connection

Attempts that are overdue are cancelled and the next is sent (policy/balance.py, _on_overdue), but a cancelled attempt's connection stays open for its reply when others are out there (connections/upstream.py, abandon), and by the protocol it is out as long as the connection is. Likewise those behind a long value whose client takes no more (taken).

Upstream.revoke ends the connection first, and then reports; the host takes it for a Cancel of a request that is still held. The loopback test fails without it; a rule of the state machine checks that what was revoked is on no connection.

--- a/ironrail/connections/book.py
+++ b/ironrail/connections/book.py
@@ -18,9 +18,17 @@
     """Who has which connection, who waits for one, and what the host is still to do."""
 
     def __init__(
-        self, address: Hashable, *, most: int, streams: int, idle: float, cost: float = CONNECTION_COST
+        self,
+        address: Hashable,
+        *,
+        most: int,
+        streams: int,
+        idle: float,
+        cost: float = CONNECTION_COST,
+        copies: bool = True,
     ) -> None:
         self.address = address
+        self.copies = copies  # a request may be out twice
         self.streams = streams  # requests on one connection at once, at the most
         self.wanted = self.most = most  # connections at once, and as many as descriptors allow
         self._opening = Opening(cost)
--- a/ironrail/connections/upstream.py
+++ b/ironrail/connections/upstream.py
@@ -74,6 +74,16 @@
             self._close_idle(now)
         return self._take()
 
+    def revoke(self, now: float, attempt: Attempt) -> list[Action]:
+        """Give up an attempt whose request may be out once only: it is out while its connection is open."""
+        link = attempt.link
+        if link is None or not attempt.open or self.unsent(attempt):
+            return self.abandon(now, attempt, Status.CANCELLED)
+        self._lost(now, link)
+        self._do(Abort(link))  # first: a further attempt may follow each of these at once
+        self._end_all(link, Status.CANCELLED, Status.CANCELLED)
+        return self._take()
+
     def withdraw(self, now: float, attempt: Attempt) -> list[Action]:
         """An attempt is not to begin any more: it is taken back if unsent, and else left to its server."""
         if self.unsent(attempt):
@@ -163,7 +173,7 @@
         """
         link.full = full
         link.heard_at = now
-        if full:
+        if full and self.copies:  # they are out as long as the connection is
             for attempt in list(link.out)[1:]:
                 self._end(attempt, Status.CANCELLED)
         return self._take()
--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -40,6 +40,22 @@
         """It has ended."""
 
 
+class Watch(Protocol):
+    """Who is told of the way to a server."""
+
+    def connected(self, seconds: float) -> None:
+        """A connection came up, or was refused at once: somebody answered."""
+
+    def unconnected(self) -> None:
+        """Nothing answered a connect."""
+
+    def heard(self) -> None:
+        """A reply."""
+
+    def silent(self, seconds: float) -> None:
+        """An attempt was given up, and for so long not a byte had come on its connection."""
+
+
 @dataclass(slots=True, eq=False)
 class Attempt(upstream.Attempt):
     """One attempt of a request, from its send to its one outcome."""
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -151,7 +151,7 @@
             case api.SetTimer(delay, token):
                 self._loop.call_later(delay, self._feed, api.TimerFired(token))
             case api.Cancel(name, number):
-                self._give_up(name, number, api.Status.CANCELLED)
+                self._cancel(name, number)
             case api.Refuse(name) if name in self._held:
                 self._finish(self._held[name], memcache.write_busy(action.retry_after), self.figures.busy)
             case api.Fail(name) if name in self._held:
@@ -163,6 +163,14 @@
             case api.Log(text):
                 log.info("module_says", extra={"text": text})
 
+    def _cancel(self, name: str, number: int) -> None:
+        """Stop waiting for an attempt. What may follow is a second copy while this one is out."""
+        if name in self._held and (name, number) in self._open and not self._router.settings.second_copies:
+            attempt, pool = self._open[name, number]
+            pool.revoke(attempt)
+        else:
+            self._give_up(name, number, api.Status.CANCELLED)
+
     def _send(self, action: api.Send) -> None:
         name, now = action.request, self._now()
         held, pool = self._held.get(name), self._pools.get(action.server)
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -127,6 +127,7 @@
             connect_timeout=settings.connect_timeout,
             idle=settings.connection_idle,
             cost=connections.cost_ms / 1000,
+            copies=settings.second_copies,
             system=self._system,
             wrote=self._host.figures.wrote,
             watch=self.together.watch(entry.zone) if self.together is not None else None,
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -6,11 +6,11 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 from ironrail.connections import upstream
 from ironrail.connections.upstream import Link, Reply, Upstream
-from ironrail.net.connection import Attempt, Connection
+from ironrail.net.connection import Attempt, Connection, Watch
 from ironrail.net.patience import patience
 from ironrail.net.system import REAL, Address, System
 from ironrail.policy.interface import Status
@@ -22,22 +22,6 @@
 WARN_EVERY = 5.0  # seconds between warnings about one server
 
 
-class Watch(Protocol):
-    """Who is told of the way to a server."""
-
-    def connected(self, seconds: float) -> None:
-        """A connection came up, or was refused at once: somebody answered."""
-
-    def unconnected(self) -> None:
-        """Nothing answered a connect."""
-
-    def heard(self) -> None:
-        """A reply."""
-
-    def silent(self, seconds: float) -> None:
-        """An attempt was given up, and for so long not a byte had come on its connection."""
-
-
 class Pool:
     """Carries out what is decided about the connections to one server, and tells what becomes of it."""
 
@@ -52,6 +36,7 @@
         connect_timeout: float,
         idle: float,
         cost: float = upstream.CONNECTION_COST,
+        copies: bool = True,
         system: System = REAL,
         wrote: Callable[[], None] = lambda: None,
         watch: Watch | None = None,
@@ -59,7 +44,7 @@
         self.system, self._now, self._wrote = system, system.now, wrote
         self.name, self.address, self._watch = name, address, watch
         self.connect_timeout = connect_timeout
-        self.upstream = Upstream(address, most=most, streams=streams, idle=idle, cost=cost)
+        self.upstream = Upstream(address, most=most, streams=streams, idle=idle, cost=cost, copies=copies)
         self._connect = connect
         self._loop = asyncio.get_running_loop()
         self._connections: dict[Link, Connection] = {}
@@ -96,6 +81,10 @@
             self._watch.silent(self._now() - since)
         self._tell(self.upstream.abandon, attempt, status)
 
+    def revoke(self, attempt: Attempt) -> None:
+        """Give it up such that it is not out any more."""
+        self._tell(self.upstream.revoke, attempt)
+
     def withdraw(self, attempt: Attempt) -> None:
         """Nobody waits for it any more, or it may not begin any more: what is not sent of it never is."""
         if self.upstream.unsent(attempt):
--- a/ironrail/net/together.py
+++ b/ironrail/net/together.py
@@ -12,10 +12,10 @@
 
 from ironrail.door.calls import Answer, Page, Post
 from ironrail.net.config import Config, ConfigError
+from ironrail.net.connection import Watch
 from ironrail.net.here import Here
 from ironrail.net.peering import Peering, read_tier, start_of
 from ironrail.net.policies import Place, Policies
-from ironrail.net.pool import Watch
 from ironrail.net.store import FolderStore, Store
 from ironrail.net.system import System
 from ironrail.operator_file import Operator, OperatorError
--- a/tests/connections/test_upstream_life.py
+++ b/tests/connections/test_upstream_life.py
@@ -68,6 +68,15 @@
         if live:
             self.host.abandon(live[pick % len(live)], status)
 
+    @rule(pick=st.integers(0, 99))
+    def revoke(self, pick: int) -> None:
+        """Not out any more, wherever it was."""
+        live = [a for a in self.host.attempts if a.open]
+        if live:
+            attempt = live[pick % len(live)]
+            self.host.do(self.host.upstream.revoke(self.host.now, attempt))
+            assert not attempt.open and self.host.written.get(attempt) not in self.host.links
+
     @rule(seconds=st.sampled_from([0.01, 0.4, 2.0, 9.0]))
     def wait(self, seconds: float) -> None:
         self.host.now += seconds
--- /dev/null
+++ b/tests/outcomes/test_once_at_a_time.py
@@ -0,0 +1,44 @@
+"""Where a request may be out once only, what is given up ends with its connection before the next is sent."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import cast
+
+from ironrail.net.system import REAL
+from ironrail.policy.interface import Status
+from tests.connections.upstream_host import Host
+from tests.peers import READ, SETTINGS, World, scenario
+
+QUICK = replace(READ, aim=0.2)  # half of it without an answer, and the next attempt is due
+
+
+@scenario
+async def test_an_attempt_that_is_overdue_is_not_out_any_more_when_the_next_one_comes() -> None:
+    classes = SETTINGS.classes | {"read": QUICK}
+    world = await World(classes=classes, second_copies=False).start()
+    client = await world.client()
+    client.get("0", cls="keyed")  # is out there too, and has more time
+    await world.cache.next()
+    client.get("1")
+    first = await world.cache.next()
+    fetch = await world.origin.next()
+    assert first.flag == b"O1" and fetch.headers["request-id"] == "1"
+    assert first.writer.is_closing() or REAL.hung_up(cast(asyncio.Transport, first.writer.transport))
+    fetch.respond(b"v")
+
+
+def test_revoking_ends_the_connection_before_anything_is_told() -> None:
+    """What may follow an outcome at once is a further attempt of the same request."""
+    host = Host(most=1)
+    host.want()
+    link = host.up()
+    first, second = host.want(), host.want()
+    host.read(link, Status.OK)
+    assert host.written[second] is host.written[first] is link
+    told = host.upstream.revoke(host.now, first)
+    assert [type(action).__name__ for action in told] == ["Abort", "End", "End"]
+    host.do(told)
+    assert host.status(first, second) == [Status.CANCELLED, Status.CANCELLED]
+    assert link in host.leaving
