Discovery: changes that fit no held list are refused; a connect is no silent watch

Seen, by reading: `Discovery._take` took whatever came. Changes (`full: false`) in answer to a call for the whole list passed for one, so what had not changed was missing until the next failure; changes that lead to an earlier version than the one asked from put servers back that had begun to drain since. And a watch that had to open a new connection (after `Connection: close`) waited for the connect as long as for the watch, `Client._ask` under `patience(wait + 0.5)`: up to 30.5 s where all ask one service, in which nobody was asked.

Changed: `ListReader.read` takes the least version that changes must lead to; a connect has 2 s, and is a failed call then, not a silent watch. A whole list of a lower version is taken as before: a discovery that lost its own numbers has no other, and a late answer of an earlier call can't come, as its connection is closed.

--- a/ironrail/net/asked.py
+++ b/ironrail/net/asked.py
@@ -14,6 +14,9 @@
 
 # seconds for the rest of an answer that has begun; 8 ms at the most in 98 calls on a fleet at size
 REST_PATIENCE = 1.0
+# seconds for a connection, also for that of a watch: nobody has been asked till it is there. A lost packet is
+# sent again after 1 s
+CONNECT_PATIENCE = 2.0
 MAX_LIST = 8 * 1024 * 1024
 
 
@@ -57,7 +60,11 @@
     async def _ask(self, target: str) -> bytes:
         """Make a call; the first bytes of its answer."""
         if self._stream is None:
-            self._stream = await asyncio.open_connection(*self.address)
+            try:
+                async with patience(CONNECT_PATIENCE):
+                    self._stream = await asyncio.open_connection(*self.address)
+            except TimeoutError as e:  # not silence of who was asked: nobody was
+                raise ConnectionError("no connection to discovery came up") from e
             self._http = h11.Connection(h11.CLIENT)
         reader, writer = self._stream
         request = h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*self.address))])
--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -121,17 +122,17 @@
     async def _follow(self, client: Client) -> None:
         hurry, self._fell_silent = self._fell_silent, False
         patience = min(AFTER_SILENCE, self._list_patience) if hurry else self._list_patience
-        version = self._take(await client.get("/api/targets", patience))
+        version = self._take(await client.get("/api/targets", patience), math.inf)
         while True:  # at once: what changes between an answer and the next watch would be told late
             target = f"/api/targets?index={version}&wait={round(self._wait * 1000)}"
             try:
                 message = await client.get(target, self._wait + PATIENCE)
             except TimeoutError as e:
                 raise SilentWatch from e
-            version = self._take(message)
+            version = self._take(message, version)
 
-    def _take(self, message: Any) -> int:
-        version, news, addresses = self._reader.read(message)
+    def _take(self, message: Any, least: float) -> int:
+        version, news, addresses = self._reader.read(message, least=least)
         if news.entries or news.kind is api.ListKind.FULL:
             self._told(news, addresses)
         return version
--- a/ironrail/net/lists.py
+++ b/ironrail/net/lists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from ironrail.errors import InputError
@@ -25,14 +26,21 @@
         self._since: dict[str, tuple[float, float]] = {}  # of each server: as told, and on our clock
 
     def read(
-        self, message: Any, kind: api.ListKind | None = None
+        self, message: Any, kind: api.ListKind | None = None, least: float = -math.inf
     ) -> tuple[int, api.ServerList, dict[str, Address]]:
-        """The version, the news for the module and the addresses; all of it or nothing."""
+        """The version, the news for the module and the addresses; all of it or nothing.
+
+        Changes must lead to the version `least` or a later one: earlier ones, and any where the whole list
+        was asked for, fit no list that is held. A whole list may have any version: where discovery has lost
+        its own it numbers anew, and what it says is all there is.
+        """
         try:
             if kind is None:
                 kind = api.ListKind.FULL if message["full"] else api.ListKind.DELTA
             rows = [(self._entry(row), read_address(row["addr"])) for row in message["servers"]]
             version = int(message["version"])
+            if kind is api.ListKind.DELTA and version < least:
+                raise ValueError(f"changes that lead to version {version}")
         except (KeyError, TypeError, ValueError, AttributeError) as e:
             raise ListError(f"malformed list: {e!r}") from e
         entries = tuple(entry for entry, _ in rows)
--- a/tests/mutants/ignores_list.py
+++ b/tests/mutants/ignores_list.py
@@ -10,7 +10,7 @@
 
 
 def break_it() -> None:
-    def deaf(self: Discovery, message: Any) -> int:
+    def deaf(self: Discovery, message: Any, least: float) -> int:
         return int(message["version"])
 
     Discovery._take = deaf  # type: ignore[method-assign]
