SIGHUP moves the list: what the old place has written is read first

Seen, by reading: `Discovery.move` cancelled the task at once. News that lay unread on its connection in that moment was written to the router, so it counts as told, and was dropped; where the list is asked for the next one is up to seven seconds away. Between `add_signal_handler` and `Discovery.start` (a router with peers opens their socket there) a SIGHUP began a task without anybody to tell, then `start` a second one beside it, and after `stop` one began again.

Changed: a move goes the way of `again`, which reads on for READ_ON (50 ms) and then leaves; two in a row, or one during that time, end at the last address. Before the start and after the stop only the address is noted. The explorer's cut calls `leave`, the cancel itself, so it still cuts at each await.

Tests, tests/test_told_of_changes.py: unread news (pushed and asked for), two moves in a row with and without a call out, a move before the start and after the end fail without the change; half an answer of the old place, a silent watch and a move at once held before. Run: those, test_silent_list, test_node_lists, test_house, virtual test_list_moves, test_cuts, test_explore, test_process.

--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -43,7 +43,7 @@
 
     def __init__(self, address: Address, reader: ListReader, on_request: bool, index: int = 0) -> None:
         """`on_request`: a call is made when the module asks, not by itself. `index`: of this router."""
-        self._client = Client(address)
+        self._address, self._client = address, Client(address)  # where to be asked, and where it is now
         self._reader = reader
         self._on_request = on_request
         aside = 2.0 * (index * EVENLY % 1.0) - 1.0
@@ -52,7 +52,7 @@
         self._fell_silent = False  # the latest watch, and no call was made since
         self._asked = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
-        self._anew: asyncio.TimerHandle | None = None  # until the list is asked for after a standstill
+        self._anew: asyncio.TimerHandle | None = None  # until the whole list is asked for, maybe elsewhere
 
     def ask(self) -> None:
         """The module asks for the list."""
@@ -64,19 +64,13 @@
         Guards drained servers where the list can't be had anew: the news that came while the router stood
         still lies unread on the present connection, and is read first.
         """
-        if self._task is not None and not self._on_request and self._anew is None:
-            loop = asyncio.get_running_loop()
-            # behind whatever is ready then: the task may be about to take the news
-            self._anew = loop.call_later(READ_ON, loop.call_soon, self._list_anew)
-
-    def _list_anew(self) -> None:
-        if self._anew is not None:
-            self.move(self._client.address)
+        if not self._on_request and self._anew is None:
+            self._list_anew_soon()
 
     def start(self, told: Told) -> None:
         """List and watch from now on."""
         self._told = told
-        self._task = asyncio.create_task(self._run())
+        self._begin()
 
     def stop(self) -> None:
         if self._anew is not None:
@@ -84,16 +78,39 @@
             self._anew = None
         if self._task is not None:
             self._task.cancel()  # guards against a hung watch: its connection closes with it
+            self._task = None
 
     def move(self, address: Address) -> None:
-        """Leave the present address at once and take the whole list from another, when the module asks."""
+        """Leave the present address and take the whole list from another, when the module asks.
+
+        What the present one has written is told: it is read first, and nothing of it once that is left.
+        """
+        self._address = address
+        if self._anew is None:  # else it is about to ask anew, and does so there
+            self._list_anew_soon()
+
+    def _list_anew_soon(self) -> None:
+        if self._task is not None:
+            loop = asyncio.get_running_loop()
+            # behind whatever is ready then: the task may be about to take the news
+            self._anew = loop.call_later(READ_ON, loop.call_soon, self._list_anew)
+
+    def _list_anew(self) -> None:
+        if self._anew is not None:  # not stopped meanwhile
+            self.leave()
+
+    def leave(self) -> None:
+        """Ask for the whole list where it is to be had now, whatever becomes of the call that is out."""
         self.stop()
-        self._client, self._fell_silent = Client(address), False
         self._asked.clear()
-        self._task = asyncio.create_task(self._run())
+        self._begin()
         if self._on_request:
             self._told(api.ServerList(api.ListKind.MOVED), {})
 
+    def _begin(self) -> None:
+        self._client, self._fell_silent = Client(self._address), False
+        self._task = asyncio.create_task(self._run())
+
     async def _run(self) -> None:
         """List and watch, again after every failure."""
         loop = asyncio.get_running_loop()
