Asking: after any failed call news is told in 6 s or only proven servers are sent to

Need: a change counts as told 6 s after discovery had it and could be reached, whatever else is allowed after a failed, refused or given-up call. At fault: `Asking.failed` let a pause grow to IN_TIME * AFTER_FAILURE * must_ask (28 s) after a plain failure and guarded only what a spoilt answer or a silent watch had missed; a pause of few routers grew to the ramp (8.9 s); and the guard itself trusted a server for good that had served once since the failure, also one that began to drain after that.

Changed: a call that failed tells since when news may have been missed (`ServerList.unsure`: the last answer, the start, a watch until it broke; none in the simulator, whose rules leave that to four times the interval). From 5 s after, a second early, only servers are sent to that served what was sent within the last 5 s: one that drains turns away what is new, so it did not drain then. Up to four routers call at pauses of at most 0.5 s: 4 + 0.5 + 1.5 = 6 s, beside the constants. Where the list moved the guard begins 3 s later. One failed call with a list soon after costs nothing.

--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -25,9 +25,14 @@
 # beyond the wait of a watch, which has fallen silent then: what it missed counts as told 2 s after the wait,
 # and two more calls must fit in before that
 PATIENCE = 0.5
-LIST_PATIENCE = 1.2  # for the whole list of a pushed one, which is there at once: two tries within 4 s
-# for it to begin where all routers ask one service, which refused those that waited for 2 s; what it has to
-# tell counts as told after 6 s, whether or not it came, and another call must fit in before that
+# for the whole list of a pushed one, which is there at once: two tries within 4 s. From one useful call to
+# the next 6 s at the most: 2.5 for a silent watch (WAIT_PUSHED, PATIENCE), 2.2 for one silent as well or that
+# stops short (with REST_PATIENCE), then one that is answered; after one that fails at once 0.5 (PAUSE)
+LIST_PATIENCE = 1.2
+# for it to begin where all routers ask one service, which refused those that waited for 2 s. From one useful
+# call to the next 6 s at the most, where few ask: one that was out and lost when discovery could be reached
+# again 4 s, a pause of 0.5 s (MOST_PAUSE), one that is answered 1.5 s. Where more ask the module sends only
+# to servers that proved of late that they don't drain
 ASKED_PATIENCE = 4.0
 AFTER_SILENCE = 0.7  # the same once a watch fell silent, of the 1.5 s that are left then: for a second try
 PAUSE = 0.5  # from the begin of a call that failed to the next: one that took longer is followed at once
@@ -53,6 +58,7 @@
         self._asked = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._anew: asyncio.TimerHandle | None = None  # until the whole list is asked for, maybe elsewhere
+        self._sure_at = 0.0  # on the loop's clock: all news until then was told
 
     def ask(self) -> None:
         """The module asks for the list."""
@@ -109,6 +115,7 @@
 
     def _begin(self) -> None:
         self._client, self._fell_silent = Client(self._address), False
+        self._sure_at = asyncio.get_running_loop().time()
         self._task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
@@ -132,7 +139,7 @@
                 log.exception("list_call_broken")
             if self._on_request:
                 self._asked.clear()  # what was asked for meanwhile: the module says when the next call is due
-                self._told(api.ServerList(kind), {})
+                self._told(api.ServerList(kind, unsure=loop.time() - self._sure_at), {})
             else:
                 await asyncio.sleep(max(0.0, began + PAUSE - loop.time()))
 
@@ -141,15 +148,23 @@
         patience = min(AFTER_SILENCE, self._list_patience) if hurry else self._list_patience
         version = self._take(await client.get("/api/targets", patience), math.inf)
         while True:  # at once: what changes between an answer and the next watch would be told late
-            target = f"/api/targets?index={version}&wait={round(self._wait * 1000)}"
-            try:
-                message = await client.get(target, self._wait + PATIENCE)
-            except TimeoutError as e:
-                raise SilentWatch from e
-            version = self._take(message, version)
+            version = self._take(await self._watch(client, version), version)
+
+    async def _watch(self, client: Client, version: int) -> Any:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        target = f"/api/targets?index={version}&wait={round(self._wait * 1000)}"
+        try:
+            return await client.get(target, self._wait + PATIENCE)
+        except TimeoutError as e:
+            raise SilentWatch from e
+        finally:  # one that ends sooner may have been refused, and never have watched
+            if loop.time() - began > self._list_patience:
+                self._sure_at = loop.time()
 
     def _take(self, message: Any, least: float) -> int:
         version, news, addresses = self._reader.read(message, least=least)
         if news.entries or news.kind is api.ListKind.FULL:
             self._told(news, addresses)
+        self._sure_at = asyncio.get_running_loop().time()
         return version
--- a/ironrail/policy/news.py
+++ b/ironrail/policy/news.py
@@ -5,7 +5,7 @@
 import random
 
 from ironrail.policy import interface as api
-from ironrail.policy.asking import NO_LIST, Asking
+from ironrail.policy.asking import NO_LIST, UNTOLD_MOVED, Asking
 from ironrail.policy.state import Server
 
 
@@ -25,11 +25,12 @@
     def take(self, now: float, event: api.ServerList, out: list[api.Action]) -> bool:
         """Whether there is a list, and not only word that none came or that it is told elsewhere."""
         if event.kind is api.ListKind.MOVED:  # guards whoever tells it: all routers hear of that at once
+            self._asking.missed(now, UNTOLD_MOVED)
             self._ask_first(out)
             return False
         if event.kind in NO_LIST:
             if self._settings.subscribe:
-                pause = self._asking.failed(now, event.kind, self._draws)
+                pause = self._asking.failed(now, event.kind, self._draws, event.unsure)
                 out.append(api.SetTimer(pause, "list") if pause else api.Subscribe())
                 out.append(api.Log(f"list out of reach, {self._asking.failures} in a row"))
             return False
--- a/ironrail/policy/terms.py
+++ b/ironrail/policy/terms.py
@@ -109,3 +109,4 @@
 
     kind: ListKind
     entries: tuple[ServerEntry, ...] = ()
+    unsure: float | None = None  # seconds in which news may have been missed, if that counts as told soon
--- /dev/null
+++ b/tests/test_told_in_time.py
@@ -0,0 +1,180 @@
+"""News counts as told 6 s after it was there, whatever became of calls: told by then, or guarded."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+
+from ironrail.net import asked, discovery
+from ironrail.policy import interface as api
+from ironrail.policy.asking import CROWD, MOST_PAUSE, UNTOLD, UNTOLD_MOVED, Asking
+from tests.driver import Driver, entry, settings
+from tests.test_asking import Service
+
+TOLD = 6.0  # seconds after which news counts as told
+REFUSES = 2.0  # seconds for which the service lets a call wait
+SERVED = 0.95  # of requests, with one server in three draining and no list
+
+
+def test_two_calls_fit_in_where_few_ask() -> None:
+    """One that was out and lost when discovery could be reached again, a pause, and one that is answered."""
+    answered = CROWD / 2.6  # behind all others, at the pace that was measured
+    assert discovery.ASKED_PATIENCE + MOST_PAUSE + min(answered, 1.5) <= TOLD
+    assert asked.CONNECT_PATIENCE <= discovery.ASKED_PATIENCE
+    assert UNTOLD <= TOLD - 1.0 and UNTOLD_MOVED <= 4.0 - 1.0
+
+
+def test_two_calls_fit_in_at_an_agent() -> None:
+    silent = discovery.WAIT_PUSHED + discovery.PATIENCE
+    spoilt = discovery.LIST_PATIENCE + asked.REST_PATIENCE
+    assert silent + spoilt + 1.0 <= TOLD  # a second for the answer that comes at once
+    assert spoilt + spoilt + 1.0 <= TOLD  # two that stop short
+    assert discovery.PAUSE + spoilt + 1.0 <= 4.0  # where it moved
+
+
+@dataclass
+class Outage:
+    """Routers whose watches all end as discovery goes down; while it is down calls are refused, or hang."""
+
+    routers: int
+    rate: float
+    hangs: bool
+    seed: int
+    lasts: float = 8.0
+    told: dict[int, float] = field(default_factory=dict)
+    calls: list[float] = field(default_factory=list)
+    doubts: list[tuple[float, float, int]] = field(default_factory=list)  # when, proof from, whose
+
+    def run(self, until: float, first: api.ListKind = api.ListKind.FAILED) -> None:
+        conf = settings(subscribe=True, routers=self.routers, ramp=8.9, fall_window=1.0, must_ask=10.0)
+        draws, service = random.Random(self.seed), Service(self.rate, REFUSES)
+        self.askings = [Asking(conf) for _ in range(self.routers)]
+        due = [(a.failed(0.0, first, draws, 0.0), n) for n, a in enumerate(self.askings)]
+        heapq.heapify(due)
+        while due and due[0][0] < until:
+            at, n = heapq.heappop(due)
+            self.calls.append(at)
+            ends, listed = at + (discovery.ASKED_PATIENCE if self.hangs else 0.002), False
+            if at >= self.lasts:
+                ends, listed = service.call(at)
+            for look in (at, ends - 1e-6):
+                self.doubts.append((look, self.askings[n].proof_from(look), n))
+            if listed:
+                self.told[n] = ends
+                self.askings[n].told()
+            else:
+                again = ends + self.askings[n].failed(ends, api.ListKind.FAILED, draws, ends)
+                heapq.heappush(due, (again, n))
+
+    def unguarded(self, change: float) -> list[float]:
+        """When a router might have sent to a server that served before it began to drain, too late.
+
+        The guard only grows until there is a list: it is enough to look when the news counts as told.
+        """
+        counts = max(change, self.lasts) + TOLD
+        late = [n for n in range(self.routers) if self.told.get(n, math.inf) > counts]
+        looks = [(at, proof) for at, proof, n in self.doubts if n in late and at >= counts]
+        looks += [(counts, self.askings[n].proof_from(counts)) for n in late if n not in self.told]
+        return [at for at, proof in looks if proof < change]
+
+    def most_calls(self, after: float) -> int:
+        """In any second."""
+        return max(Counter(int(at) for at in self.calls if at >= after).values(), default=0)
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+@pytest.mark.parametrize("seed", range(40))
+def test_few_routers_are_told_in_time_by_their_calls_alone(seed: int, hangs: bool) -> None:
+    for lasts in (0.5, 3.0, 8.0, 40.0):
+        outage = Outage(3, 2.6, hangs, seed, lasts)
+        outage.run(lasts + 30.0)
+        assert len(outage.told) == 3 and max(outage.told.values()) <= lasts + TOLD
+        assert outage.most_calls(0.0) <= 3 / (MOST_PAUSE / 2)
+        assert not outage.unguarded(0.1)
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize(("routers", "rate"), [(40, 2.6), (200, 2.6), (200, 20.0)])
+def test_many_routers_are_told_in_time_or_guarded_and_do_not_crowd_the_service(
+    routers: int, rate: float, seed: int, hangs: bool
+) -> None:
+    outage = Outage(routers, rate, hangs, seed)
+    outage.run(90.0)
+    for change in (0.1, 1.0, 4.0, 7.9, 9.0, 15.0, 30.0):
+        assert not outage.unguarded(change)
+    # as their pauses have it, of 14 to 28 s in the end, each asks once: never all together
+    assert outage.most_calls(0.0) <= max(12, routers / 7)
+    assert len(outage.calls) <= 7 * routers
+    if rate / routers >= 0.06:
+        assert len(outage.told) == routers
+
+
+@pytest.mark.parametrize("routers", [40, 200])
+def test_spoilt_answers_at_all_of_them_are_asked_for_again_ever_more_rarely(routers: int) -> None:
+    outage = Outage(routers, 2.6, False, 1)
+    outage.run(90.0, api.ListKind.SPOILT)
+    assert len(outage.calls) <= 15 * routers
+    assert outage.most_calls(60.0) <= routers / 4
+    for change in (0.1, 9.0, 30.0):
+        assert not outage.unguarded(change)
+
+
+def test_a_failed_call_binds_nothing_where_the_rules_leave_it_to_the_interval() -> None:
+    """In the simulator four times the interval passes, and pauses grow as long as a cold server's ramp."""
+    asking, draws = Asking(settings(subscribe=True, ramp=8.9, must_ask=10.0)), random.Random(1)
+    pauses = [asking.failed(float(n), api.ListKind.FAILED, draws) for n in range(20)]
+    assert asking.proof_from(1000.0) == -math.inf and max(pauses) > 4.0
+
+
+def test_one_failed_call_with_a_list_soon_after_costs_nothing() -> None:
+    asking, draws = Asking(settings(subscribe=True, routers=200, must_ask=10.0)), random.Random(1)
+    asking.failed(100.0, api.ListKind.FAILED, draws, 0.0)
+    assert asking.proof_from(104.9) == -math.inf
+    asking.told()
+    assert asking.proof_from(200.0) == -math.inf
+
+
+def test_a_move_binds_within_four_seconds() -> None:
+    d = Driver(settings(subscribe=True, routers=200, must_ask=10.0))
+    d.list(*(entry(name) for name in "ab"))
+    d.feed(api.ServerList(api.ListKind.MOVED))
+    asking = d.router.asking
+    assert asking.proof_from(d.now + 2.9) == -math.inf
+    assert asking.proof_from(d.now + 3.0) == d.now  # a second early
+    assert asking.proof_from(d.now + 20.0) == d.now + 20.0 - UNTOLD
+
+
+def test_a_first_call_that_fails_binds_from_the_start() -> None:
+    """What changed while it was put off counts as told by then."""
+    asking = Asking(settings(subscribe=True, routers=200, must_ask=10.0))
+    asking.failed(109.0, api.ListKind.FAILED, random.Random(1), 9.0)
+    assert asking.proof_from(109.0) == 104.0
+
+
+@pytest.mark.parametrize("rate", [2.0, 50.0])
+def test_servers_that_began_to_drain_after_they_served_get_nothing_and_the_rest_goes_on(rate: float) -> None:
+    """A failed watch, drains 2 s later, no list for half a minute; also with little to send."""
+    d = Driver(settings(subscribe=True, routers=200, must_ask=10.0, max_attempts=3, ramp=8.9))
+    d.list(*(entry(name) for name in "abcdef"))
+    failed = d.now
+    d.feed(api.ServerList(api.ListKind.FAILED, unsure=0.0))
+    late, served, asked_for = Counter[str](), 0, 0
+    while d.now < failed + 30.0:
+        d.now += 1 / rate
+        name = f"r{d.now}"
+        server = d.request(name, key=f"k{asked_for % 97}")
+        asked_for += 1
+        while name in d.open and server is not None:
+            drains = server in "ab" and d.now > failed + 2.0
+            if d.now > failed + 2.0 + TOLD:
+                late[server] += 1
+            server = d.end(name, api.Status.FULL if drains else api.Status.OK, latency=0.005)
+        served += d.ended.get(name) == "served"
+    assert late and not late["a"] and not late["b"]
+    assert served >= SERVED * asked_for
--- a/tests/test_told_of_changes.py
+++ b/tests/test_told_of_changes.py
@@ -118,7 +118,33 @@
         body = orjson.dumps({"version": 1, "full": True, "servers": [ROW]})
         call.respond(body, 200, b"Connection: close")
         assert (await told.next()).kind is FULL
-        assert (await told.next()).kind is FAILED
+        news = await told.next()
+        assert news.kind is FAILED and news.unsure is not None and 0.04 < news.unsure < 1.0
+
+
+# For how long news may have been missed
+
+
+@scenario
+async def test_a_call_that_fails_tells_since_when_news_may_be_missed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "ASKED_PATIENCE", 0.2)
+    async with followed(on_request=True) as (peer, follows, told):
+        await asyncio.sleep(0.1)
+        (await peer.next()).respond(b"", 503)  # nothing is known since the start
+        news = await told.next()
+        assert news.kind is FAILED and news.unsure is not None and news.unsure > 0.09
+        follows.ask()
+        watch = await listed(peer, told)
+        await asyncio.sleep(0.1)
+        watch.respond(b"", 503)  # it may have waited for its turn all the time
+        news = await told.next()
+        assert news.kind is FAILED and news.unsure is not None and news.unsure > 0.09
+        follows.ask()
+        watch = await listed(peer, told)
+        await asyncio.sleep(0.3)
+        watch.reset()  # till then it watched
+        news = await told.next()
+        assert news.kind is FAILED and news.unsure is not None and news.unsure < 0.09
 
 
 # Lists that don't fit
--- /dev/null
+++ b/tests/test_told_played.py
@@ -0,0 +1,88 @@
+"""Routers that ask one slow service, out of reach for seconds, while caches drain: played in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironrail.policy.asking import Asking
+from ironrail.rehearsal.scenario.model import Scenario
+from ironrail.rehearsal.scenario.reader import parse_scenario
+from ironrail.rehearsal.standins.agent import Agent
+from ironrail.rehearsal.standins.fleet import Fleet
+from ironrail.rehearsal.standins.telling import BROKEN, News, Telling
+from ironrail.rehearsal.virtual.play import Virtual, play_virtual
+
+OUTAGE = """
+summary = "the list is out of reach, then crowded, and caches drain"
+length = "24 s"
+warm_up = "500 ms"
+[load]
+rate = 120
+[routers]
+count = 16
+[caches]
+count = 6
+[registry]
+asked = true
+rate = 1.0
+must_ask = "10 s"
+[[fault]]
+kind = "list-silent"
+at = "1 s"
+lasts = "2 s"
+[[fault]]
+kind = "drain"
+whom = "cache-1"
+at = "{first}"
+lasts = "24 s"
+[[fault]]
+kind = "drain"
+whom = "cache-2"
+at = "6 s"
+lasts = "24 s"
+"""
+
+
+def world(first: str) -> Scenario:
+    return parse_scenario(OUTAGE.format(first=first), "outage.toml")
+
+
+def play(first: str, monkeypatch: pytest.MonkeyPatch) -> Virtual:
+    """The stand-in counts news as told 6 s after the service had it, whatever became of a router's calls.
+
+    And when the service goes down watches end, and a cache that drains turns away what is new.
+    """
+    weigh, silent, drain = Telling._weigh, Agent.begin_silence, Fleet.drain
+
+    def counts(self: Telling, news: News, after: float) -> None:
+        weigh(self, news, after)
+        self._loop.call_later(BROKEN, self._count, news)
+
+    def ends(self: Agent, cause: object) -> None:
+        silent(self, cause)
+        self.door.reset_all()
+
+    def turns_away(self: Fleet, name: str, cause: object) -> None:
+        drain(self, name, cause)
+        self.caches[name].draining = True
+
+    monkeypatch.setattr(Fleet, "drain", turns_away)
+    monkeypatch.setattr(Telling, "_weigh", counts)
+    monkeypatch.setattr(Agent, "begin_silence", ends)
+    return play_virtual(world(first), 1)
+
+
+@pytest.mark.parametrize("first", ["1500 ms", "3500 ms"])
+def test_routers_whose_calls_fail_send_nothing_to_what_drains(
+    first: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    played = play(first, monkeypatch)
+    assert not played.result.broken and not played.faults
+    assert played.result.service.whole.share > 0.9
+
+
+def test_routers_that_trust_the_last_list_for_as_long_as_that_is_young_break_the_rule(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Asking, "proof_from", lambda self, now: float("-inf"))
+    assert {b.rule for b in play("1500 ms", monkeypatch).result.broken} == {"drains"}
