Explorer: rare moments that cross each other, and checks on clients that have gone

The drawn worlds held no client that leaves, no silent or reset watch, no late dial, no hang, no restart with clients that stay, no list that is asked for, and one set of effects, deadlines, windows and limits.

Change: `virtual/rare.py` draws them on top of a world, with times that hang together. New faults `late-reset`, `archive-unsized`, `watch-reset`, `clients-leave`; `[limits]` of a scenario. The kit's own faults on the way: a silent outage of a list that is asked for was no failed call; a new process counted as told what the one before it was; books were looked at while a close was on its way.

`_sent_on` counted from when a client gave up, now from the answer that the rule names: who leaves on a connection that others use can't be seen to have left, and the close is judged by `gone-clients`.

--- a/ironrail/rehearsal/account/record.py
+++ b/ironrail/rehearsal/account/record.py
@@ -11,6 +11,7 @@
 
 from ironrail.rehearsal.load.schedule import Planned
 
+LEFT = "its client gave up before its time was up"  # an excuse that leaves what is sent on to be judged
 MOST_STRAYS = 1000  # kept of what belongs to no request: a router that sends nothing else must fill no memory
 
 
@@ -57,6 +58,7 @@
     ended: Ended = Ended.OPEN
     ended_at: float | None = None
     effect_at: float | None = None  # of a write that was carried out
+    told: float | None = None  # seconds that it was told its client waits, where it was told
 
     def end(self, ended: Ended, at: float) -> None:
         if self.ended is Ended.OPEN:
@@ -100,6 +102,7 @@
     made: set[bytes] = field(default_factory=set)  # digests of values that stand-ins made for it
     outcome: Outcome = Outcome.OPEN
     ended_at: float | None = None
+    left_at: float | None = None  # when its client closed the connection, with no answer so far
     excuse: str = ""  # why no answer can be owed
 
     def end(self, outcome: Outcome, at: float) -> None:
--- a/ironrail/rehearsal/account/rules.py
+++ b/ironrail/rehearsal/account/rules.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from ironrail.rehearsal.account.leaving import sent_for_nobody, told_too_much
 from ironrail.rehearsal.account.record import Attempt, Outcome, Record, Told, Try
 from ironrail.rehearsal.scenario.model import Repeats, Scenario
 
@@ -28,6 +29,8 @@
     "no-second-effect": "what must not run twice is sent again or refused only when it surely never ran",
     "drains": "nothing new to a draining or gone server once the grace is over",
     "cold": "cold servers are not pushed over",
+    "gone-clients": "nothing is sent on for a client that has closed its connection",
+    "time-told": "further attempts tell no more time than is left to the client",
     "protocol": "servers are sent what clients asked for, and nothing else",
 }
 
@@ -59,6 +62,10 @@
             Violation("drains", at, what, one.request, one.history())
             for at, what in _drained(one, record.told, scenario.registry.grace)
         ]
+    for one, at, what in sent_for_nobody(record, OWN_SLACK):
+        found.append(Violation("gone-clients", at, what, one.request, one.history()))
+    for one, at, what in told_too_much(record):
+        found.append(Violation("time-told", at, what, one.request, one.history()))
     for fall in record.fallen:
         if fall.informed < BLAMED * fall.sent:  # pushed by those who could not know that it was cold
             continue
@@ -130,10 +137,10 @@
 def _sent_on(one: Try, scenario: Scenario) -> Found:
     if len(one.attempts) > MOST_ATTEMPTS:
         yield "protocol", one.attempts[MOST_ATTEMPTS].last_at, f"{len(one.attempts)} attempts"
-    if not one.answers or one.ended_at is None:
+    if not one.answers:
         return
     for attempt in one.attempts:
-        if attempt.first_at > one.ended_at + GRANTED + OWN_SLACK and not attempt.late:
+        if attempt.first_at > one.answers[0].at + GRANTED + OWN_SLACK and not attempt.late:
             yield "one-answer", attempt.last_at, f"sent to {attempt.server} after its answer"
 
 
--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from ironrail.rehearsal.faults.plan import Planned, Step
+from ironrail.rehearsal.faults.spells import Spells
 from ironrail.rehearsal.ground import Router
 from ironrail.rehearsal.load.schedule import hot_router_share
 from ironrail.rehearsal.scenario.faults import Fault, FaultKind
@@ -28,6 +29,7 @@
     FaultKind.LOST,
     FaultKind.SECOND_ANSWER,
     FaultKind.LATE_CONNECT,
+    FaultKind.LATE_RESET,
 )
 LIST_ANSWERS = {  # how hard, where the fault does not say
     FaultKind.LIST_CROWDED: 10.0,
@@ -40,8 +42,11 @@
     FaultKind.LIST_EMPTY,
     FaultKind.LIST_ABSURD,
     FaultKind.WATCH_SILENT,
+    FaultKind.WATCH_RESET,
+    FaultKind.LIST_MOVES,
     *LIST_ANSWERS,
 )
+ARCHIVES = (FaultKind.ARCHIVE_SLOW, FaultKind.ARCHIVE_DOWN, FaultKind.ARCHIVE_UNSIZED)
 ROUTER_KINDS = (
     FaultKind.ROUTER_TERM,
     FaultKind.ROUTER_KILL,
@@ -53,16 +58,6 @@
 ABSURD = 40  # servers that an absurd list invents
 
 
-@dataclass(slots=True)
-class Spell:
-    """A time in which a router could not answer, by the plan."""
-
-    router: str
-    began: float
-    why: str
-    ended: float | None = None
-
-
 @dataclass(slots=True)
 class Carrier:
     """All that faults act upon."""
@@ -76,7 +71,8 @@
     start_router: Callable[[str, float], None]  # once it has ended, or is killed so many seconds later
     replace_router: Callable[[str], None]
     reconfigure: Callable[[str, str], None]  # a router, to be told of the list at another address
-    spells: list[Spell] = field(default_factory=list)
+    leave: Callable[[float], None]  # such a share of the clients that wait gives up
+    spells: Spells = field(default_factory=Spells)
     stalls: dict[Planned, asyncio.TimerHandle] = field(default_factory=dict)
 
     def carry_out(self, step: Step) -> None:
@@ -86,15 +82,12 @@
             self._replies(planned, kind, step.begins)
         elif kind is FaultKind.HALL_CUT:
             self._cut(planned, step.begins)
-        elif kind in (FaultKind.ARCHIVE_SLOW, FaultKind.ARCHIVE_DOWN):
-            if step.begins:
-                self.archive.begin(planned, kind, planned.fault.hard)
-            else:
-                self.archive.end(planned)
+        elif kind in ARCHIVES:
+            self._archive(planned, kind, step.begins)
+        elif kind is FaultKind.CLIENTS_LEAVE:
+            self._leave(planned.fault, step.begins)
         elif kind in LISTS:
             self._list(planned, kind, step.begins)
-        elif kind is FaultKind.LIST_MOVES:
-            self._move_list(step.begins)
         elif kind is FaultKind.STALL:
             self._stall(planned, step.begins)
         elif kind is FaultKind.HOT_ROUTER:
@@ -113,6 +106,16 @@
             else:
                 victim.end(planned)
 
+    def _archive(self, planned: Planned, kind: FaultKind, begins: bool) -> None:
+        if begins:
+            self.archive.begin(planned, kind, planned.fault.hard)
+        else:
+            self.archive.end(planned)
+
+    def _leave(self, fault: Fault, begins: bool) -> None:
+        if begins:  # once
+            self.leave(1.0 if fault.hard is None else fault.hard)
+
     def _caches(self, planned: Planned, kind: FaultKind, begins: bool) -> None:
         begin, end = {
             FaultKind.VANISH: (self.fleet.vanish, self.fleet.back),
@@ -157,9 +160,13 @@
         if kind in LIST_ANSWERS:
             self._list_answers(planned, kind, begins)
             return
-        if kind is FaultKind.WATCH_SILENT:
-            if begins:  # once: what is open then is never answered
-                self.registry.silence_watches()
+        if kind is FaultKind.LIST_MOVES:
+            self._move_list(begins)
+            return
+        if kind in (FaultKind.WATCH_SILENT, FaultKind.WATCH_RESET):
+            if begins:  # once: what is open then ends, or is never answered
+                ends = kind is FaultKind.WATCH_RESET
+                self.registry.reset_watches() if ends else self.registry.silence_watches()
             return
         for agent in self.registry.agents.values():
             if kind is FaultKind.LIST_SILENT:
@@ -214,7 +221,7 @@
             if number is signal.SIGTERM:  # announced: the front hears of it sooner than of a death
                 self.front.ending(name, now + (TERM_TOLD if fault.hard is None else fault.hard))
             else:
-                self.spells.append(Spell(name, now, f"{name} was sent {number.name}"))
+                self.spells.begin(name, now, f"{name} was sent {number.name}")
                 self.front.died(name, now)
             router.signal(number, asked=kind is not FaultKind.ROUTER_STOP)
             if kind is FaultKind.ROUTER_RESTART:
@@ -228,17 +235,8 @@
 
     def recovered(self, router: str) -> None:
         """It can answer again."""
-        for spell in self.spells:
-            if spell.router == router and spell.ended is None:
-                spell.ended = self.world.now()
+        self.spells.end(router, self.world.now())
 
     def excuse(self, router: str, began: float, ended: float) -> str:
         """Why a router could not answer what it was sent then, or nothing."""
-        for spell in self.spells:
-            if (
-                spell.router == router
-                and spell.began <= ended
-                and (spell.ended is None or spell.ended >= began)
-            ):
-                return spell.why
-        return ""
+        return self.spells.why(router, began, ended)
--- a/ironrail/rehearsal/faults/plan.py
+++ b/ironrail/rehearsal/faults/plan.py
@@ -10,7 +10,8 @@
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, hall_of, router_names
 
-ARCHIVE_TOO = (FaultKind.ERRORS, FaultKind.RESET, FaultKind.SPOILT)  # kinds that may hit the archive
+# kinds that may hit the archive
+ARCHIVE_TOO = (FaultKind.ERRORS, FaultKind.RESET, FaultKind.SPOILT, FaultKind.LATE_RESET)
 CACHES, ROUTERS, HALLS, ARCHIVE, LOAD, LIST = "caches", "routers", "halls", "archive", "load", "list"
 VICTIMS = {
     FaultKind.VANISH: CACHES,
@@ -28,6 +29,7 @@
     FaultKind.LATE_CONNECT: CACHES,
     FaultKind.SECOND_ANSWER: CACHES,
     FaultKind.HANG: CACHES,
+    FaultKind.LATE_RESET: CACHES,
     FaultKind.HALL_CUT: HALLS,
     FaultKind.LIST_SILENT: LIST,
     FaultKind.LIST_EMPTY: LIST,
@@ -38,10 +40,13 @@
     FaultKind.LIST_SPOILT: LIST,
     FaultKind.LIST_LATE: LIST,
     FaultKind.WATCH_SILENT: LIST,
+    FaultKind.WATCH_RESET: LIST,
     FaultKind.HOT_KEYS: LOAD,
+    FaultKind.CLIENTS_LEAVE: LOAD,
     FaultKind.HOT_ROUTER: ROUTERS,
     FaultKind.ARCHIVE_SLOW: ARCHIVE,
     FaultKind.ARCHIVE_DOWN: ARCHIVE,
+    FaultKind.ARCHIVE_UNSIZED: ARCHIVE,
     FaultKind.ROUTER_TERM: ROUTERS,
     FaultKind.ROUTER_KILL: ROUTERS,
     FaultKind.ROUTER_STOP: ROUTERS,
--- a/ironrail/rehearsal/processes.py
+++ b/ironrail/rehearsal/processes.py
@@ -67,8 +67,12 @@
 
     def _told_at_start(self, name: str) -> None:
         """It begins from nothing, with the list that its configuration has: that is what it knows."""
+        rows, now = {row.id for row in self._rows}, self._world.now()
+        for router, server in list(self._record.told):  # what was told to the process before it
+            if router == name and server not in rows:
+                self._record.tell(name, server, "in_service", now)
         for row in self._rows:
-            self._record.tell(name, row.id, row.state, self._world.now())
+            self._record.tell(name, row.id, row.state, now)
         self._registry.agents[name].started()
 
     async def _stop(self, router: Router) -> None:
--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -30,6 +30,7 @@
 
 START = 0.2  # seconds between the last router's being ready and the first request
 SAMPLE = 0.25  # seconds between looks at the state of everything
+HEARD = 0.1  # seconds in which a router has heard of a client that closed: none may still be on its way
 END_PATIENCE = 10.0  # seconds for what is out after the last fault: every request has a deadline before that
 
 __all__ = ["Progress", "Rehearsal", "Result"]
@@ -100,6 +101,7 @@
             lambda name, patience: self._spawn(self._restart(name, patience)),
             lambda name: self._spawn(self._replace(name)),
             self._reconfigure,
+            self._clients.leave,
         )
         self._clients.excused = self._excuse
 
@@ -154,6 +156,10 @@
                 await self._clients.quiet()
         except TimeoutError:  # can't be: each try has a timer
             self._record.stray(self._world.now(), "clients", f"{self._clients.waiting()} never ended")
+        if any(one.left_at is not None for one in self._record.tries.values()):
+            await asyncio.sleep(HEARD)
+        if not self._scenario.limits.may_cancel:  # what lost to another attempt stays out for its time
+            await asyncio.sleep(max(kind.give_up for kind in self._scenario.classes))
         self._at_rest()
         self._progress(self._world.now(), "stopping routers")
         self._ending = True
--- a/ironrail/rehearsal/scenario/faults.py
+++ b/ironrail/rehearsal/scenario/faults.py
@@ -65,6 +65,10 @@
     LATE_CONNECT = "late-connect"
     SECOND_ANSWER = "second-answer"
     HANG = "hang"
+    LATE_RESET = "late-reset"
+    ARCHIVE_UNSIZED = "archive-unsized"
+    WATCH_RESET = "watch-reset"
+    CLIENTS_LEAVE = "clients-leave"
 
 
 class Fault(Table):
--- a/ironrail/rehearsal/scenario/model.py
+++ b/ironrail/rehearsal/scenario/model.py
@@ -14,6 +14,7 @@
 from ironrail.rehearsal.scenario.base import Count, Positive, Share, Table
 from ironrail.rehearsal.scenario.bounds import Bounds
 from ironrail.rehearsal.scenario.faults import Cut, Fault
+from ironrail.rehearsal.scenario.limits import Limits
 from ironrail.rehearsal.scenario.units import Bytes, Seconds
 
 NAME = r"^[!-+.-<>-~-]{1,64}$"  # of a class or a title: the protocol puts it into a list of names and values
@@ -214,6 +215,7 @@
     caches: Caches = Caches()
     archive: Archive = Archive()
     registry: Registry = Registry()
+    limits: Limits = Limits()
     network: Network = Network()
     faults: Annotated[list[Fault], Field(alias="fault")] = []
     bounds: Bounds = Bounds()
--- a/ironrail/rehearsal/settings.py
+++ b/ironrail/rehearsal/settings.py
@@ -35,9 +35,9 @@
         "skus": [KIND, ORIGIN_KIND],
         "limits": {
             "mostTries": MOST_TRIES,
-            "mayCancel": True,
-            "secondCopies": True,
-            "dialTimeout": 0.25,
+            "mayCancel": scenario.limits.may_cancel,
+            "secondCopies": scenario.limits.second_copies,
+            "dialTimeout": scenario.limits.dial,
             "connIdle": caches.idle if caches.idle_told is None else caches.idle_told,
             "multiplex": 100,
         },
--- a/ironrail/rehearsal/standins/agent.py
+++ b/ironrail/rehearsal/standins/agent.py
@@ -77,6 +77,11 @@
         for connection in self._mute():
             self._telling.silenced(connection, connection.waits_until)
 
+    def reset_watches(self) -> None:
+        """Reset the connections with an open watch; new ones are answered."""
+        for connection in list(self._watches):
+            connection.reset()
+
     def _mute(self) -> list[AgentConnection]:
         """All connections with a call that is open now, which is never answered from now on."""
         there = [c for c in self.door.connections if isinstance(c, AgentConnection) and c.asks and not c.mute]
@@ -114,6 +119,7 @@
         self._silences.discard(cause)
         self.door.end_silence(cause)
         if not self._silences:
+            self._telling.reached()
             missed, self._missed = self._missed, []
             for row in missed:
                 self.learn(row)
@@ -189,15 +195,14 @@
 
     def _wake(self) -> bool:
         """Tell all watches; whether an answer was spoilt."""
-        spoilt = False
-        for watch in list(self._watches):
-            spoilt |= self._tell_news(watch, watch.watching_from or 0)
-        return spoilt
+        spoilt = [self._tell_news(watch, watch.watching_from or 0) for watch in list(self._watches)]
+        return any(spoilt)
 
     def left(self, connection: AgentConnection) -> None:
         """The router has closed it."""
+        watched = connection in self._watches
         self._unwatch(connection)
-        self._telling.closed(connection)
+        self._telling.closed(connection, watched)
 
     def _unwatch(self, connection: AgentConnection) -> None:
         """A watch is over."""
--- a/ironrail/rehearsal/standins/archive.py
+++ b/ironrail/rehearsal/standins/archive.py
@@ -5,13 +5,15 @@
 import asyncio
 import itertools
 from collections import deque
-from dataclasses import dataclass
 from urllib.parse import unquote
 
 from ironrail.rehearsal.account.record import Attempt, Ended
 from ironrail.rehearsal.scenario.faults import FaultKind
+from ironrail.rehearsal.standins.archiveconnection import ArchiveConnection, Fetch
 from ironrail.rehearsal.standins.door import Door
-from ironrail.rehearsal.standins.http import HttpConnection, HttpRequest
+from ironrail.rehearsal.standins.http import HttpRequest
+from ironrail.rehearsal.standins.meta import info_of, seconds_told
+from ironrail.rehearsal.standins.replies import RESET_AFTER
 from ironrail.rehearsal.standins.spoiling import spoil_http
 from ironrail.rehearsal.standins.world import World
 
@@ -19,43 +21,13 @@
 FALL_WINDOW = 1.0  # seconds over which what it is sent is measured
 WARM_UP_PACE = 8.0  # times its usual pace in the warm-up, or the caches would fill for minutes
 MOST_KEYS = 100_000  # idempotency keys remembered at once
+UNSIZED = b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n"
+UNSIZED_BREAK = 0.5  # of answers of no stated length
+BREAKS_AFTER = 0.0, 0.3  # seconds from what was written of one to its reset
+SHARE = 0.2  # of replies that a fault hits, likewise
 SLOW = 4.0  # times its usual time, where a fault does not say
 
 
-@dataclass(slots=True, eq=False)
-class Fetch:
-    """One request in hand."""
-
-    request: HttpRequest
-    connection: ArchiveConnection
-    attempt: Attempt
-    key: str
-    name: str  # the id of the client's request
-
-
-class ArchiveConnection(HttpConnection):
-    """One connection of a router."""
-
-    def __init__(self, door: Door, archive: Archive) -> None:
-        super().__init__(door)
-        self._archive = archive
-        self.fetch: Fetch | None = None
-
-    def clock(self) -> float:
-        return self._archive.world.now()
-
-    def took(self, request: HttpRequest) -> None:
-        self._archive.take(self, request)
-
-    def unreadable(self, fault: object) -> None:
-        if not self.late:
-            self._archive.world.record.stray(self.clock(), self._archive.name, f"not HTTP: {fault}")
-
-    def lost(self) -> None:
-        if self.fetch is not None:
-            self.fetch.attempt.end(Ended.LEFT, self.clock())
-
-
 class Archive:
     """Serves so many requests at once, each for a time; the rest wait, and beyond that are turned away."""
 
@@ -86,14 +58,14 @@
         record, now = self.world.record, self.world.now()
         name, key = request.headers.get("request-id", ""), unquote(request.target.removeprefix("/"))
         attempt = Attempt(self.name, connection.door.router, True, connection.first_at, now, connection.late)
+        info = info_of(request.headers.get("request-info", ""))
+        attempt.told = seconds_told(info)
         fetch = Fetch(request, connection, attempt, key, name)
         connection.fetch = fetch
         if request.target.startswith("/-/"):
             record.stray(now, self.name, f"a probe: {request.target}")
         one = record.attempt(name, attempt)
-        if one is not None and (
-            key != one.planned.key or not self._as_sent(request, one.planned.idempotency)
-        ):
+        if one is not None and (key != one.planned.key or info.get("k", "") != one.planned.idempotency):
             record.stray(now, self.name, f"{name} was altered: {request.method} {request.target}")
         if request.method == "GET":
             record.archive_fetches.append(now)
@@ -105,11 +77,6 @@
         else:
             self._queue.append(fetch)
 
-    @staticmethod
-    def _as_sent(request: HttpRequest, idempotency: str) -> bool:
-        pairs = (pair.partition("=") for pair in request.headers.get("request-info", "").split(","))
-        return {name: value for name, _, value in pairs}.get("k", "") == idempotency
-
     def _full(self) -> bool:
         return len(self._queue) >= self._conf.queue
 
@@ -187,10 +154,31 @@
         elif self._hits(FaultKind.SPOILT):
             fetch.attempt.end(Ended.SPOILT, now)
             fetch.connection.respond(200, b"", raw=spoil_http(self._draws))
+        elif self._hits(FaultKind.LATE_RESET):
+            self._loop.call_later(self._draws.uniform(*RESET_AFTER), self._reset_late, fetch)
+        elif self._hits(FaultKind.ARCHIVE_UNSIZED):
+            self._reply_unsized(fetch, body)
         else:
             fetch.attempt.end(Ended.SERVED, now)
             fetch.connection.respond(200, body)
 
+    def _reset_late(self, fetch: Fetch) -> None:
+        if not fetch.connection.closed:
+            fetch.attempt.end(Ended.RESET, self.world.now())
+            fetch.connection.reset()
+
+    def _reply_unsized(self, fetch: Fetch, body: bytes) -> None:
+        """An answer of no stated length, which its connection's end ends; half are reset on the way."""
+        connection, now = fetch.connection, self.world.now()
+        breaks = self._draws.random() < UNSIZED_BREAK
+        fetch.attempt.end(Ended.RESET if breaks else Ended.SERVED, now)
+        part = body[: self._draws.randrange(len(body))] if breaks and body else body
+        connection.respond(200, b"", raw=UNSIZED + part)
+        if breaks:
+            self._loop.call_later(self._draws.uniform(*BREAKS_AFTER), connection.reset)
+        else:
+            connection.finish()
+
     def _remember(self, idempotency: str, now: float, receipt: bytes) -> None:
         if idempotency:
             self._receipts[idempotency] = now, receipt
@@ -205,7 +193,7 @@
         elif kind is FaultKind.ARCHIVE_DOWN:
             self.begin_down(cause)
         else:
-            self._faults[cause] = kind, hard or 0.2
+            self._faults[cause] = kind, hard or SHARE
 
     def end(self, cause: object) -> None:
         self._slow.pop(cause, None)
--- a/ironrail/rehearsal/standins/cacheconnection.py
+++ b/ironrail/rehearsal/standins/cacheconnection.py
@@ -8,7 +8,7 @@
 
 from ironrail.rehearsal.account.record import Attempt, Ended
 from ironrail.rehearsal.standins.door import Door, DoorConnection
-from ironrail.rehearsal.standins.meta import CommandReader, MetaCommand, NotMeta
+from ironrail.rehearsal.standins.meta import CommandReader, MetaCommand, NotMeta, seconds_told
 from ironrail.rehearsal.standins.world import World
 
 
@@ -90,6 +90,7 @@
         first_at = self._first_at if self._first_at is not None else now
         behind = bool(self._turns)
         attempt = Attempt(self._cache.id, self.door.router, False, first_at, now, self.late, behind)
+        attempt.told = seconds_told(command.info)
         self._first_at = now
         one = self._cache.world.record.attempt(command.request, attempt)
         if one is not None and (command.key != one.planned.key or command.value is not None):
--- a/ironrail/rehearsal/standins/clientpool.py
+++ b/ironrail/rehearsal/standins/clientpool.py
@@ -113,6 +113,8 @@
         """The client stops waiting for one; with nothing else out the connection goes too."""
         self._left.add(one)
         if all(other in self._left for other in self.out):
+            for other in self.out:
+                other.left_at = self._pool.clients.world.now()
             self.out.clear()
             self.transport.close()
 
--- a/ironrail/rehearsal/standins/clients.py
+++ b/ironrail/rehearsal/standins/clients.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ironrail.rehearsal.account.record import Outcome, Try
+from ironrail.rehearsal.account.record import LEFT, Outcome, Try
 from ironrail.rehearsal.account.rules import LATE_GRANTED, OWN_SLACK
 from ironrail.rehearsal.draws import stream, token
 from ironrail.rehearsal.load.schedule import Planned
@@ -22,7 +22,6 @@
 
 CLIENTS_SHARE = 1 / 3  # of a router's descriptors: what all clients together open at it
 MOST_NAMED_WAIT = 2.0  # seconds that a client stays away at the most, whatever a refusal names
-LEFT = "its client gave up before its time was up"
 LEAVES_AFTER = 0.15, 0.5  # of the time that it told the router, for a client that gives up early
 
 
@@ -120,13 +119,21 @@
             return
         one = waiting.one
         if early:
-            one.excuse = LEFT
+            one.excuse = self.excused(one) or LEFT
         for connection in list(self.pools[one.router].all):
             if one in connection.out:
                 connection.give_up(one)
         self._end(one, Outcome.UNANSWERED)
         self._again(one, None)
 
+    def leave(self, share: float) -> None:
+        """Such a share of those that wait, and may repeat, give up at one moment."""
+        for name, waiting in list(self._waiting.items()):
+            kind = self.world.scenario.class_of(waiting.one.planned.kind)
+            if kind.repeats is Repeats.SAFE and self._leave_draws.random() < share:
+                waiting.timer.cancel()
+                self._time_is_up(name, early=True)
+
     def unconnected(self, one: Try) -> None:
         """No connection came up."""
         self._end(one, Outcome.UNCONNECTED)
--- a/ironrail/rehearsal/standins/meta.py
+++ b/ironrail/rehearsal/standins/meta.py
@@ -82,6 +82,17 @@
         return block
 
 
+def info_of(text: str) -> dict[str, str]:
+    """The list of names and values that goes with a request."""
+    return {name: value for name, _, value in (pair.partition("=") for pair in text.split(","))}
+
+
+def seconds_told(info: dict[str, str]) -> float | None:
+    """For how long its client waits, as this request says."""
+    text = info.get("d", "")
+    return int(text) / 1000 if text.isdecimal() else None
+
+
 class CommandReader(_Reader):
     """What a router sends to a cache."""
 
@@ -100,8 +111,7 @@
         flags = _flags(words[3 if write else 2 :])
         if "O" not in flags or "P" not in flags:
             raise NotMeta(f"no id or no info: {line[:80]!r}")
-        pairs = (pair.partition("=") for pair in flags["P"].split(","))
-        info = {name: value for name, _, value in pairs}
+        info = info_of(flags["P"])
         return MetaCommand(line, words[1].decode("latin-1"), flags["O"], info, block if write else None)
 
 
--- a/ironrail/rehearsal/standins/registry.py
+++ b/ironrail/rehearsal/standins/registry.py
@@ -63,6 +63,11 @@
         for agent in self.agents.values():
             agent.fall_silent()
 
+    def reset_watches(self) -> None:
+        """All watches that are open now end with a reset."""
+        for agent in self.agents.values():
+            agent.reset_watches()
+
     def _pace(self) -> None:
         if self._desk is not None:
             self._desk.slower = max([1.0, *self._crowds.values()])
--- a/ironrail/rehearsal/standins/replies.py
+++ b/ironrail/rehearsal/standins/replies.py
@@ -21,6 +21,7 @@
 FAILED = b"SERVER_ERROR failed\r\n"
 SLOW_CLOSE = 0.3  # seconds for which a connection reads no more before it is reset
 SECOND_AFTER = 0.001, 0.02  # seconds from an answer to the second one to the same command
+RESET_AFTER = 0.2, 1.5  # seconds from the end of the work, for a reset that comes long after
 SHARES = {  # of replies that a fault hits, where it does not say how hard
     FaultKind.RESET: 0.2,
     FaultKind.SPOILT: 0.2,
@@ -30,6 +31,7 @@
     FaultKind.SLOW_CLOSE: 0.1,
     FaultKind.LOST: 0.02,
     FaultKind.SECOND_ANSWER: 0.3,  # of connections
+    FaultKind.LATE_RESET: 0.1,
 }
 
 
@@ -63,11 +65,19 @@
             turn.connection.reset()
         elif self._hits(FaultKind.LOST):
             turn.attempt.end(Ended.LOST, self._world.now())  # and with it all behind it on the connection
+        elif self._hits(FaultKind.LATE_RESET):  # no answer, nor to any behind it on the connection
+            after = self._draws.uniform(*RESET_AFTER)
+            asyncio.get_running_loop().call_later(after, self._reset_late, turn)
         elif size is None:
             turn.finish(f"EN O{request}\r\n".encode(), Ended.MISS)
         else:
             self._reply(turn, self._value(turn, size))
 
+    def _reset_late(self, turn: Turn) -> None:
+        if not turn.connection.closed:
+            turn.attempt.end(Ended.RESET, self._world.now())
+            turn.connection.reset()
+
     def _value(self, turn: Turn, size: int) -> bytes:
         request, number = turn.command.request, next(self._numbers)
         value = self._world.make_value(request, turn.command.key, self._name, number, size)
--- a/ironrail/rehearsal/standins/telling.py
+++ b/ironrail/rehearsal/standins/telling.py
@@ -18,6 +18,9 @@
 BROKEN = 6.0  # seconds after a call fell silent, or its answer was spoilt, until what it misses counts
 AFTER_WAIT = 2.0  # the same after the wait of a silent watch was over, if that is later
 AFTER_MOVE = 4.0  # after a router was told that the list is told elsewhere, where it is pushed
+AT_LATEST = (
+    6.0  # the same, whatever else is allowed, from when a router whose call failed could have been told
+)
 AFTER_FAILURE = 4.0  # times as long until news counts as told to a router whose call failed
 LOOK_AGAIN = 1.0  # seconds until it is looked at again whether news counts as told
 GONE = "terminated"
@@ -67,10 +70,15 @@
         if self._asked:  # what it was to be told first
             self._loop.call_at(at, self._count_all, list(self._untold()))
 
-    def closed(self, call: object) -> None:
-        """The router gave up a call; if that was silent it knows so by now, and has asked until now."""
+    def reached(self) -> None:
+        """Discovery is back: a router that has to ask could not be answered until now."""
+        if self._asked:
+            self.called(False)
+
+    def closed(self, call: object, watched: bool) -> None:
+        """A call's connection is closed. If that was an open watch, or silent, it failed only now."""
         self._broken.pop(call, None)
-        if call in self._silent:
+        if watched or call in self._silent:
             self._silent.discard(call)
             self.called(False)
 
@@ -117,7 +125,7 @@
         if self._asked:
             if self._broken:
                 self._loop.call_at(max(now, *self._broken.values()), self._count, news)
-            self._look(news)
+            self._look(news, now + AT_LATEST)
             return
         due = max(now + after, self._moved_at + AFTER_MOVE, *self._broken.values())
         if due > now:
@@ -125,16 +133,21 @@
         else:
             self._count(news)
 
-    def _look(self, news: News) -> None:
-        """Whether news counts as told to a router that has to ask: once it has not asked for too long."""
+    def _look(self, news: News, at_latest: float) -> None:
+        """Whether news counts as told to a router that has to ask: once it has not asked for too long.
+
+        After a call that failed it counts some seconds after it could be had, whatever else is allowed.
+        """
         if not self._is_news(news):
             return
         allowed = self._world.scenario.registry.must_ask * (AFTER_FAILURE if self._failed else 1.0)
         left = self._asked_at + allowed - self._loop.time()
         if self._broken or self._asks():
             left = max(left, LOOK_AGAIN)
+        if self._failed and not self._broken:
+            left = min(left, at_latest - self._loop.time())
         if left > 0:
-            self._loop.call_later(min(left, LOOK_AGAIN), self._look, news)
+            self._loop.call_later(min(left, LOOK_AGAIN), self._look, news, at_latest)
         else:
             self._count(news)
 
--- a/ironrail/rehearsal/virtual/explore.py
+++ b/ironrail/rehearsal/virtual/explore.py
@@ -10,6 +10,7 @@
 
 import tomli_w
 
+from ironrail.rehearsal.account.leaving import begun_after
 from ironrail.rehearsal.account.record import Outcome
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.virtual.loop import Standstill
@@ -65,6 +66,9 @@
         yield fault.kind, fault.what
     for broken in played.result.broken:
         yield f"rule {broken.rule}", f"{broken.what}: {broken.request}"
+    for one, attempt in begun_after(played.result.record, 0.0):  # a run may have two, a world has none
+        after = attempt.first_at - (one.left_at or 0.0)
+        yield "left", f"sent to {attempt.server} {after:.3f} s after its client had gone: {one.request}"
     for name, facts in played.result.record.routers.items():
         if facts.crashed:
             yield "crash", f"{name}: {facts.crashed}"
--- a/ironrail/rehearsal/virtual/worlds.py
+++ b/ironrail/rehearsal/virtual/worlds.py
@@ -14,6 +14,7 @@
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import cache_names, router_names
 from ironrail.rehearsal.scenario.units import read_time, write_time
+from ironrail.rehearsal.virtual.rare import rare_moments
 
 MOST_FAULTS = 6
 QUIET_END = 3.0  # seconds of load without a fault, in which service has to come back
@@ -32,10 +33,15 @@
     FaultKind.LATE_CONNECT,
     FaultKind.SECOND_ANSWER,
     FaultKind.HANG,
+    FaultKind.LATE_RESET,
+    FaultKind.ARCHIVE_UNSIZED,
+    FaultKind.WATCH_RESET,
+    FaultKind.CLIENTS_LEAVE,
 )
 KINDS = tuple(kind for kind in FaultKind if kind not in LATER + NOT_DRAWN)
 CUT_SHARE = 0.2  # of worlds, in which a task of a router is cut short
 CUTS = (("Discovery._run", CutKind.MOVES, 40), ("Pool._open", CutKind.TIME_UP, 120))  # the last await, too
+RARE_SHARE = 0.6  # of worlds, with moments of `rare.py` on top of what is drawn here
 MOVED_SHARE = 0.2  # of worlds, in which the list moves and routers are told by SIGHUP
 
 
@@ -87,9 +93,22 @@
         },
     }
     scenario = Scenario.model_validate(table)
+    rare = stream(seed, "explore.rare")
+    others: dict[str, Any] = {}
+    besides, longer = list[dict[str, Any]](), 0.0
+    if rare.random() < RARE_SHARE:
+        others, besides, longer = rare_moments(rare, scenario)
     faults = [_fault(draws, scenario, length) for _ in range(draws.randint(0, MOST_FAULTS))]
-    faults = _one_at_a_time(faults) + _later(stream(seed, "explore.later"), length)
+    later = _later(stream(seed, "explore.later"), length)
+    faults = _one_at_a_time(besides + faults) + later
     faults.sort(key=lambda fault: read_time(fault["at"]))
+    table |= {
+        name: table[name] | part if name in table and isinstance(part, dict) else part
+        for name, part in others.items()
+    }
+    if any(fault["kind"] == FaultKind.ROUTER_REPLACE for fault in faults):
+        table.get("registry", {}).pop("asked", None)  # an agent can't tell two processes of one name apart
+    table["length"] = write_time(length + longer)
     return Scenario.model_validate(table | _cut(stream(seed, "explore.cut")) | {"fault": faults})
 
 
--- /dev/null
+++ b/tests/mutants/tells_all_the_time.py
@@ -0,0 +1,12 @@
+"""Tells servers the whole time that the client named, however much of it is over."""
+
+from __future__ import annotations
+
+from ironrail.net import memcache, origin
+
+RULE, SCENARIO = "rule time-told", "leaves.toml"
+
+
+def break_it() -> None:
+    memcache.info_with = lambda command, wait_ms: command.info
+    origin.info_with = memcache.info_with  # type: ignore[attr-defined]
--- a/tests/rehearsal/list_stage.py
+++ b/tests/rehearsal/list_stage.py
@@ -76,7 +76,7 @@
 
     try:
         loop.run_until_complete(bounded())
-        assert not loop.errors
+        assert not loop.errors, loop.errors
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
--- a/tests/rehearsal/test_client_days.py
+++ b/tests/rehearsal/test_client_days.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from ironrail.rehearsal.account.record import Outcome
+from ironrail.rehearsal.account.record import LEFT, Outcome
 from ironrail.rehearsal.scenario.reader import parse_scenario
-from ironrail.rehearsal.standins.clients import LEFT
 from ironrail.rehearsal.virtual.play import Virtual, play_virtual
 from tests.peers import scenario
 from tests.rehearsal.facts import planned
--- a/tests/rehearsal/test_list_clock.py
+++ b/tests/rehearsal/test_list_clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from types import SimpleNamespace
 
@@ -11,7 +12,7 @@
 from ironrail.rehearsal.scenario.faults import FaultKind
 from ironrail.rehearsal.standins.rows import Row, write_list
 from tests.rehearsal.list_stage import ASKED, ListStage, on_stage
-from tests.rehearsal.stage import ask
+from tests.rehearsal.stage import Wire, ask
 
 DRAINS = "terminating"
 
@@ -147,7 +148,50 @@
         await s.at(31.0)
         s.learn(DRAINS)
         await s.at(90.0)
-        assert s.told() == [(70.0, DRAINS)]
+        assert s.told() == [(37.0, DRAINS)]  # not 40 s after: it failed, and news was there to be had
+
+    on_stage(test, ASKED)
+
+
+async def ended(connection: Wire, answer: asyncio.Task[dict[str, object]]) -> None:
+    """A watch was reset."""
+    with pytest.raises((OSError, EOFError)):
+        await answer
+    with contextlib.suppress(OSError):
+        await connection.writer.wait_closed()
+
+
+def test_after_a_watch_that_was_reset_news_counts_six_seconds_after_it_could_be_had() -> None:
+    async def test(s: ListStage) -> None:
+        connection, answer = await s.watch(60.0)
+        await s.at(8.0)
+        s.registry.reset_watches()
+        await ended(connection, answer)
+        await s.at(8.5)
+        s.agent.begin_silence("outage")
+        s.learn(DRAINS)
+        await s.at(20.0)
+        assert s.told() == []  # out of reach
+        s.agent.end_silence("outage")
+        await s.at(90.0)
+        assert s.told() == [(26.0, DRAINS)]
+
+    on_stage(test, ASKED)
+
+
+def test_who_asks_in_time_after_a_reset_is_told_by_the_answer() -> None:
+    async def test(s: ListStage) -> None:
+        connection, answer = await s.watch(60.0)
+        s.registry.reset_watches()
+        await ended(connection, answer)
+        await s.at(1.0)
+        s.learn(DRAINS)
+        await s.at(4.0)
+        again = await s.watch(60.0)
+        await s.at(30.0)
+        assert not again[1].done()
+        ((when, state),) = s.told()
+        assert state == DRAINS and 4.0 < when < 6.0
 
     on_stage(test, ASKED)
 
