Cold servers: budget 0.35 of N, for the bound of N + 2 roots of N + 2 of all routers

Change: the share follows from the bound: three deviations of chance fit for every N up to m = 0.7 (beside the constant), with the factor of two by which the guide may be too high as before.

Tests: 3, 16, 20, 30, 40 and 200 routers, with and without hints, a server that returns cold and a surge 3 s later, a start that some routers know of, and a play that has to fail. The bound in them is the new, lower one.

--- a/ironrail/policy/cold.py
+++ b/ironrail/policy/cold.py
@@ -8,15 +8,14 @@
 from ironrail.policy import interface as api
 from ironrail.policy.state import Server
 
-# Of N, the requests of mean work that the settings allow a cold server in a window. It falls beyond N + 3
-# roots of N + 3 from all routers together. Each refills by this share of its own part of N as what the
+# Of N, the requests of mean work that the settings allow a cold server in a window. It falls beyond N + 2
+# roots of N + 2 from all routers together. Each refills by this share of its own part of N as what the
 # others carry tells, so all refill by this share of N, told too high by up to two: by weights that flatter
-# (1.3 here), by others that carry more than usual in a surge (1.5). At worst that is N, and the rest of the
-# bound is for chance: sends that come by chance with work that deviates by its mean vary by roots of 2 N,
-# of which the bound covers two; one request that a router has saved is covered by the 3, as routers of a
-# part save at different times. Played with three times the usual load: 0.7 to 0.9 of the bound by 3 or 16
-# routers; with 1.0 here 1.0 to 1.4.
-WARM_SPEND = 0.5
+# (1.3 here), by others that carry more than usual in a surge (1.5). At worst that is m of N, 0.7, and the
+# rest of the bound is for chance: sends that come by chance with work that deviates by its mean vary by
+# roots of 2 m N. Three such deviations, as one release has hundreds of windows, stay within the bound for
+# every N while (3 roots of 2 m - 2) squared is at most 8 (1 - m): up to an m of 0.7, and 0.35 of twice N.
+WARM_SPEND = 0.35
 
 
 class Cold:
--- a/tests/policy/test_cold.py
+++ b/tests/policy/test_cold.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import math
-import random
-
 import pytest
 
+from ironrail.policy import cold
 from ironrail.policy import interface as api
 from tests.driver import Driver, entry, settings
+from tests.policy.cold_fleet import Play, play
 
 
 @pytest.mark.parametrize("hits", [1, 10])
@@ -93,14 +92,17 @@
 def test_what_all_routers_have_out_at_a_cold_server_is_bounded() -> None:
     """One that was slow besides had nearly five times what it could do, within the budget of each router."""
     quick, slow = (sent_to_a_cold_server(15, takes, True) for takes in (0.02, 0.8))
-    assert len(quick) > 80  # its budget
+    assert len(quick) > 160 * cold.WARM_SPEND  # its budget
     in_a_window = max(sum(t - 1.0 < u <= t for u in slow) for t in slow)
     assert in_a_window <= 1.5 * 15  # one each, most of them answered
 
 
-def test_a_cold_server_that_does_not_answer_is_left_for_a_while_though_others_are_crowded() -> None:
+def test_a_cold_server_that_does_not_answer_is_left_for_a_while_though_others_are_crowded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(cold, "WARM_SPEND", 1.0)  # so that silence holds back more than the budget does
     answering, silent = (sent_to_a_cold_server(15, 0.8, answers) for answers in (True, False))
-    assert 0 < sum(t > 1.0 for t in silent) < 0.5 * sum(t > 1.0 for t in answering)
+    assert 0 < sum(t > 1.0 for t in silent) < 0.45 * sum(t > 1.0 for t in answering)
 
 
 def test_a_fleet_all_cold_is_not_left_idle() -> None:
@@ -141,38 +143,35 @@
     assert before and sum(s == ["d"] for s in sent) <= 10
 
 
-def most_sent_of_what_a_cold_server_bears(routers: int, each: float, seed: int) -> float:
-    """Of N + 3 roots of N + 3 requests, the most in any window that all routers sent one as it warmed up.
+PLAYS = [
+    Play(3, 40.0),
+    Play(3, 40.0, hints=False),
+    Play(3, 40.0, after=3.0, returns=True, hints=False),
+    Play(16, 40.0, hints=False),
+    Play(20, 20.0, after=3.0, returns=True, hints=False),
+    Play(30, 20.0, hints=False),
+    Play(40, 4.0),
+    Play(200, 4.0, hints=False),
+]
 
-    Nine warm servers carry `each` requests a second; the tenth starts when three times as many are asked for,
-    and can do less than its weight says. Work is drawn; N is counted in requests of mean work.
-    """
-    conf = settings(ramp=10.0, cold_share=0.3, fall_multiple=2.5, fall_window=1.0, max_attempts=1)
-    draws, fleet = random.Random(seed), [Driver(conf, seed * routers + n) for n in range(routers)]
-    warm = [entry(f"s{n}") for n in range(9)]
-    for d in fleet:
-        d.list(*warm)
-    began, start, end = fleet[0].now, fleet[0].now + 20.0, fleet[0].now + 28.0
-    now, count, sent = began, 0, list[tuple[float, float]]()
-    while now < end:
-        before, surge = now, 1.0 if now < start else 3.0
-        now += draws.expovariate(9 * each * surge)
-        if before < start <= now:
-            for d in fleet:
-                d.list(*warm, entry("cold", since=start))
-        d, count = draws.choice(fleet), count + 1
-        d.now, work = now, draws.lognormvariate(-0.35, 0.83)  # of mean 1
-        if d.request(f"r{count}", key=f"k{count}", hint=work, finish=True) == "cold":
-            sent.append((now, work))
-    most = 0.0
-    for t, _ in sent:
-        n = 2.5 * (0.3 + 0.07 * (t - start)) * each / 1.3
-        most = max(most, sum(w for u, w in sent if t - 1.0 < u <= t) / (n + 3 * math.sqrt(n) + 3))
-    return most
-
-
-@pytest.mark.parametrize(("routers", "each"), [(3, 40.0), (16, 40.0), (40, 4.0)])
-def test_all_routers_together_keep_to_what_a_cold_server_bears(routers: int, each: float) -> None:
-    """With twice the budget it is 1.0 to 1.4 of that where routers are 3 or 16."""
-    worst = [most_sent_of_what_a_cold_server_bears(routers, each, seed) for seed in range(2)]
-    assert 0.1 < max(worst) < 1.0
+
+@pytest.mark.parametrize("p", PLAYS, ids=str)
+def test_all_routers_together_keep_to_what_a_cold_server_bears(p: Play) -> None:
+    """With 0.5 in place of 0.35 it was up to 1.2 of that where clients give no hints."""
+    worst = max((play(p, seed) for seed in range(2 if p.routers < 200 else 1)), key=lambda sent: sent.most)
+    assert worst.count > 0 and worst.most < 1.0
+
+
+def test_a_start_that_some_routers_know_of_is_not_broken_by_those() -> None:
+    """What the others send is not theirs to hold back: but two thirds of a fall never come from them."""
+    for told, seed in ((0.6, 0), (0.8, 1), (0.95, 2)):
+        sent = play(Play(25, 20.0, told=told, hints=False), seed)
+        assert sent.count > 0 and (sent.most < 1.0 or sent.told <= 2 / 3), (told, sent)
+
+
+def test_a_start_that_nobody_minds_is_seen_to_be_one() -> None:
+    """The play can fail: where each router spends three times as much a cold server falls by all of them."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(cold, "WARM_SPEND", 3 * cold.WARM_SPEND)
+        sent = play(Play(3, 40.0, hints=False), 0)
+    assert sent.most > 1.0 and sent.told == 1.0
