Clients: a connection is shut before it is closed: no reset over what crosses its end

Cause: net/client.py closed a connection once a look at it said that nothing was unread (_flush, check, Clients.make_way, end_waiting, and the eviction in _taken, which aborted). What came between the look and the close made the close a reset, which destroys answers under way. FINISH shut it, but paused reading, so that its close a second later was a reset too, as was the refusal of one with no place. A client that half-closed and took no answers kept its connection for good, as did an idle one with less than the high-water mark unwritten: a close waits for what is written, and check() looked at none that was closing. A client's end was told to the host twice; the same id, asked again elsewhere, went with the second.

Change: Shut sends the end behind what is written, reads nothing until the system knows of it (what is read before would have been taken), then drops what comes, up to 1 MiB, until the other end closes, or a second has passed; up to UNREAD where it still takes what it is owed. Lingering bounds those, the oldest is aborted. The invariant of the explorer now asks each connection to be placed or lingering, never both.

--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -4,43 +4,15 @@
 
 import asyncio
 from collections import deque
-from typing import Protocol, cast
+from typing import cast
 
-from ironrail.connections.downstream import Downstream, Fate, Next, Place
+from ironrail.connections.downstream import Fate, Next, Place
 from ironrail.net import memcache
 from ironrail.net.held import Reader
-from ironrail.net.host import Host
 from ironrail.net.memcache import BadCommand, Command, CommandParser, Noop
+from ironrail.net.others import Others
+from ironrail.net.shut import Shut
 from ironrail.net.slots import Slot
-from ironrail.net.system import System
-
-LINGER = 1.0  # for the error line to be read: closing at once on unread bytes would destroy it
-
-
-class Others(Protocol):
-    """What a connection needs of all of them."""
-
-    host: Host
-    places: Downstream
-    system: System
-
-    def can_serve(self) -> bool:
-        """Whether requests may come."""
-
-    def add(self, connection: ClientConnection) -> Place:
-        """A connection has come up."""
-
-    def remove(self, place: Place) -> None:
-        """A connection has ended, or is about to."""
-
-    def reader_of(self, transport: asyncio.Transport) -> Reader | None:
-        """Whoever is at its other end, where regions of readers are told apart."""
-
-    def let_in(self) -> None:
-        """Go on with those whose long value there is room for now."""
-
-    def make_way(self) -> None:
-        """Close those that rest for others, where that crosses nothing."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -50,11 +22,13 @@
     place: Place
     reader: Reader | None
 
-    def __init__(self, clients: Others) -> None:
+    def __init__(self, clients: Others[ClientConnection]) -> None:
         self._clients = clients
         self._parser = CommandParser()
         self._slots: deque[Slot] = deque()
         self._parsing = False
+        self._parse_due = False
+        self._shut: Shut | None = None  # since then nothing more is answered
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -63,6 +37,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self.place.ending:
+            if self._shut is not None:
+                self._shut.dropped(len(data))
             return
         self._clients.places.received(self._clients.system.now(), self.place)
         self._parser.add(data)
@@ -70,6 +46,7 @@
 
     def _parse(self) -> None:
         """Take commands, up to the bound: the rest waits for its turn, or one client would hold up all."""
+        self._parse_due = False
         if self.place.ending:
             return
         self._parsing, self.place.more = True, False
@@ -110,6 +87,8 @@
             self._clients.host.room.hand_on(self, slot)
             slot.has_room = True
         match item:
+            case Command() if self._clients.over:
+                slot.answer = memcache.write_busy(None)
             case Command():
                 slot.request = self._clients.host.take(item, slot.give, slot)
                 good = slot.request is not None
@@ -156,24 +135,22 @@
             self.transport.write(b"".join(ready))
         if self._slots and self._slots[0].passes_on:
             self._slots[0].throttle()
-        closing = self.transport.is_closing()
-        match self._clients.places.settled(self.place, written, self._parser.begun, closing):
+        match self._clients.places.settled(self.place, written, self._parser.begun, self.ends):
             case Next.PARSE:
-                self.place.more = False
+                self.place.more, self._parse_due = False, True
                 asyncio.get_running_loop().call_soon(self._parse)
             case Next.FINISH:
-                self.transport.write_eof()
-                asyncio.get_running_loop().call_later(LINGER, self.transport.abort)
+                self.shut()
             case Next.CLOSE if self.clear():  # else what has come is read first, or the answer goes out first
                 self.place.left = self.place.leaves
-                self.transport.close()
+                self.shut()
             case Next.MAKE_WAY:
                 self._clients.make_way()
         self._throttle()
 
     def _throttle(self) -> None:
         reading = self._clients.places.reads(self.place)
-        if reading is not self.place.reading and not self.transport.is_closing():
+        if reading is not self.place.reading and not self.ends:
             self.place.reading = reading
             if reading:
                 self.transport.resume_reading()
@@ -192,21 +169,33 @@
         if self._slots:
             self._slots[0].throttle()
 
+    def unread(self) -> bool:
+        """Whether something has come that is not yet parsed."""
+        return self._parse_due or self._clients.system.unread(self.transport)()
+
     def clear(self) -> bool:
-        """Whether closing it now would cross nothing, neither what has come unread nor what is unwritten.
+        """Whether ending it now would cross nothing that is known of: what has come, and what is unwritten.
 
-        A close with unread data sends a reset, which destroys answers that are still on their way; and while
-        a close waits for answers to go out nothing more is read.
+        What comes in that very instant is read and dropped: its client asks again elsewhere.
         """
-        if self.transport.is_closing():
-            return True
-        return (
-            not self._clients.system.unread(self.transport)() and not self.transport.get_write_buffer_size()
-        )
+        return self.ends or not (self.unread() or self.transport.get_write_buffer_size())
+
+    @property
+    def ends(self) -> bool:
+        """Whether it is closing, or shut."""
+        return self._shut is not None or self.transport.is_closing()
+
+    def shut(self, ended: bool = False) -> None:
+        """End it behind what is written; what still comes is dropped until the other end closes too."""
+        if self.ends:
+            return
+        self.place.ending = True
+        self._shut = Shut(self.transport, ended=ended)
+        self._clients.lingers(self)
 
     def check(self, now: float) -> None:
         """Do what is due if it has been waited for, or waits, for too long."""
-        if self.transport.is_closing():
+        if self.ends:
             return
         match self._clients.places.fate(now, self.place):
             case Fate.ABORT:
@@ -215,13 +204,26 @@
                 self._clients.places.cut_short(self.place)
                 self._slots.append(Slot(self, memcache.TOO_LATE))
                 self._flush()
-            case Fate.CLOSE if self.clear():
-                self.transport.close()
+            case Fate.CLOSE if not self.unread():  # though it may not take the last of its answers, or never
+                self.shut()
+
+    def eof_received(self) -> bool:
+        """The client has gone: at once, though what is written to it may be long in going out, or never."""
+        self._forsake()
+        if not self.transport.get_write_buffer_size():
+            return False  # it closes now
+        self.shut(ended=True)
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._clients.remove(self)
+        self._forsake()
+
+    def _forsake(self) -> None:
+        """Nobody is there for what was asked; told once, as the client may ask by the same id elsewhere."""
         self.place.ending = True
-        self._clients.remove(self.place)
-        for slot in self._slots:
+        slots, self._slots = self._slots, deque()
+        for slot in slots:
             self._clients.host.room.give_back(slot)
             if slot.request is not None and slot.answer is None:
                 self._clients.host.gone(slot.request)
--- a/ironrail/net/clients.py
+++ b/ironrail/net/clients.py
@@ -6,18 +6,20 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections.abc import Callable
 from typing import cast
 
+from ironrail.connections.descriptors import MOST_ACCEPTS
 from ironrail.connections.downstream import Downstream, Place
+from ironrail.connections.lingering import Lingering
 from ironrail.net import memcache
 from ironrail.net.accepting import Acceptor
 from ironrail.net.client import ClientConnection
 from ironrail.net.held import Reader
 from ironrail.net.host import Host
+from ironrail.net.shut import Shut
 from ironrail.net.system import REAL, Address, System
 
 log = logging.getLogger(__name__)
@@ -25,13 +27,44 @@
 SWEEP = 0.25  # seconds between looks at all connections
 
 
+class TurnedAway(asyncio.Protocol):
+    """A connection for which there is no room: told so. A close over what it has asked would destroy that."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, clients: Clients) -> None:
+        self._clients = clients
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.write(memcache.TOO_MANY)
+        self._shut = Shut(self.transport)
+        self._clients.lingers(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._shut.dropped(len(data))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._clients.lingering.gone(self)
+
+
 class Clients:
     """All client connections of this router."""
 
     def __init__(
-        self, host: Host, ready: Callable[[], bool], places: Downstream, system: System = REAL
+        self,
+        host: Host,
+        ready: Callable[[], bool],
+        places: Downstream,
+        system: System = REAL,
+        *,
+        lingering: int,
+        accepts: int = MOST_ACCEPTS,
     ) -> None:
+        """`lingering`: connections that are shut and not yet closed; `accepts`: taken in one go."""
         self.system = system
+        self.over = False
+        self.lingering, self._accepts = Lingering(lingering), accepts
         self.host, self._ready = host, ready
         self.places = places
         self._loop = asyncio.get_running_loop()
@@ -43,30 +76,25 @@
 
     def listen(self, address: Address) -> Address:
         """Take connections from now on; answers with the address listened on."""
-        self._acceptor = Acceptor(self.system, address, self._taken)
+        self._acceptor = Acceptor(self.system, address, self._taken, self._accepts)
         self._loop.call_later(SWEEP, self._sweep)
         return self._acceptor.address
 
     def _taken(self, connection: socket.socket) -> None:
         admission = self.places.arrived()
         if admission.evicted is not None:
-            evicted = self._connections[admission.evicted]
-            self.remove(admission.evicted)
-            evicted.transport.abort()
-        if admission.admitted:
-            task = self._loop.create_task(self._adopt(connection))
-            self._opening.add(task)
-            task.add_done_callback(self._opening.discard)
-        else:
-            with contextlib.suppress(OSError):
-                connection.send(memcache.TOO_MANY)
-            connection.close()
+            self._connections[admission.evicted].shut()
+        task = self._loop.create_task(self._adopt(connection, admission.admitted))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
 
-    async def _adopt(self, connection: socket.socket) -> None:
+    async def _adopt(self, connection: socket.socket, admitted: bool) -> None:
+        make = ClientConnection if admitted else TurnedAway
         try:
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self), connection)
+            await self._loop.connect_accepted_socket(lambda: make(self), connection)
         except OSError:  # it has ended already
-            self.places.not_opened()
+            if admitted:
+                self.places.not_opened()
             connection.close()
 
     def let_in(self) -> None:
@@ -75,12 +103,12 @@
             cast(ClientConnection, owner).let_in()
 
     def make_way(self) -> None:
-        """Close those that rest for others, where that crosses nothing."""
+        """Shut those that rest for others, where that crosses nothing."""
         while (longest := self.places.makes_way()) is not None:
             connection = self._connections[longest]
             if connection.clear():
-                self.remove(longest)
-                connection.transport.close()
+                connection.shut()
+                self.places.gone(longest)  # also where it is closing already
             else:
                 self.places.stays(longest)
 
@@ -102,13 +130,22 @@
         return self.reader(transport) if self.reader is not None else None
 
     def all(self) -> list[ClientConnection]:
-        """All connections that are up, the oldest first."""
-        return list(self._connections.values())
-
-    def remove(self, place: Place) -> None:
-        """A connection has ended, or is about to."""
-        self.places.gone(place)
-        self._connections.pop(place, None)
+        """All connections that are up and not shut, the oldest first."""
+        return [connection for connection in self._connections.values() if not connection.ends]
+
+    def lingers(self, connection: ClientConnection | TurnedAway) -> None:
+        """It is shut, and waits for its other end to close: in nobody's place, but holding a descriptor."""
+        if isinstance(connection, ClientConnection):
+            self.places.gone(connection.place)
+        oldest = self.lingering.add(connection)
+        if oldest is not None:
+            cast(ClientConnection | TurnedAway, oldest).transport.abort()
+
+    def remove(self, connection: ClientConnection) -> None:
+        """A connection has ended."""
+        self.places.gone(connection.place)
+        self.lingering.gone(connection)
+        self._connections.pop(connection.place, None)
         if not self._connections:
             self._empty.set()
 
@@ -124,10 +161,15 @@
         self.places.draining = True
 
     def end_waiting(self, hurry: bool) -> None:
-        """Close those that wait for a command, but where something has just come: behind its answer."""
+        """Shut those that wait for a command, but where something has just come: behind its answer."""
         for place in self.places.leaving(self.system.now(), hurry):
             if (connection := self._connections.get(place)) is not None and connection.clear():
-                connection.transport.close()
+                connection.shut()
+
+    def end_all(self) -> None:
+        """Time is up: all that is held has its answer now, and what is still read is refused at once."""
+        self.over = True
+        self.host.end_all()
 
     async def drained(self) -> None:
         """Wait until the last has closed."""
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -11,7 +11,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ironrail.connections.downstream import CLIENTS_SHARE, KEPT_SHARE, Downstream
+from ironrail.connections.descriptors import share_descriptors
+from ironrail.connections.downstream import Downstream
 from ironrail.connections.room import Room
 from ironrail.door.calls import Answer, Page, Post
 from ironrail.net.caches import CacheConnection
@@ -34,7 +35,6 @@
     from ironrail.net.together import Together
 
 ORIGIN_CONNECTIONS = 32
-OWN_DESCRIPTORS = 24  # of the process itself: log, loop, listener, two discoveries, new connections
 OWN_MEMORY = 36 * 1024**2  # bytes of a router without long values, some to spare
 LEAST_ROOM = 5 * 1024**2  # bytes for them all the same: one of the longest and a little
 LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
@@ -74,10 +74,7 @@
         self._discovery = Discovery(config.discovery, reader, settings.subscribe, settings.index)
         self._listed, self._listening = asyncio.Event(), False
         self._late: asyncio.Task[None] | None = None
-        to_servers = (config.sockets - OWN_DESCRIPTORS) // 3
-        to_clients = (
-            (config.sockets - OWN_DESCRIPTORS - to_servers) * 3 // 4
-        )  # the rest for those that come and go
+        shares = share_descriptors(config.sockets)
         room = Room(max(LEAST_ROOM, (config.memory - OWN_MEMORY) // 2))
         self._access: Access | None = None
         if operator.access_log is not None:
@@ -89,14 +86,20 @@
             router,
             self._pool,
             self._discovery.ask,
-            to_servers,
+            shares.servers,
             system,
             self._discovery.again,
             room,
             self._access.note if self._access is not None else None,
         )
-        kept = int(config.sockets * CLIENTS_SHARE * KEPT_SHARE)
-        self._clients = Clients(self._host, self._can_serve, Downstream(to_clients, kept), system)
+        self._clients = Clients(
+            self._host,
+            self._can_serve,
+            Downstream(shares.clients, shares.kept),
+            system,
+            lingering=shares.lingering,
+            accepts=shares.accepts,
+        )
         self.together: Together | None = None
         if operator.peers is not None:
             from ironrail.net.together import Together  # noqa: PLC0415 - a router alone does without it
--- a/ironrail/net/readers.py
+++ b/ironrail/net/readers.py
@@ -160,7 +160,7 @@
         _, halls = self._known(now)
         takes = takes_more(halls)
         for connection, (to, since) in list(self._leaving.items()):
-            gone = connection.transport.is_closing()
+            gone = connection.ends
             self.let_go += gone and connection.place.left
             if gone or now - since >= LEAVING or not takes.get(to, False):
                 self._stays(connection)
--- a/ironrail/rehearsal/virtual/invariants.py
+++ b/ironrail/rehearsal/virtual/invariants.py
@@ -52,8 +52,15 @@
         yield "load", f"the module believes {load} on its ring where nothing is out"
     for name, pool in host._pools.items():
         yield from _of_pool(name, pool)
-    if len(clients.places) != len(clients._connections):
-        yield "places", f"{len(clients.places)} places, {len(clients._connections)} connections of clients"
+    placed = set(clients.places)
+    if lost := placed - clients._connections.keys():
+        yield "places", f"{len(lost)} places of connections that are none"
+    for place, connection in clients._connections.items():
+        if (place in placed) is (connection in clients.lingering) and not connection.transport.is_closing():
+            yield (
+                "places",
+                f"a connection is {'placed and' if place in placed else 'neither placed nor'} shut",
+            )
 
 
 def _of_pool(name: str, pool: Any) -> Iterator[tuple[str, str]]:
