Shutdown: its steps follow from the deadlines of the settings; what comes last is refused

Cause: net/node.py answered all that was held 3.55 s after SIGTERM, which fits deadlines of 3 s and more. SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM: with 0.4 s, at 1.1 s, and found what hung unanswered. At the end end_all() ran once and the process went 20 ms later: commands that were parsed after it went through the module and could wait there. A process that waited to take over slept out the whole end; one that could not share the address when its wait was over went on with no listener. SIGHUP could start discovery anew after its end.

Change: net/shutdown.py derives a timetable: 0.15 s before SIGKILL may come all is answered, and 0.1 s later the process ends, if not all have gone; rest and halves shrink to fit; from 3 s on the steps are as before.

--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -9,6 +9,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ironrail.connections.descriptors import share_descriptors
@@ -24,6 +25,7 @@
 from ironrail.net.operators import Door
 from ironrail.net.origin import OriginConnection
 from ironrail.net.pool import Pool
+from ironrail.net.shutdown import shut_down
 from ironrail.net.system import REAL, Address, System
 from ironrail.operator_file import Operator
 from ironrail.policy import interface as api
@@ -37,12 +39,6 @@
 ORIGIN_CONNECTIONS = 32
 OWN_MEMORY = 36 * 1024**2  # bytes of a router without long values, some to spare
 LEAST_ROOM = 5 * 1024**2  # bytes for them all the same: one of the longest and a little
-LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
-LAST_REST = 0.55  # seconds after that in which a connection that rests may still be used
-LAST_HALVES = 1.5  # seconds after SIGTERM in which a command may end, where nobody else serves meanwhile
-LAST_ANSWERS = 3.55  # seconds after SIGTERM by which all that is held has its answer
-LOOK = 0.1  # seconds between looks at those that are still there
-LAST_WRITES = 0.02  # seconds for the last answers to go out
 LIST_WAIT = 2.0  # seconds for the first list, where another process serves meanwhile
 
 NO_FILE = Operator()  # all as usual
@@ -202,30 +198,23 @@
         self.start()
         log.info("listening", extra={"address": "{}:{}".format(*self._config.listen)})
         self._system.settled()
-        await told.wait()
+        waits = asyncio.create_task(told.wait())
+        if self._late is not None:
+            await asyncio.wait([waits, self._late], return_when=asyncio.FIRST_COMPLETED)
+            if self._late.done():
+                self._late.result()  # where it can't listen nobody will ever come: it ends
+        await waits
         log.info("stopping")
         await self.stop()
 
     async def stop(self) -> None:
         """Take what still comes, answer all that is held, and end."""
-        began = self._system.now()
         self._clients.drain()
         if self._late is not None:
             self._late.cancel()
-        await asyncio.sleep(LAST_CONNECTIONS)
         if self._listening:
-            self._clients.stop_listening()
-        alone = not self._system.served(self._config.listen)
-        await asyncio.sleep(LAST_REST)
-        drained = asyncio.create_task(self._clients.drained())
-        while not drained.done() and self._system.now() - began < LAST_ANSWERS:
-            self._clients.end_waiting(alone and self._system.now() - began >= LAST_HALVES)
-            await asyncio.wait([drained], timeout=LOOK)
-        if not drained.done():
-            log.warning("clients_stay_to_the_last")
-            drained.cancel()
-            self._host.end_all()
-            await asyncio.sleep(LAST_WRITES)
+            served = partial(self._system.served, self._config.listen)
+            await shut_down(self._clients, self._config.settings, self._system.now, served)
         self._discovery.stop()
         if self.together is not None:
             self.together.close()
@@ -234,6 +223,9 @@
 
     def reload(self) -> None:
         """Read the configuration again: discovery may have moved, all else holds until a restart."""
+        if self._clients.places.draining:  # its end is near, and nothing is begun anew
+            log.info("configuration_stays", extra={"error": "the router ends"})
+            return
         try:
             config = self._reread()
         except Exception as e:  # guards the running router against whatever the file holds
--- /dev/null
+++ b/ironrail/net/shutdown.py
@@ -0,0 +1,75 @@
+"""How a router ends once it is told to: until when it takes what, and by when all it holds is answered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ironrail.policy import interface as api
+
+if TYPE_CHECKING:
+    from ironrail.net.clients import Clients
+
+# The protocol's: SIGKILL comes no sooner after SIGTERM than the longest deadline, but at most so many seconds
+LONGEST_WAIT = 3.0
+GRACE = 0.7  # and so many more
+# seconds before that by which all has its answer: the signal may be noticed late, and answers take their time
+MARGIN = 0.15
+LAST_BYTES = 0.1  # seconds of that for clients to take what is written, and to close first
+LAST_CONNECTIONS = 0.45  # seconds in which clients still connect: 0.4 by the protocol, and some to spare
+LAST_REST = 0.55  # seconds after that in which a connection that rests may still be used
+LAST_HALVES = 1.5  # seconds after SIGTERM in which a command may end, where nobody else serves meanwhile
+LOOK = 0.1  # seconds between looks at those that are still there
+LAST_LOOK = 0.01  # the same once all that is held is being answered
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Timetable:
+    """The steps of an end, in seconds after SIGTERM, each no sooner than the one before."""
+
+    connections: float  # until then clients still connect
+    rest: float  # until then a connection that rests may still be used
+    halves: float  # until then a command may end, where nobody else serves meanwhile
+    answers: float  # then all that is held has its answer
+    end: float  # then the process ends, whoever is still there
+
+
+def timetable(settings: api.Settings) -> Timetable:
+    """As long as deadlines are: where all are short, SIGKILL comes sooner, and the steps shrink."""
+    longest = max(known.give_up for known in settings.classes.values())
+    answers = min(LONGEST_WAIT, longest) + GRACE - MARGIN
+    rest = LAST_CONNECTIONS + min(LAST_REST, (answers - LAST_CONNECTIONS) / 2)
+    halves = min(LAST_HALVES, (rest + answers) / 2)
+    return Timetable(LAST_CONNECTIONS, rest, halves, answers, answers + LAST_BYTES)
+
+
+async def shut_down(
+    clients: Clients, settings: api.Settings, now: Callable[[], float], served: Callable[[], bool]
+) -> None:
+    """Take what still comes, answer all that is held, and return once the last has gone or time is up.
+
+    What is closed unread has never run, as its client may ask for it again elsewhere.
+
+    `served`: whether another process listens at the address, asked once ours no longer does.
+    """
+    began, steps = now(), timetable(settings)
+    await asyncio.sleep(steps.connections)
+    clients.stop_listening()
+    alone = not served()
+    await asyncio.sleep(began + steps.rest - now())
+    drained = asyncio.create_task(clients.drained())
+    while not drained.done() and now() - began < steps.answers:
+        clients.end_waiting(alone and now() - began >= steps.halves)
+        await asyncio.wait([drained], timeout=min(LOOK, max(0.0, began + steps.answers - now())))
+    if not drained.done():
+        log.warning("clients_stay_to_the_last")
+        clients.end_all()
+    while not drained.done() and now() - began < steps.end:
+        clients.end_waiting(hurry=True)
+        await asyncio.wait([drained], timeout=LAST_LOOK)
+    drained.cancel()
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -7,11 +7,17 @@
 import time
 from pathlib import Path
 
-from ironrail.net import node
+from ironrail.net.shutdown import timetable
+from ironrail.policy import interface as api
 from tests.peers import LOCAL, Client, Peer, connect, scenario
 from tests.test_process import free_port, start
 
 
+def settings(*give_up: float) -> api.Settings:
+    """Of classes with deadlines of so many seconds."""
+    return api.Settings({f"c{n}": api.RequestClass(f"c{n}", 0.1, give_up=g) for n, g in enumerate(give_up)})
+
+
 async def told_to_end(process: asyncio.subprocess.Process) -> None:
     """Send SIGTERM and wait until the router knows."""
     process.send_signal(signal.SIGTERM)
@@ -99,7 +105,7 @@
         await asyncio.sleep(0.1)  # a client's own pace
     client.get("last", wait=8000)
     assert (await client.line()).startswith(b"SERVER_ERROR ")
-    assert node.LAST_ANSWERS + node.LAST_WRITES < 3.7  # SIGKILL may come then
+    assert timetable(settings(9.0)).end < 3.7  # SIGKILL may come then
     assert time.monotonic() - began < 4.5  # and a busy machine besides
     for n in range(sent):
         assert await client.value(f"r{n}") == b"v"
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,266 @@
+"""A router's end in the process of a test: deadlines of any length, what is held, what is unread."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from dataclasses import astuple, replace
+from typing import Any
+
+import pytest
+
+from ironrail.connections import downstream
+from ironrail.net import accepting, shutdown
+from ironrail.net.client import ClientConnection
+from ironrail.net.node import Node
+from ironrail.net.shutdown import Timetable, timetable
+from ironrail.policy import interface as api
+from tests.peers import LOCAL, ONCE, READ, SETTINGS, World, connect, scenario, until
+from tests.test_clients import P, is_ready
+
+
+def of(*give_up: float) -> Timetable:
+    """The end of a router with classes of such deadlines."""
+    rows = {f"c{n}": api.RequestClass(f"c{n}", 0.1, give_up=g) for n, g in enumerate(give_up)}
+    return timetable(replace(SETTINGS, classes=rows))
+
+
+@pytest.mark.parametrize("longest", [0.0, 0.05, 0.3, 1.0, 1.7, 3.0, 9.0, float("inf")])
+def test_all_is_answered_before_the_platform_may_kill_whatever_the_deadlines(longest: float) -> None:
+    steps = of(0.0, longest, min(longest, 0.4))
+    killed = min(3.0, longest) + 0.7
+    assert 0.4 < steps.connections < steps.rest < steps.halves < steps.answers < steps.end < killed
+    assert killed - steps.answers <= 0.2  # and no request is given up sooner than it needs to be
+
+
+def test_where_deadlines_are_long_the_end_is_as_late_as_it_may_be() -> None:
+    assert astuple(of(9.0)) == astuple(of(3.0)) == pytest.approx((0.45, 1.0, 1.5, 3.55, 3.65))
+
+
+SHORT = replace(READ, give_up=0.4)
+
+
+async def short(**changes: Any) -> World:
+    """A router all of whose deadlines are short."""
+    once = replace(ONCE, give_up=0.4)
+    return await World(classes={"read": SHORT, "once": once}, **changes).start()
+
+
+@scenario
+async def test_with_short_deadlines_nothing_is_unanswered_when_the_platform_may_kill() -> None:
+    """All was answered 3.55 s after SIGTERM: SIGKILL came 1.1 s after it, and found what hung."""
+    world = await short()
+    client = await world.client()
+    loop = asyncio.get_running_loop()
+    began, sent = loop.time(), 0
+    ending = asyncio.ensure_future(world.node.stop())
+    while loop.time() - began < 0.85:  # its own pace up to the end; the cache never answers
+        client.get(f"r{sent}", wait=400)
+        sent += 1
+        await asyncio.sleep(0.05)
+    await ending
+    assert loop.time() - began < 0.4 + 0.7 + 0.5  # and a busy machine besides
+    for _ in range(sent):
+        assert (await client.line()).startswith(b"SERVER_ERROR ")
+    assert await client.ended()
+
+
+@scenario
+async def test_hundreds_of_commands_that_the_end_finds_unparsed_have_their_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = await short()
+    client = await world.client()
+    client.get("held", wait=400)
+    await world.cache.next()
+    client.send(b"".join(b"mg k v Or%d Pc=read,t=x,d=400\r\n" % n for n in range(300)))
+    end_all, late = world.node._host.end_all, 0
+
+    def end() -> None:
+        nonlocal late
+        if (
+            not late
+        ):  # more comes in the moment of the end: it is read, and held, once all others are answered
+            late = 300
+            writes = b"".join(b"ms k 1 Os%d Pc=once,t=x,d=400\r\nv\r\n" % n for n in range(late))
+            client.writer.transport.write(writes)
+        end_all()
+
+    monkeypatch.setattr(world.node._host, "end_all", end)
+    await world.node.stop()
+    # here the process ends: all is answered, and said to be over
+    assert late and not world.node._host._held and not world.node._clients.all()
+    for _ in range(301 + late):
+        assert (await client.line()).startswith(b"SERVER_ERROR ")
+    assert await client.ended()
+
+
+@scenario
+async def test_what_is_read_and_not_yet_parsed_is_not_shut_over() -> None:
+    """More than a connection may have in hand was parsed a turn later, and its end came between."""
+    world = await World().start()
+    client, most = await world.client(), downstream.MOST_PIPELINED
+    client.send(b"mn\r\n" * (most + 2))
+    looked = 0
+
+    def look() -> None:
+        nonlocal looked
+        looked += 1
+        world.node._clients.end_waiting(True)
+        if looked < 2000:
+            loop.call_soon(look)
+
+    loop = asyncio.get_running_loop()
+    loop.call_soon(look)
+    world.node._clients.drain()
+    for _ in range(most + 2):
+        assert await client.line() == b"SERVER_ERROR not ready\r\n"
+
+
+@scenario
+async def test_one_that_never_closes_does_not_keep_the_process() -> None:
+    world = await short()
+    rude = await world.client()
+    assert await is_ready(rude)
+    await world.node.stop()  # within the time of the whole test
+    assert await rude.ended()
+
+
+@scenario
+async def test_a_router_that_never_listened_ends_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = await World().start()
+    listen = world.address
+    second = Node(replace(world.config(), listen=listen))
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(loop.__class__, "add_signal_handler", lambda *_: None, raising=False)
+    second.start()
+    assert second._late is not None and not second._listening
+    await asyncio.wait_for(second.stop(), shutdown.LAST_CONNECTIONS / 2)
+    await asyncio.sleep(0)
+    assert second._late.cancelled() and not second._listening
+
+
+@scenario
+async def test_one_that_can_not_share_the_address_ends_with_the_reason(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It went on without a listener: a process that nobody could reach."""
+    monkeypatch.setattr("ironrail.net.node.LIST_WAIT", 0.05)
+    world = await World().start()
+    with socket.create_server((LOCAL, 0)) as taken:  # by who does not share
+        node = Node(replace(world.config(), listen=taken.getsockname()[:2]))
+        with pytest.raises(OSError, match="use"):
+            await asyncio.wait_for(node.serve(), 5.0)
+    node._discovery.stop()
+
+
+@scenario
+async def test_told_to_read_its_configuration_while_it_ends_it_begins_nothing_anew() -> None:
+    world = await World().start()
+    world.node._reread = lambda: replace(world.config(), discovery=(LOCAL, 9))
+    task = world.node._discovery._task
+    world.node._clients.drain()
+    world.node.reload()
+    assert world.node._discovery._task is task and world.node._config.discovery[1] != 9
+
+
+# The listener
+
+
+class Queue:
+    """A listening socket with these in its queue; exceptions are what an accept says instead."""
+
+    def __init__(self, *queue: socket.socket | OSError) -> None:
+        self.queue = list(queue)
+        self.real = socket.create_server((LOCAL, 0))
+        self.real.setblocking(False)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if not self.queue:
+            return self.real.accept()
+        if isinstance(first := self.queue.pop(0), OSError):
+            raise first
+        return first, None
+
+
+class System:
+    """A system that listens so."""
+
+    def __init__(self, queue: Queue) -> None:
+        self.queue = queue
+
+    def listen(self, address: Any, backlog: int) -> Any:
+        return self.queue
+
+
+@scenario
+async def test_one_that_has_gone_in_the_queue_does_not_end_those_behind_it_as_the_listener_closes() -> None:
+    near, far = socket.socketpair()
+    queue = Queue(ConnectionAbortedError(), near)
+    taken: list[socket.socket] = []
+    acceptor = accepting.Acceptor(System(queue), (LOCAL, 0), taken.append)  # type: ignore[arg-type]
+    acceptor.close()
+    assert taken == [near]
+    near.close()
+    far.close()
+
+
+@scenario
+@pytest.mark.parametrize("what", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO])
+async def test_accepting_goes_on_after_a_shortage_and_neither_spins_nor_floods_the_log(
+    what: int, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(accepting, "FULL_PAUSE", 0.01)
+    queue = Queue(*(OSError(what, "none left") for _ in range(20)))
+    taken: list[socket.socket] = []
+    acceptor = accepting.Acceptor(System(queue), (LOCAL, 0), taken.append)  # type: ignore[arg-type]
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    client = await connect(acceptor.address)
+    await until(lambda: taken)
+    assert loop.time() - began >= 20 * 0.009  # a pause for each
+    assert [record.getMessage() for record in caplog.records].count("accepting_pauses") == 1
+    client.close()
+    taken[0].close()
+    acceptor.close()
+
+
+@scenario
+async def test_a_client_that_half_closes_while_nothing_is_read_from_it_is_seen_to_have_left() -> None:
+    await left_while_paused("half-close")
+
+
+@scenario
+async def test_a_client_that_resets_while_nothing_is_read_from_it_is_seen_to_have_left() -> None:
+    await left_while_paused("reset")
+
+
+@scenario
+async def test_a_client_that_closes_while_nothing_is_read_from_it_is_seen_to_have_left() -> None:
+    await left_while_paused("close")
+
+
+async def left_while_paused(how: str) -> None:
+    """Commands lie unread before the end, which nobody reads: the client has as many in hand as may be."""
+    world = await World().start()
+    client = await world.client()
+    most = downstream.MOST_PIPELINED
+    client.send(b"".join(b"mg k v O%d " % n + P + b"\r\n" for n in range(most)))
+    connection: ClientConnection = world.node._clients.all()[0]
+    await until(lambda: not connection.place.reading)
+    client.send(b"mg k v Omore " + P + b"\r\n")
+    await until(world.node._system.unread(connection.transport))
+    assert not connection.left()
+    if how == "half-close":
+        client.writer.write_eof()
+    else:
+        if how == "reset":
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        client.writer.transport.abort()
+    await until(connection.left)
+    assert not connection.place.reading
