Process: a signal before it is ready, or one more as it ends, no longer kills it

Cause: from the first line of __main__ to the signal handlers of the loop (net/node.py, Node.serve) SIGTERM had its default action: all imports and the reading of the configuration. And uvloop puts the default back as it closes, so that a second signal in that moment killed a process that had ended in order.

Change: handlers stand before the imports, and end the process at once, with 0: it holds nothing yet. Once Node.serve has returned, SIGTERM, SIGINT and SIGHUP are blocked.

--- a/ironrail/__main__.py
+++ b/ironrail/__main__.py
@@ -6,14 +6,26 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
 
-import uvloop
 
-from ironrail.errors import InputError
-from ironrail.logs import log_to_stderr
-from ironrail.net.config import Config, read_config
-from ironrail.net.node import serve
-from ironrail.operator_file import Operator
+def _end_at_once(*_: Any) -> None:
+    """Told to end before it has served anybody: there is nothing to wait for, and no failure to tell of."""
+    os._exit(0)
+
+
+if __name__ == "__main__":  # before all that takes time to import
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGINT, _end_at_once)
+    signal.signal(signal.SIGTERM, _end_at_once)
+
+import uvloop  # noqa: E402
+
+from ironrail.errors import InputError  # noqa: E402
+from ironrail.logs import log_to_stderr  # noqa: E402
+from ironrail.net.config import Config, read_config  # noqa: E402
+from ironrail.net.node import serve  # noqa: E402
+from ironrail.operator_file import Operator  # noqa: E402
 
 
 def _operator_file(arguments: Sequence[str]) -> str | None:
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -243,3 +243,5 @@
 async def serve(config: Config, operator: Operator = NO_FILE) -> None:
     """Run until told to stop."""
     await Node(config, operator).serve()
+    # told again, it would die of it once the loop has let go of its handlers
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
