Configuration: what can't be used is told with its file, at the start and after SIGHUP

Cause: net/config.py named the field and the mistake; the line that a running router logs after SIGHUP (configuration_stays) named no file, and it is read where nobody knows the environment.

Change: read_config puts the path before what its parts say.

The test of SIGHUP now asks for one line with file, field and mistake, and for settings that can't be used besides.

--- a/ironrail/net/config.py
+++ b/ironrail/net/config.py
@@ -44,11 +44,17 @@
         raise ConfigError("is not set", "NODE_CONFIG")
     try:
         table = orjson.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as e:
+    except OSError as e:  # which names the file
         raise ConfigError(str(e), "NODE_CONFIG") from e
+    except ValueError as e:
+        raise ConfigError(f"{path}: {e}", "NODE_CONFIG") from e
     if not isinstance(table, dict):
-        raise ConfigError("must hold an object", "NODE_CONFIG")
-    return config_of_table(table, environ)
+        raise ConfigError(f"{path} must hold an object", "NODE_CONFIG")
+    try:
+        return config_of_table(table, environ)
+    except InputError as e:  # named with the file: a log may be read far from the environment
+        where = f"{path}: {e.where}" if e.where else path
+        raise type(e)(e.what, where) from e
 
 
 def config_of_table(table: dict[str, Any], environ: dict[str, str]) -> Config:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -64,6 +64,7 @@
     assert main() == 2
     err = capfd.readouterr().err
     assert err.count("\n") == 1 and field in err
+    assert field == "known" or str(path) in err  # which is looked at later
 
 
 @pytest.mark.parametrize("text", [None, "not json", "[]"])
@@ -171,8 +172,19 @@
 
 
 @scenario
-@pytest.mark.parametrize("text", ["", "[]", '{"discovery":"nowhere"}', None])
-async def test_sighup_with_an_unusable_file_changes_nothing(text: str | None, tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ("text", "mistake"),
+    [
+        ("", "empty"),
+        ("[]", "must hold an object"),
+        ('{"settings":{"classes":[{"name":"x"}]},"listen":"h:1","discovery":"nowhere"}', "discovery must be"),
+        ('{"settings":{"classes":[{"name":"x","aim":"soon"}]}}', "classes[x].aim must be"),
+        (None, "No such file"),
+    ],
+)
+async def test_sighup_with_an_unusable_file_changes_nothing(
+    text: str | None, mistake: str, tmp_path: Path
+) -> None:
     cache, other, path, port = (
         await Peer().start(),
         await Peer().start(),
@@ -186,8 +198,10 @@
     path.unlink() if text is None else path.write_text(text)
     process.send_signal(signal.SIGHUP)
     assert process.stderr is not None
-    while b'"configuration_stays"' not in await process.stderr.readline():
-        pass
+    while b'"configuration_stays"' not in (line := await process.stderr.readline()):
+        assert b"discovery" not in line
+    error = json.loads(line)["error"]  # one line: file, field and mistake
+    assert str(path) in error and mistake in error
     await served_by(cache, client, "1")
     watch.respond_list(2, other.row("d"))  # the watch goes on
     await discovery.next()
