Test: answers that are not taken yet as a router ends arrive whole, and then its end

Need: nothing showed SIGTERM with answers given and not written. ClientConnection.left now says so of a shut connection too.

--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -114,7 +114,7 @@
 
     def left(self) -> bool:
         """Whether the client has gone. While nothing is read from it nobody is told: the system is asked."""
-        if self.transport.is_closing():
+        if self.ends:
             return True
         return not self.place.reading and self._clients.system.hung_up(self.transport)
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -118,6 +118,27 @@
         assert await client.line() == b"SERVER_ERROR not ready\r\n"
 
 
+@scenario
+async def test_answers_that_are_not_yet_taken_are_waited_for_and_arrive_whole() -> None:
+    world = await World().start()
+    client = await world.client()
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    connection, n = world.node._clients.all()[0], 0
+    while not connection.transport.get_write_buffer_size():
+        client.get(str(n))
+        (await world.cache.next()).reply_value(b"x" * 65536)
+        await until(lambda: not connection.place.open)
+        n += 1
+    ending = asyncio.ensure_future(world.node.stop())
+    await asyncio.sleep(of(9.0).rest + 2 * shutdown.LOOK)  # resting ones were shut since
+    client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+    for i in range(n):
+        assert await client.value(str(i)) == b"x" * 65536
+    assert await client.ended()
+    client.close()
+    await ending
+
+
 @scenario
 async def test_one_that_never_closes_does_not_keep_the_process() -> None:
     world = await short()
