--- a/ironrail/net/shutdown.py
+++ b/ironrail/net/shutdown.py
@@ -63,9 +63,9 @@
     alone = not served()
     await asyncio.sleep(began + steps.rest - now())
     drained = asyncio.create_task(clients.drained())
-    while not drained.done() and now() - began < steps.answers:
+    while not drained.done() and (left := began + steps.answers - now()) > 0:
         clients.end_waiting(alone and now() - began >= steps.halves)
-        await asyncio.wait([drained], timeout=min(LOOK, max(0.0, began + steps.answers - now())))
+        await asyncio.wait([drained], timeout=max(LAST_LOOK, min(LOOK, left)))
     if not drained.done():
         log.warning("clients_stay_to_the_last")
         clients.end_all()
