Test: a test that fails leaves no router behind, which would call at ports of other tests

Cause: processes of tests that failed (on purpose, without a mend) went on calling discovery at a port that a later test's cache was given: 'not a command: GET /api/targets' in three runs of the links tests. Change: they end with the process that started them, as those of the kit do.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from ironrail.rehearsal.routers import end_with_parent
 from tests.peers import LOCAL, Client, Peer, connect, read_http, scenario
 from tests.test_process import ROOT, config, free_port
 from tests.test_signals import reach
@@ -24,6 +25,7 @@
 
 def limited(number: int) -> Callable[[], None]:
     def limit() -> None:
+        end_with_parent()  # a test that fails leaves no router behind
         resource.setrlimit(resource.RLIMIT_NOFILE, (number, number))
 
     return limit
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,6 +14,7 @@
 import pytest
 
 from ironrail.__main__ import main
+from ironrail.rehearsal.routers import end_with_parent
 from tests.peers import LOCAL, Client, Peer, connect, read_http, scenario
 from tests.test_simhost import CONF
 
@@ -80,14 +81,20 @@
     assert err.count("\n") == 1 and "NODE_CONFIG" in err
 
 
+async def spawn(environ: dict[str, str]) -> asyncio.subprocess.Process:
+    """A router as a process, which a test that fails leaves no longer than its own process is there."""
+    command = (sys.executable, "-B", "-m", "ironrail")
+    return await asyncio.create_subprocess_exec(
+        *command, cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE, preexec_fn=end_with_parent
+    )
+
+
 async def start(
     path: Path, port: int, cache: Peer, **changes: Any
 ) -> tuple[asyncio.subprocess.Process, Client]:
     path.write_text(json.dumps(config(port, cache.row("c"), **changes)))
     environ = {**os.environ, "NODE_CONFIG": str(path)}
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "ironrail", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
-    )
+    process = await spawn(environ)
     while True:
         try:
             client = await connect((LOCAL, port))
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -6,13 +6,12 @@
 import json
 import os
 import signal
-import sys
 from pathlib import Path
 
 import pytest
 
 from tests.peers import LOCAL, Client, Peer, connect, read_http, scenario
-from tests.test_process import ROOT, config, free_port, served_by, start
+from tests.test_process import config, free_port, served_by, spawn, start
 
 
 def catches(pid: int, number: signal.Signals) -> bool:
@@ -27,9 +26,7 @@
     """A process that has just been started."""
     path.write_text(json.dumps(config(port)))
     environ = {**os.environ, "NODE_CONFIG": str(path)}
-    return await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "ironrail", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
-    )
+    return await spawn(environ)
 
 
 @scenario
@@ -82,9 +79,7 @@
     path = tmp_path / "second.json"
     path.write_text(json.dumps(config(port, discovery=f"{LOCAL}:{discovery.port}")))
     environ = {**os.environ, "NODE_CONFIG": str(path)}
-    second = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "ironrail", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
-    )
+    second = await spawn(environ)
     await discovery.next()  # which says nothing
     second.send_signal(signal.SIGTERM)
     assert await second.wait() == 0
@@ -108,12 +103,7 @@
     unknown = tmp_path / "unknown.json"
     other = free_port()
     unknown.write_text(json.dumps(config(other, discovery=address)))
-    processes = [
-        await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "ironrail", cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(file)}
-        )
-        for file in (path, unknown)
-    ]
+    processes = [await spawn({**os.environ, "NODE_CONFIG": str(file)}) for file in (path, unknown)]
 
     async def answer() -> None:
         while True:
