--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -9,9 +9,11 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
-from ironrail.connections.downstream import CLIENTS_SHARE, KEPT_SHARE, Downstream
+from ironrail.connections.descriptors import share_descriptors
+from ironrail.connections.downstream import Downstream
 from ironrail.connections.room import Room
 from ironrail.door.calls import Answer, Page, Post
 from ironrail.net.caches import CacheConnection
@@ -23,6 +25,7 @@
 from ironrail.net.operators import Door
 from ironrail.net.origin import OriginConnection
 from ironrail.net.pool import Pool
+from ironrail.net.shutdown import shut_down
 from ironrail.net.system import REAL, Address, System
 from ironrail.operator_file import Operator
 from ironrail.policy import interface as api
@@ -34,15 +37,8 @@
     from ironrail.net.together import Together
 
 ORIGIN_CONNECTIONS = 32
-OWN_DESCRIPTORS = 24  # of the process itself: log, loop, listener, two discoveries, new connections
 OWN_MEMORY = 36 * 1024**2  # bytes of a router without long values, some to spare
 LEAST_ROOM = 5 * 1024**2  # bytes for them all the same: one of the longest and a little
-LAST_CONNECTIONS = 0.45  # seconds after SIGTERM in which clients still connect
-LAST_REST = 0.55  # seconds after that in which a connection that rests may still be used
-LAST_HALVES = 1.5  # seconds after SIGTERM in which a command may end, where nobody else serves meanwhile
-LAST_ANSWERS = 3.55  # seconds after SIGTERM by which all that is held has its answer
-LOOK = 0.1  # seconds between looks at those that are still there
-LAST_WRITES = 0.02  # seconds for the last answers to go out
 LIST_WAIT = 2.0  # seconds for the first list, where another process serves meanwhile
 
 NO_FILE = Operator()  # all as usual
@@ -74,10 +70,7 @@
         self._discovery = Discovery(config.discovery, reader, settings.subscribe, settings.index)
         self._listed, self._listening = asyncio.Event(), False
         self._late: asyncio.Task[None] | None = None
-        to_servers = (config.sockets - OWN_DESCRIPTORS) // 3
-        to_clients = (
-            (config.sockets - OWN_DESCRIPTORS - to_servers) * 3 // 4
-        )  # the rest for those that come and go
+        shares = share_descriptors(config.sockets)
         room = Room(max(LEAST_ROOM, (config.memory - OWN_MEMORY) // 2))
         self._access: Access | None = None
         if operator.access_log is not None:
@@ -89,14 +82,20 @@
             router,
             self._pool,
             self._discovery.ask,
-            to_servers,
+            shares.servers,
             system,
             self._discovery.again,
             room,
             self._access.note if self._access is not None else None,
         )
-        kept = int(config.sockets * CLIENTS_SHARE * KEPT_SHARE)
-        self._clients = Clients(self._host, self._can_serve, Downstream(to_clients, kept), system)
+        self._clients = Clients(
+            self._host,
+            self._can_serve,
+            Downstream(shares.clients, shares.kept),
+            system,
+            lingering=shares.lingering,
+            accepts=shares.accepts,
+        )
         self.together: Together | None = None
         if operator.peers is not None:
             from ironrail.net.together import Together  # noqa: PLC0415 - a router alone does without it
@@ -200,30 +199,23 @@
         self.start()
         log.info("listening", extra={"address": "{}:{}".format(*self._config.listen)})
         self._system.settled()
-        await told.wait()
+        waits = asyncio.create_task(told.wait())
+        if self._late is not None:
+            await asyncio.wait([waits, self._late], return_when=asyncio.FIRST_COMPLETED)
+            if self._late.done():
+                self._late.result()  # where it can't listen nobody will ever come: it ends
+        await waits
         log.info("stopping")
         await self.stop()
 
     async def stop(self) -> None:
         """Take what still comes, answer all that is held, and end."""
-        began = self._system.now()
         self._clients.drain()
         if self._late is not None:
             self._late.cancel()
-        await asyncio.sleep(LAST_CONNECTIONS)
         if self._listening:
-            self._clients.stop_listening()
-        alone = not self._system.served(self._config.listen)
-        await asyncio.sleep(LAST_REST)
-        drained = asyncio.create_task(self._clients.drained())
-        while not drained.done() and self._system.now() - began < LAST_ANSWERS:
-            self._clients.end_waiting(alone and self._system.now() - began >= LAST_HALVES)
-            await asyncio.wait([drained], timeout=LOOK)
-        if not drained.done():
-            log.warning("clients_stay_to_the_last")
-            drained.cancel()
-            self._host.end_all()
-            await asyncio.sleep(LAST_WRITES)
+            served = partial(self._system.served, self._config.listen)
+            await shut_down(self._clients, self._config.settings, self._system.now, served)
         self._discovery.stop()
         if self.together is not None:
             self.together.close()
@@ -232,6 +224,9 @@
 
     def reload(self) -> None:
         """Read the configuration again: discovery may have moved, all else holds until a restart."""
+        if self._clients.places.draining:  # its end is near, and nothing is begun anew
+            log.info("configuration_stays", extra={"error": "the router ends"})
+            return
         try:
             config = self._reread()
         except Exception as e:  # guards the running router against whatever the file holds
@@ -249,3 +244,5 @@
 async def serve(config: Config, operator: Operator = NO_FILE) -> None:
     """Run until told to stop."""
     await Node(config, operator).serve()
+    # told again, it would die of it once the loop has let go of its handlers
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
