Kit: after an outage of an asked list a watch of a dead process is told nothing

As the outage ended it told that watch at once, and news counted as told to the process started since, which then "broke" the rule on drains 1.24 s later. Now closes are read first.

--- a/ironrail/rehearsal/standins/agent.py
+++ b/ironrail/rehearsal/standins/agent.py
@@ -9,11 +9,10 @@
 
 import asyncio
 from collections.abc import Iterable
-from urllib.parse import parse_qs, urlsplit
 
 from ironrail.rehearsal.account.record import Call, ListCall
 from ironrail.rehearsal.scenario.faults import FaultKind
-from ironrail.rehearsal.standins.calls import JSON, AgentConnection
+from ironrail.rehearsal.standins.calls import JSON, AgentConnection, asked_of
 from ironrail.rehearsal.standins.desk import Desk
 from ironrail.rehearsal.standins.door import Door
 from ironrail.rehearsal.standins.http import HttpRequest
@@ -21,10 +20,9 @@
 from ironrail.rehearsal.standins.telling import GONE, Telling
 from ironrail.rehearsal.standins.world import World
 
-MOST_WAIT = 60.0  # seconds of a watch
 GOES_ON = 0.2  # seconds after an answer within which the next call goes on with a watch
+FOUND_OUT = 0.05  # seconds after an outage until closes in it are read, and a watch of nobody is none
 INDENTED = 0.5  # of answers, which are JSON all the same
-PATH = "/api/targets"
 
 
 class Agent:
@@ -120,9 +118,15 @@
         self.door.end_silence(cause)
         if not self._silences:
             self._telling.reached()
-            missed, self._missed = self._missed, []
-            for row in missed:
-                self.learn(row)
+            if self._desk is None:
+                self._catch_up()
+            else:
+                self._loop.call_later(FOUND_OUT, self._catch_up)
+
+    def _catch_up(self) -> None:
+        missed, self._missed = self._missed, []
+        for row in missed:
+            self.learn(row)
 
     def begin_lost(self, cause: object, rows: list[Row]) -> None:
         """Tell another list from now on, as a registry does that has lost its own."""
@@ -149,12 +153,9 @@
     # Calls
 
     def take(self, connection: AgentConnection, request: HttpRequest) -> None:
-        url, now = urlsplit(request.target), self._loop.time()
-        query = parse_qs(url.query)
-        index = int(query["index"][0]) if "index" in query else None
-        wait = min(float(query.get("wait", ["0"])[0]) / 1000, MOST_WAIT) if index is not None else 0.0
+        (path, index, wait), now = asked_of(request.target), self._loop.time()
         connection.waits_until = now + wait
-        if url.path != PATH or request.method != "GET":
+        if path != "/api/targets" or request.method != "GET":
             connection.respond(404, b"")
             return
         since = now - connection.answered_at if connection.answered_at is not None else None
@@ -180,8 +181,8 @@
 
     def _note_call(self, connection: AgentConnection, ended: Call) -> None:
         if self._desk is not None:
-            calls = self.world.record.list_calls
-            calls.append(ListCall(self.world.now(), self.router, connection.queued, ended))
+            call = ListCall(self.world.now(), self.router, connection.queued, ended)
+            self.world.record.list_calls.append(call)
 
     def _serve(self, connection: AgentConnection, index: int | None, wait: float) -> None:
         if index is None:
--- a/ironrail/rehearsal/standins/calls.py
+++ b/ironrail/rehearsal/standins/calls.py
@@ -4,13 +4,24 @@
 
 import asyncio
 from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
 
 from ironrail.rehearsal.standins.door import Door
 from ironrail.rehearsal.standins.http import HttpConnection, HttpRequest, write_response
 
+MOST_WAIT = 60.0  # seconds of a watch
 JSON = ("Content-Type", "application/json")
 
 
+def asked_of(target: str) -> tuple[str, int | None, float]:
+    """The path of a call, the version from which it watches, if it does, and for how long."""
+    url = urlsplit(target)
+    query = parse_qs(url.query)
+    if "index" not in query:
+        return url.path, None, 0.0
+    return url.path, int(query["index"][0]), min(float(query.get("wait", ["0"])[0]) / 1000, MOST_WAIT)
+
+
 class AgentConnection(HttpConnection):
     """One call at a time, answered by the agent."""
 
