Lists unheard of: a server that was lost meanwhile is not trusted until there is one

Probe (each list and each send logged): three servers restart, listed as gone at 12.7 s and as ready from 15.7 s; n1, n11 and n28 never got a list, as the service does 3.5 calls a second and refused them twice. They sent to one that was back and served, which for them counts as gone from 18.7 s on. Ruled out: the guard did bind (5.2 s), draining servers were not sent to.

Server.lost_at, the last failed connect; Asking.trusts: not one lost since news was last sure. The test fails without it (run so).

--- a/ironrail/policy/asking.py
+++ b/ironrail/policy/asking.py
@@ -1,8 +1,7 @@
 """When a router asks for the list of servers, where it has to ask and one service tells all routers. Pure.
 
-The service has a place for few calls. One that waits there too long is refused, but worked off all the same:
-routers that call faster than they are answered get no answer any more, none of them. So calls are spread by
-how many routers there are, and further after each one that failed.
+The service has a place for few calls. One that waits too long is refused, but worked off all the same, so
+routers that call too fast get no answers. Calls are spread by their number, and further after each failure.
 """
 
 from __future__ import annotations
@@ -11,6 +10,7 @@
 import random
 
 from ironrail.policy import interface as api
+from ironrail.policy.state import Server
 
 CROWD = 4  # routers that may ask at once; more than that wear out whoever tells the list
 SPREAD = 0.3  # of the shortest window in which a server falls, for each router beyond: calls in turn
@@ -50,20 +50,21 @@
         return most * draws.random() if most else 0.0
 
     def proof_from(self, now: float) -> float:
-        """Servers may be sent to that served what was sent since then: news that never came counts as told.
-
-        A server that drains turns away what is new, so one that served did not drain then, but may since.
-        """
+        """News that never came counts as told. One that drains turns away what is new: who served did not."""
         return max(self._unsure_at, now - UNTOLD) if now >= self._binds_at else -math.inf
 
+    def trusts(self, now: float, server: Server) -> bool:
+        """Whether a server may be sent to; one that was lost may be listed as gone, though it is back."""
+        lost = now >= self._binds_at and server.lost_at >= self._unsure_at
+        return not lost and server.well_at >= self.proof_from(now)
+
     def failed(
         self, now: float, how: api.ListKind, draws: random.Random, unsure: float | None = None
     ) -> float:
         """Seconds until the next call, once one has failed; 0 for now.
 
-        A spoilt answer had begun, and a silent watch missed what there was: either counts as told within
-        seconds. After the first no call is put off for the sake of others, until there is a list; after the
-        second not the first calls, which the watches' own waits have spread.
+        After a spoilt answer none is put off for the sake of others until there is a list, as its news counts
+        within seconds; after a silent watch not the first calls, which the watches' own waits have spread.
         """
         self._spoilt |= how is api.ListKind.SPOILT
         self._at_once = AT_ONCE if how is api.ListKind.SILENT else self._at_once
--- a/ironrail/policy/attempts.py
+++ b/ironrail/policy/attempts.py
@@ -76,9 +76,8 @@
             if idle <= conf.connection_idle:
                 out.append(api.CloseIdle(server.entry.server))
             idle = math.inf
-        ran = [a.sent_at for a in held.attempts if a.may_have_run]
-        keyed = held.request_class.effect is api.Effect.KEYED
-        within = min(ran) + held.request_class.window - now if ran and keyed else None
+        kind, ran = held.request_class, [a.sent_at for a in held.attempts if a.may_have_run]
+        within = min(ran) + kind.window - now if ran and kind.effect is api.Effect.KEYED else None
         attempt = Attempt(server, target * aim, aim, held.request.hint or 1.0, now, idle, OVERDUE * aim)
         if self._links.known and server.cache:
             attempt.link, attempt.trip = self._links.adds(server), self._links.trip(server)
--- a/ironrail/policy/balance.py
+++ b/ironrail/policy/balance.py
@@ -47,10 +47,8 @@
         self.links = Links()
         self.attempts = Attempts(settings, self.health, self.guide, self.links)
         self.ring = Ring(settings, self.cold, self.guide)
-        self.walk = Walk(
-            self.servers, self.ring, self.attempts, self.limits, self.cold, self.health, self.asking,
-            self.links,
-        )  # fmt: skip
+        parts = self.attempts, self.limits, self.cold, self.health, self.asking, self.links
+        self.walk = Walk(self.servers, self.ring, *parts)
         self.queue = Queue()  # for a place at the origin
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
--- a/ironrail/policy/health.py
+++ b/ironrail/policy/health.py
@@ -65,6 +65,7 @@
             server.used_at, server.losses = now, 0
         elif unheard or failed:  # guards against dead servers, which reset nothing twice: a growing pause
             server.losses = min(server.losses + server.cache, MOST_DOUBLINGS)
+            server.lost_at = now if failed else server.lost_at
             # a cold one has to get it done before the window in which it is counted has passed
             least = self._settings.fall_window if cold else self._shortest_aim / 2
             pause = min(self._settings.ramp, least * 2.0 ** (server.losses - 1))
--- a/ironrail/policy/state.py
+++ b/ironrail/policy/state.py
@@ -31,6 +31,7 @@
     losses: int = 0  # in a row, of attempts that no answer came to
     trial_at: float = -math.inf  # passed over until then
     used_at: float = -math.inf  # latest sign of life on a connection to it
+    lost_at: float = -math.inf  # when a connect to it last failed
     well_at: float = -math.inf  # when the latest attempt was sent that it served or missed
     refused: bool = False  # a connect to it, at once, since it last answered on a new connection
 
--- a/ironrail/policy/walk.py
+++ b/ironrail/policy/walk.py
@@ -94,8 +94,7 @@
             return False
         if self.links.known and self.links.suspected(server) and held.open_attempts():  # no second copy there
             return False
-        # guards drained servers whose news never came, for a spoilt answer say: they turn away what is new
-        if server.well_at < self.asking.proof_from(now):
+        if not self.asking.trusts(now, server):
             return False
         if self.cold.share(now, server) < 1.0:
             cost, points = held.request.hint or 1.0, self.ring.points[server.entry.server]
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from ironrail.policy import interface as api
-from ironrail.policy.asking import AFTER_FAILURE, AT_ONCE, IN_TIME, Asking
+from ironrail.policy.asking import AFTER_FAILURE, AT_ONCE, IN_TIME, UNTOLD, Asking
 from tests.driver import Driver, entry, settings
 
 
@@ -163,6 +163,26 @@
     assert again & {"a", "b"}  # a list clears the doubt
 
 
+def test_once_news_that_was_missed_binds_who_was_lost_since_is_not_sent_to_though_it_is_back() -> None:
+    """A restart within the doubt: the list told that it is gone, and it serves before the list tells so."""
+    d = Driver(settings(subscribe=True, routers=5, must_ask=10.0, max_attempts=3))
+    d.list(*(entry(name) for name in "abcdef"))
+    d.list(kind=api.ListKind.SPOILT)
+    began, sent = d.now, Counter[str]()
+    for n in range(600):
+        d.now += 0.02
+        down = 2.0 <= d.now - began < 4.0  # less than the doubt takes to bind
+        server = d.request(f"r{n}", key=f"k{n % 97}")
+        while f"r{n}" in d.open and server is not None:
+            sent[server] += d.now - began >= UNTOLD
+            lost = server == "a" and down
+            server = d.end(f"r{n}", api.Status.CONNECT_FAILED if lost else api.Status.OK, latency=0.001)
+    assert not sent["a"] and all(sent[name] for name in "bcdef")
+    d.list(*(entry(name) for name in "abcdef"))
+    d.now += 10.0
+    assert "a" in {d.request(f"s{n}", key=f"k{n}") for n in range(60)}
+
+
 def test_where_no_rule_says_when_to_ask_pauses_are_bounded_all_the_same() -> None:
     """Of a thousand routers none waits for minutes, however often it failed."""
     asking, draws = Asking(settings(subscribe=True, routers=1000, ramp=5.0)), random.Random(1)
