Discovery: a connect to the agent that is lost is tried again within the second

An agent stands on the router's own machine, where a connect takes no time: 0.3 s for it, then the next try 0.5 s after the first.

System.hung_up looks at the bits that tell of an end, not at any that a poll may set.

--- a/ironrail/net/asked.py
+++ b/ironrail/net/asked.py
@@ -17,6 +17,9 @@
 # seconds for a connection, also for that of a watch: nobody has been asked till it is there. A lost packet is
 # sent again after 1 s
 CONNECT_PATIENCE = 2.0
+# the same at an agent of our own machine, where it takes no time: two tries, 0.5 s apart, fit into the second
+# in which sends must cease to a server that it knew to drain when this process started
+CONNECT_PATIENCE_PUSHED = 0.3
 MAX_LIST = 8 * 1024 * 1024
 
 
@@ -29,8 +32,8 @@
 class Client:
     """One HTTP/1.1 connection to discovery, opened anew when it breaks."""
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, address: Address, connect_patience: float) -> None:
+        self.address, self._connect_patience = address, connect_patience
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._http = h11.Connection(h11.CLIENT)
 
@@ -61,7 +64,7 @@
         """Make a call; the first bytes of its answer."""
         if self._stream is None:
             try:
-                async with patience(CONNECT_PATIENCE):
+                async with patience(self._connect_patience):
                     self._stream = await asyncio.open_connection(*self.address)
             except TimeoutError as e:  # not silence of who was asked: nobody was
                 raise ConnectionError("no connection to discovery came up") from e
--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ironrail.net.asked import Client, SpoiltAnswer
+from ironrail.net.asked import CONNECT_PATIENCE, CONNECT_PATIENCE_PUSHED, Client, SpoiltAnswer
 from ironrail.net.lists import ListError, ListReader
 from ironrail.net.patience import READ_ON
 from ironrail.net.system import Address
@@ -48,7 +48,8 @@
 
     def __init__(self, address: Address, reader: ListReader, on_request: bool, index: int = 0) -> None:
         """`on_request`: a call is made when the module asks, not by itself. `index`: of this router."""
-        self._address, self._client = address, Client(address)  # where to be asked, and where it is now
+        self._connect_patience = CONNECT_PATIENCE if on_request else CONNECT_PATIENCE_PUSHED
+        self._address, self._client = address, self._client_of(address)  # where to ask, and where it is now
         self._reader = reader
         self._on_request = on_request
         aside = 2.0 * (index * EVENLY % 1.0) - 1.0
@@ -60,6 +61,9 @@
         self._anew: asyncio.TimerHandle | None = None  # until the whole list is asked for, maybe elsewhere
         self._sure_at = 0.0  # on the loop's clock: all news until then was told
 
+    def _client_of(self, address: Address) -> Client:
+        return Client(address, self._connect_patience)
+
     def ask(self) -> None:
         """The module asks for the list."""
         self._asked.set()
@@ -114,7 +118,7 @@
             self._told(api.ServerList(api.ListKind.MOVED), {})
 
     def _begin(self) -> None:
-        self._client, self._fell_silent = Client(self._address), False
+        self._client, self._fell_silent = self._client_of(self._address), False
         self._sure_at = asyncio.get_running_loop().time()
         self._task = asyncio.create_task(self._run())
 
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -18,6 +18,7 @@
 
 Address = tuple[str, int]
 RTT = struct.Struct("=I")  # microseconds, smoothed (RFC 6298)
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 TCP_INFO = 72  # bytes of Linux's `struct tcp_info` up to the end of `tcpi_rtt` (linux/tcp.h)
 
 
@@ -82,7 +83,7 @@
     def hung_up(self, transport: asyncio.Transport) -> bool:
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return any(seen & ENDED for _, seen in poll.poll(0))
 
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         try:
--- a/tests/test_told_of_changes.py
+++ b/tests/test_told_of_changes.py
@@ -12,7 +12,7 @@
 import orjson
 import pytest
 
-from ironrail.net import asked, discovery
+from ironrail.net import discovery
 from ironrail.net.discovery import Discovery
 from ironrail.net.lists import ListReader
 from ironrail.net.system import Address
@@ -104,7 +104,7 @@
 @scenario
 async def test_a_watch_that_has_no_connection_yet_watches_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     """Its connect hung for as long as a watch may wait, half a minute where all ask one service."""
-    monkeypatch.setattr(asked, "CONNECT_PATIENCE", 0.05)
+    monkeypatch.setattr(discovery, "CONNECT_PATIENCE", 0.05)
     opened, opens = asyncio.open_connection, iter([True, False])
 
     async def open_once(*address: Any) -> Any:
@@ -122,6 +122,25 @@
         assert news.kind is FAILED and news.unsure is not None and 0.04 < news.unsure < 1.0
 
 
+@scenario
+async def test_where_a_connect_to_the_agent_is_lost_a_new_process_has_the_list_within_a_second(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the agent has counts as told at once; sends to what drains must cease in a second."""
+    opened, opens = asyncio.open_connection, iter([False, True])
+
+    async def open_second(*address: Any) -> Any:
+        if not next(opens):
+            await asyncio.sleep(600.0)
+        return await opened(*address)
+
+    monkeypatch.setattr(asyncio, "open_connection", open_second)
+    began = time.monotonic()
+    async with followed(on_request=False) as (peer, _, told):
+        await listed(peer, told, 1, DRAINS)
+        assert time.monotonic() - began < 1.0
+
+
 # For how long news may have been missed
 
 
