A client's end is asked for before a further attempt, and before one that had to wait

Need: no attempt begins more than 0.1 s after its client's close. A close is told by the loop, which is late where it is busy: a reply read in the same turn sends the next attempt before the close that came first is seen. Host._send asks the system for what was not just read (further attempts, and first ones more than 10 ms after they were taken), and what waited in a pool is always asked for; it was only where nothing is read from the client.

--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -112,11 +112,11 @@
             self._clients.host.room.give_back(slot)
             self._clients.let_in()
 
-    def left(self) -> bool:
-        """Whether the client has gone. While nothing is read from it nobody is told: the system is asked."""
+    def left(self, waited: bool) -> bool:
+        """Whether the client has gone. A busy loop is told late of its end, and never while it isn't read."""
         if self.ends:
             return True
-        return not self.place.reading and self._clients.system.hung_up(self.transport)
+        return (waited or not self.place.reading) and self._clients.system.hung_up(self.transport)
 
     def _flush(self) -> None:
         """Write the answers whose turn it is, and do what is due then."""
--- a/ironrail/net/held.py
+++ b/ironrail/net/held.py
@@ -31,8 +31,11 @@
     def reader(self) -> Reader | None:
         """Who gets it, where that is told apart."""
 
-    def left(self) -> bool:
-        """Whether its client has gone, told or not: nothing new is to begin for it."""
+    def left(self, waited: bool) -> bool:
+        """Whether its client has gone, told or not: nothing new is to begin for it.
+
+        `waited`: since it was read, so that its end may have come and not be read yet.
+        """
 
     def begin(self, head: bytes, hold: Callable[[bool], None]) -> None:
         """Its head; `hold` is to be told when the client takes no more for now, or again."""
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -22,6 +22,7 @@
 
 log = logging.getLogger(__name__)
 
+JUST_READ = 0.01  # seconds: what is sent on by then is so in the turn of the loop in which it was read
 SWEEP = 1.0  # seconds between looks at idle connections
 
 
@@ -114,9 +115,9 @@
                 self._give_up(name, held.streaming.number, api.Status.CANCELLED)
             self._feed(api.ClientGone(name))
 
-    def _left(self, held: Held) -> bool:
-        """Whether its client has left untold, for nothing is read from it: told now, for all that it sent."""
-        if held.passage is None or not held.passage.left():
+    def _left(self, held: Held, waited: bool) -> bool:
+        """Whether its client has left untold: told now, for all that it sent."""
+        if held.passage is None or not held.passage.left(waited):
             return False
         held.passage.cut()
         self.gone(held.request)
@@ -175,7 +176,8 @@
         name, now = action.request, self._now()
         held, pool = self._held.get(name), self._pools.get(action.server)
         # guards against work for a request that has its answer, or that nobody will be there to answer
-        if held is None or self._ending or self._left(held):
+        waited = held is not None and (bool(held.attempts) or now - held.taken_at > JUST_READ)
+        if held is None or self._ending or self._left(held, waited):
             self._feed(api.Outcome(name, action.attempt, api.Status.UNSENT, True))
             return
         until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
@@ -198,4 +200,4 @@
     def _wanted(self, attempt: Attempt) -> bool:
         """Whether an attempt that had to wait is still to be sent."""
         held = self._held.get(attempt.request)
-        return held is not None and not self._left(held) and self._now() < attempt.begin_by
+        return held is not None and not self._left(held, True) and self._now() < attempt.begin_by
--- a/ironrail/net/slots.py
+++ b/ironrail/net/slots.py
@@ -26,7 +26,7 @@
     def answered(self, slot: Slot) -> None:
         """An answer is whole."""
 
-    def left(self) -> bool:
+    def left(self, waited: bool) -> bool:
         """Whether the client has gone, told or not."""
 
 
@@ -48,8 +48,8 @@
     def reader(self) -> Reader | None:
         return self._connection.reader
 
-    def left(self) -> bool:
-        return self._connection.left()
+    def left(self, waited: bool) -> bool:
+        return self._connection.left(waited)
 
     def give(self, answer: bytes) -> None:
         """The whole answer."""
