Cold servers: live weights and a fleet that shrinks no longer swell their budgets

Probe (each send to a cold server with its part of the ring): cold ones had 0.16 to 0.72 of a ring of some ten, as a weight that tells of load flatters a server that bears none (5.0 against 0.3 to 2). With that mended one fall was left, at 18.1 s, when a third of the servers had gone: what sixteen had carried was divided by those that were left. Ruled out: sends outside the budget.

Ring.weight counts a cold server as the mean at most where weights are live (Settings.live_weights); Cold keeps also what each of as many servers as there were then carried, and takes the smaller.

--- a/ironrail/policy/cold.py
+++ b/ironrail/policy/cold.py
@@ -11,10 +11,9 @@
 # Of N, the requests of mean work that the settings allow a cold server in a window. It falls beyond N + 2
 # roots of N + 2 from all routers together. Each refills by this share of its own part of N as what the
 # others carry tells, so all refill by this share of N, told too high by up to two: by weights that flatter
-# (1.3 here), by others that carry more than usual in a surge (1.5). At worst that is m of N, 0.7, and the
-# rest of the bound is for chance: sends that come by chance with work that deviates by its mean vary by
-# roots of 2 m N. Three such deviations, as one release has hundreds of windows, stay within the bound for
-# every N while (3 roots of 2 m - 2) squared is at most 8 (1 - m): up to an m of 0.7, and 0.35 of twice N.
+# (1.3 here), by others that carry more than usual in a surge (1.5). At worst that is m of N, and the rest is
+# for chance: sends by chance with work that deviates by its mean vary by roots of 2 m N. Three such, as one
+# release has hundreds of windows, fit while (3 roots of 2 m - 2) squared is at most 8 (1 - m): m up to 0.7.
 WARM_SPEND = 0.35
 
 
@@ -23,11 +22,13 @@
 
     def __init__(self, settings: api.Settings, draws: random.Random, now: float) -> None:
         self._settings, self._draws, self._began = settings, draws, now
-        self._served = 0.0  # work, fading
+        self.servers = 1  # that share what comes
+        self._served, self._each = 0.0, 0.0  # work, fading: of all, and of each as many as there were then
 
     def carried(self, fade: float, work: float) -> None:
         """The fleet did some work; what it did before counts for so much less."""
         self._served = self._served * fade + work
+        self._each = self._each * fade + work / self.servers
 
     def share(self, now: float, server: Server) -> float:
         """Share of its capacity that a server surely has, from the cold share to all over the ramp."""
@@ -36,21 +37,21 @@
             return 1.0
         return 1.0 - (1.0 - self._settings.cold_share) * (1.0 - max(0.0, now - since) / ramp)
 
-    def bears(self, now: float, server: Server, cost: float, points: int, places: int) -> bool:
-        """Guards against pushing over a cold server that has so many of the ring's places."""
+    def bears(self, now: float, server: Server, cost: float, weight: float) -> bool:
+        """Guards against pushing over a cold server that has so many times the mean share of the ring."""
         share, conf = self.share(now, server), self._settings
         if server.credit_at == -math.inf:  # by chance, as hundreds of routers with one send each are a flood
             server.credit, server.credit_at = self._draws.random() * cost, now
         # a router that has not run for long has served as much in less time
         span = conf.ramp * (1.0 - math.exp((self._began - now) / conf.ramp))
         span = max(span, conf.fall_window)
-        fair = share * points / places * self._served / span
+        # guards a fleet that shrinks: what more servers carried is no measure of these, nor of more now
+        fair = share * weight * min(self._each, self._served / self.servers) / span
         refill = WARM_SPEND * conf.fall_multiple * fair
         most = max(cost, refill * conf.fall_window)
         server.credit = min(most, server.credit + refill * (now - server.credit_at))
         server.credit_at = now
-        # guards a cold server that is slow besides: what all routers have out at it may have come in one
-        # window, beside what it gets done in it, and the budget alone goes on however little it answers
+        # guards one that is slow besides: the budget alone goes on, however little it answers
         if server.load and server.work + cost > WARM_SPEND * fair * conf.fall_window:
             return False
         # with nothing served yet there is no guide: one at a time, whose answer is the first
--- a/ironrail/policy/guidance.py
+++ b/ironrail/policy/guidance.py
@@ -1,7 +1,4 @@
-"""What the operators have all routers decide by: halls that are emptied, rates of titles, order of shedding.
-
-Without any, nothing here forbids anything, and decisions are as they are without it.
-"""
+"""What the operators have all routers decide by: emptied halls, rates of titles, order of shedding."""
 
 from __future__ import annotations
 
--- a/ironrail/policy/ring.py
+++ b/ironrail/policy/ring.py
@@ -17,8 +17,7 @@
 TOTAL_POINTS = 150  # virtual nodes shared out by weight, as the paper has it, in fleets of up to 10 servers
 POINTS_EACH = 15  # and in larger ones this many a server: one point each made a server's share pure chance
 EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
-# routers that share a server where connections are priced: one that rests for seconds is ended by the server,
-# and a router that meets a server more seldom pays for a new one, in the server's work, nearly each time
+# routers that share a server where connections are priced: who meets one seldom pays for a new one each time
 CROWD = 10  # and not fewer: each part fetches for itself what caches that restart together have lost
 PART_LEAST = 10  # servers that a router keeps to all the same: a hall, and some lost besides, must not be all
 PART_WANING = 0.7  # of them may be left for a while, as in a release: with other parts most keys move
@@ -50,6 +49,7 @@
 
     def __init__(self, settings: api.Settings, cold: Cold, guide: Guide) -> None:
         self._index, self._cold, self._guide = settings.index, cold, guide
+        self._live_weights = settings.live_weights
         self.places: list[tuple[int, str]] = []  # of virtual nodes, in order
         self.points: dict[str, int] = {}  # virtual nodes of each server
         self.stale = False  # it has to be built before use
@@ -77,13 +77,13 @@
         for i, count in self.points.items():
             self.places += [(self.hash(f"{i}-vnode-{j}"), i) for j in range(before.get(i, 0), count)]
         self.places.sort()
+        self._cold.servers = max(1, len(self.points))
         return [api.CloseIdle(i) for i in caches if i not in self.points]
 
     def _divide(self, servers: int, warm: int) -> None:
         """Parts of a fleet of this size, each of servers enough; a few that come and go change nothing.
 
-        Nor do new ones that are there before those they replace have left, as in a release: keys would move
-        when there are fewest caches to hold them.
+        Nor do new ones beside those that they replace: keys would move when fewest caches hold them.
         """
         first, waning = not self._grown, servers < PART_WANING * PART_LEAST * self.parts
         wanted = servers // PART_LEAST
@@ -92,6 +92,11 @@
             wanted = max(self.parts, min(wanted, self._grown))
         self.parts = min(max(1, wanted), self._most_parts)
 
+    def weight(self, server: Server) -> float:
+        """Of the mean, that of a cold server: weights that tell of load flatter one that bears none yet."""
+        weight = self.points[server.entry.server] * len(self.points) / len(self.places)
+        return min(weight, 1.0) if self._live_weights else weight
+
     def spread(self, key: str) -> int:
         """Guards against hot keys that no router has enough of in flight: servers that are to share a key."""
         share = self.recent.count(key) / RECENT
--- a/ironrail/policy/terms.py
+++ b/ironrail/policy/terms.py
@@ -84,6 +84,7 @@
     fall_window: float = 1.0
     index: int = 0  # of this router among all of them
     routers: int = 1
+    live_weights: bool = False  # of servers: by the load that they bear, and not by their size alone
     tenants: bool = True  # each request names one; where there are none it has nothing to name
     connections_priced: bool = False  # open connections are scarce
     connect_timeout: float = 0.25  # a connection not made within this has failed
--- a/ironrail/policy/walk.py
+++ b/ironrail/policy/walk.py
@@ -44,10 +44,7 @@
         return near
 
     def _first(self, now: float, held: Held, left: float) -> Server | None:
-        """First eligible server clockwise under the cap or met twice, or the last.
-
-        Those that the link there makes too late for what is left of the time are passed over.
-        """
+        """First eligible server clockwise, in time by its link, under the cap or met twice; or the last."""
         places, servers, health, known = self.ring.places, self.servers, self.health, self.links.known
         count, among = len(places), len(self.ring.points)
         start = bisect_left(places, (self.ring.hash(held.key), ""))
@@ -96,8 +93,7 @@
             return False
         if not self.asking.trusts(now, server):
             return False
-        if self.cold.share(now, server) < 1.0:
-            cost, points = held.request.hint or 1.0, self.ring.points[server.entry.server]
-            if not self.cold.bears(now, server, cost, points, len(self.ring.places)):
-                return False
+        cost, cold = held.request.hint or 1.0, self.cold.share(now, server) < 1.0
+        if cold and not self.cold.bears(now, server, cost, self.ring.weight(server)):
+            return False
         return self.attempts.permits(now, held, server)
--- a/ironrail/settings.py
+++ b/ironrail/settings.py
@@ -113,6 +113,7 @@
         fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
         fall_window=number(rules, "overloadFor", 1.0, "rules."),
         index=int(number(conf, "me", 0, "")),
+        live_weights=conf.get("weights") == "live",
         tenants=bool(rows(conf, "tenants")),
         routers=max(1, int(number(conf, "siblings", 1, ""))),
         connections_priced=number(section(conf, "penalties"), "connection", 0.0, "penalties.") > 0,
--- a/tests/policy/cold_fleet.py
+++ b/tests/policy/cold_fleet.py
@@ -25,6 +25,8 @@
     hints: bool = True  # clients know the work, which is drawn
     told: float = 1.0  # share of the routers that hear of the start
     returns: bool = False  # it was there before
+    live: float = 0.0  # weight of the cold one, where weights tell of load; the others have 1
+    leave: int = 0  # warm ones that are gone from its start on
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +40,14 @@
 
 def play(p: Play, seed: int) -> Sent:
     """Play it; work is drawn with a deviation as large as its mean, 1."""
-    conf = settings(ramp=10.0, cold_share=COLD, fall_multiple=MULTIPLE, fall_window=1.0, max_attempts=1)
+    conf = settings(
+        ramp=10.0,
+        cold_share=COLD,
+        fall_multiple=MULTIPLE,
+        fall_window=1.0,
+        max_attempts=1,
+        live_weights=p.live > 0.0,
+    )
     draws = random.Random(seed)
     fleet = [Driver(conf, seed * p.routers + n) for n in range(p.routers)]
     knows = [draws.random() < p.told for _ in fleet]
@@ -53,7 +62,7 @@
         now += draws.expovariate(9 * p.each * (1.0 if now < start + p.after else p.surge))
         if then < start <= now:
             for d in (d for d, k in zip(fleet, knows, strict=True) if k):
-                d.list(*warm, entry("cold", since=start))
+                d.list(*warm[p.leave :], entry("cold", since=start, weight=p.live or 1.0))
         n, count = draws.randrange(p.routers), count + 1
         fleet[n].now, work = now, draws.lognormvariate(-0.35, 0.83)
         hint = work if p.hints else None
--- a/tests/policy/test_cold.py
+++ b/tests/policy/test_cold.py
@@ -152,6 +152,8 @@
     Play(30, 20.0, hints=False),
     Play(40, 4.0),
     Play(200, 4.0, hints=False),
+    Play(3, 40.0, live=4.0),
+    Play(3, 40.0, surge=0.5, leave=8),
 ]
 
 
