--- a/tests/rehearsal/test_list_clock.py
+++ b/tests/rehearsal/test_list_clock.py
@@ -4,13 +4,9 @@
 
 import asyncio
 import contextlib
-import json
-from types import SimpleNamespace
 
 import pytest
 
-from ironrail.rehearsal.scenario.faults import FaultKind
-from ironrail.rehearsal.standins.rows import Row, write_list
 from tests.rehearsal.list_stage import ASKED, ListStage, on_stage
 from tests.rehearsal.stage import Wire, ask
 
@@ -196,36 +192,6 @@
     on_stage(test, ASKED)
 
 
-@pytest.mark.parametrize("kind", [FaultKind.LIST_CUT, FaultKind.LIST_SPOILT])
-def test_what_a_spoilt_answer_held_counts_six_seconds_later(kind: FaultKind) -> None:
-    async def test(s: ListStage) -> None:
-        _, answer = await s.watch(60.0)
-        answer.cancel()
-        s.agent.begin_trouble("f", kind, 1.0)
-        await s.at(1.0)
-        s.learn(DRAINS)
-        await s.at(20.0)
-        assert s.told() == [(7.0, DRAINS)]
-
-    on_stage(test)
-    on_stage(test, ASKED)
-
-
-def test_an_answer_that_stops_short_is_a_call_that_fell_silent() -> None:
-    async def test(s: ListStage) -> None:
-        _, answer = await s.watch(60.0)
-        s.agent._draws = SimpleNamespace(random=lambda: 0.9)  # type: ignore[assignment]
-        s.agent.begin_trouble("f", FaultKind.LIST_CUT, 1.0)
-        await s.at(1.0)
-        s.learn(DRAINS)
-        await s.at(1.5)
-        s.learn("terminated")
-        await s.at(20.0)
-        assert s.told() == [(7.0, "terminated")] and not answer.done()
-
-    on_stage(test)
-
-
 def test_while_the_registry_has_lost_its_list_nothing_counts_and_then_all_of_it() -> None:
     async def test(s: ListStage) -> None:
         s.agent.begin_lost("f", [])
@@ -236,24 +202,3 @@
         assert s.told() == [(20.0, DRAINS)]
 
     on_stage(test)
-
-
-def test_answers_come_on_one_line_or_indented_as_drawn() -> None:
-    forms: list[list[bool]] = []
-
-    async def test(s: ListStage) -> None:
-        connection, seen = await s.connect(), []
-        for _ in range(12):
-            connection.writer.write(b"GET /api/targets HTTP/1.1\r\nHost: a\r\n\r\n")
-            _, body = await connection.response()
-            assert len(json.loads(body)["servers"]) == 3
-            seen.append(b"\n" in body)
-        forms.append(seen)
-
-    on_stage(test)
-    on_stage(test)
-    assert set(forms[0]) == {True, False} and forms[0] == forms[1]
-    row = Row("a", "", "cache", addresses={"r": "127.0.0.1:1"})
-    assert json.loads(write_list(1, True, [row], "r", True)) == json.loads(
-        write_list(1, True, [row], "r", False)
-    )
--- /dev/null
+++ b/tests/test_accepting.py
@@ -0,0 +1,74 @@
+"""A listener that runs short of something, or closes."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from typing import Any
+
+import pytest
+
+from ironrail.net import accepting
+from tests.peers import LOCAL, connect, scenario, until
+
+
+class Queue:
+    """A listening socket with these in its queue; exceptions are what an accept says instead."""
+
+    def __init__(self, *queue: socket.socket | OSError) -> None:
+        self.queue = list(queue)
+        self.real = socket.create_server((LOCAL, 0))
+        self.real.setblocking(False)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if not self.queue:
+            return self.real.accept()
+        if isinstance(first := self.queue.pop(0), OSError):
+            raise first
+        return first, None
+
+
+class System:
+    """A system that listens so."""
+
+    def __init__(self, queue: Queue) -> None:
+        self.queue = queue
+
+    def listen(self, address: Any, backlog: int) -> Any:
+        return self.queue
+
+
+@scenario
+async def test_one_that_has_gone_in_the_queue_does_not_end_those_behind_it_as_the_listener_closes() -> None:
+    near, far = socket.socketpair()
+    queue = Queue(ConnectionAbortedError(), near)
+    taken: list[socket.socket] = []
+    acceptor = accepting.Acceptor(System(queue), (LOCAL, 0), taken.append)  # type: ignore[arg-type]
+    acceptor.close()
+    assert taken == [near]
+    near.close()
+    far.close()
+
+
+@scenario
+@pytest.mark.parametrize("what", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO])
+async def test_accepting_goes_on_after_a_shortage_and_neither_spins_nor_floods_the_log(
+    what: int, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(accepting, "FULL_PAUSE", 0.01)
+    queue = Queue(*(OSError(what, "none left") for _ in range(20)))
+    taken: list[socket.socket] = []
+    acceptor = accepting.Acceptor(System(queue), (LOCAL, 0), taken.append)  # type: ignore[arg-type]
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    client = await connect(acceptor.address)
+    await until(lambda: taken)
+    assert loop.time() - began >= 20 * 0.009  # a pause for each
+    assert [record.getMessage() for record in caplog.records].count("accepting_pauses") == 1
+    client.close()
+    taken[0].close()
+    acceptor.close()
--- a/tests/test_clients_shut.py
+++ b/tests/test_clients_shut.py
@@ -7,9 +7,7 @@
 
 import pytest
 
-from ironrail.connections import downstream, lingering
-from ironrail.connections.descriptors import OWN, share_descriptors
-from ironrail.net import clients
+from ironrail.connections import downstream
 from ironrail.net.client import ClientConnection
 from tests.peers import Client, World, scenario, until
 from tests.test_clients import P, is_ready
@@ -181,80 +179,6 @@
     assert await client.ended()  # in order: all that was sent was read
 
 
-@scenario
-async def test_one_that_never_closes_is_closed_after_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("ironrail.net.shut.LINGER", 0.05)
-    world = await World().start()
-    client = await world.client()
-    assert await is_ready(client)
-    connection_of(world).shut()
-    assert await client.reader.read() == b""
-    await until(lambda: not world.node._clients._connections)
-    assert not len(world.node._clients.lingering)
-
-
-@scenario
-async def test_of_too_many_that_never_close_the_oldest_is_closed() -> None:
-    world = await World().start()
-    crowd = [await world.client() for _ in range(4)]
-    for client in crowd:
-        assert await is_ready(client)
-    world.node._clients.lingering.most = 2
-    first, second, third, _ = world.node._clients.all()
-    for connection in (first, second, third):
-        connection.shut()
-    await until(lambda: len(world.node._clients._connections) == 3)
-    assert first not in world.node._clients.lingering
-    assert second in world.node._clients.lingering and third in world.node._clients.lingering
-    assert await is_ready(crowd[3])
-
-
-@scenario
-async def test_a_client_that_half_closes_and_never_reads_does_not_keep_its_connection(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """A close waits for what is written to go out, and it was waited for without end."""
-    monkeypatch.setattr("ironrail.net.shut.LINGER", 0.05)
-    monkeypatch.setattr("ironrail.net.shut.UNREAD", 0.1)
-    world = await World().start()
-    client = await world.client()
-    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
-    connection, n = connection_of(world), 0
-    while not connection.transport.get_write_buffer_size():
-        client.get(str(n))
-        (await world.cache.next()).reply_value(b"x" * 65536)
-        await until(lambda: not connection.place.open)
-        n += 1
-    client.get("waits")
-    await world.cache.next()
-    assert list(world.node._host._held) == ["waits"]
-    client.writer.write_eof()
-    await until(lambda: not world.node._host._held)  # at once: it has gone
-    await until(lambda: not world.node._clients._connections)
-
-
-@scenario
-async def test_a_client_that_is_idle_and_never_reads_the_last_of_its_answers_is_closed(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Below the high-water mark nobody is told of it, and a close that waits for it never came."""
-    monkeypatch.setattr("ironrail.net.shut.LINGER", 0.05)
-    monkeypatch.setattr("ironrail.net.shut.UNREAD", 0.1)
-    monkeypatch.setattr(clients, "SWEEP", 0.02)
-    world = await World().start()
-    client = await world.client()
-    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
-    connection, n = connection_of(world), 0
-    while not connection.transport.get_write_buffer_size():
-        client.get(str(n))
-        (await world.cache.next()).reply_value(b"x" * CRUMBS)
-        await until(lambda: not connection.place.open)
-        n += 1
-    assert connection.place.unread_since is None
-    monkeypatch.setattr(downstream, "IDLE", 0.1)
-    await until(lambda: not world.node._clients._connections)
-
-
 @scenario
 async def test_the_same_id_on_another_connection_is_not_ended_with_the_first_one() -> None:
     """Told twice that the client had gone, the router forgot what it had asked for again meanwhile."""
@@ -286,19 +210,3 @@
         assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
     got.reply_value(b"v")
     assert await client.value("1") == b"v"
-
-
-@pytest.mark.parametrize("sockets", [64, 65, 100, 256, 384, 1024, 4096])
-def test_all_shares_together_stay_within_the_descriptors(sockets: int) -> None:
-    shares = share_descriptors(sockets)
-    assert min(shares.servers, shares.clients, shares.lingering, shares.accepts) >= 1
-    # in one turn of the loop: so many taken, and so many closed whose descriptors are not yet free
-    assert OWN + shares.servers + shares.clients + shares.lingering + 2 * shares.accepts <= sockets
-
-
-def test_lingering_ones_are_bounded_and_the_oldest_goes_first() -> None:
-    some = lingering.Lingering(2)
-    assert some.add("a") is None and some.add("b") is None
-    assert some.add("c") == "a" and len(some) == 2
-    some.gone("b")
-    assert some.add("d") is None and "b" not in some
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from dataclasses import astuple, replace
 from typing import Any
@@ -11,13 +10,12 @@
 import pytest
 
 from ironrail.connections import downstream
-from ironrail.net import accepting, shutdown
-from ironrail.net.client import ClientConnection
+from ironrail.net import shutdown
 from ironrail.net.node import Node
 from ironrail.net.shutdown import Timetable, timetable
 from ironrail.policy import interface as api
-from tests.peers import LOCAL, ONCE, READ, SETTINGS, World, connect, scenario, until
-from tests.test_clients import P, is_ready
+from tests.peers import LOCAL, ONCE, READ, SETTINGS, World, scenario, until
+from tests.test_clients import is_ready
 
 
 def of(*give_up: float) -> Timetable:
@@ -184,104 +182,3 @@
     world.node._clients.drain()
     world.node.reload()
     assert world.node._discovery._task is task and world.node._config.discovery[1] != 9
-
-
-# The listener
-
-
-class Queue:
-    """A listening socket with these in its queue; exceptions are what an accept says instead."""
-
-    def __init__(self, *queue: socket.socket | OSError) -> None:
-        self.queue = list(queue)
-        self.real = socket.create_server((LOCAL, 0))
-        self.real.setblocking(False)
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.real, name)
-
-    def accept(self) -> tuple[socket.socket, Any]:
-        if not self.queue:
-            return self.real.accept()
-        if isinstance(first := self.queue.pop(0), OSError):
-            raise first
-        return first, None
-
-
-class System:
-    """A system that listens so."""
-
-    def __init__(self, queue: Queue) -> None:
-        self.queue = queue
-
-    def listen(self, address: Any, backlog: int) -> Any:
-        return self.queue
-
-
-@scenario
-async def test_one_that_has_gone_in_the_queue_does_not_end_those_behind_it_as_the_listener_closes() -> None:
-    near, far = socket.socketpair()
-    queue = Queue(ConnectionAbortedError(), near)
-    taken: list[socket.socket] = []
-    acceptor = accepting.Acceptor(System(queue), (LOCAL, 0), taken.append)  # type: ignore[arg-type]
-    acceptor.close()
-    assert taken == [near]
-    near.close()
-    far.close()
-
-
-@scenario
-@pytest.mark.parametrize("what", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO])
-async def test_accepting_goes_on_after_a_shortage_and_neither_spins_nor_floods_the_log(
-    what: int, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
-) -> None:
-    monkeypatch.setattr(accepting, "FULL_PAUSE", 0.01)
-    queue = Queue(*(OSError(what, "none left") for _ in range(20)))
-    taken: list[socket.socket] = []
-    acceptor = accepting.Acceptor(System(queue), (LOCAL, 0), taken.append)  # type: ignore[arg-type]
-    loop = asyncio.get_running_loop()
-    began = loop.time()
-    client = await connect(acceptor.address)
-    await until(lambda: taken)
-    assert loop.time() - began >= 20 * 0.009  # a pause for each
-    assert [record.getMessage() for record in caplog.records].count("accepting_pauses") == 1
-    client.close()
-    taken[0].close()
-    acceptor.close()
-
-
-@scenario
-async def test_a_client_that_half_closes_while_nothing_is_read_from_it_is_seen_to_have_left() -> None:
-    await left_while_paused("half-close")
-
-
-@scenario
-async def test_a_client_that_resets_while_nothing_is_read_from_it_is_seen_to_have_left() -> None:
-    await left_while_paused("reset")
-
-
-@scenario
-async def test_a_client_that_closes_while_nothing_is_read_from_it_is_seen_to_have_left() -> None:
-    await left_while_paused("close")
-
-
-async def left_while_paused(how: str) -> None:
-    """Commands lie unread before the end, which nobody reads: the client has as many in hand as may be."""
-    world = await World().start()
-    client = await world.client()
-    most = downstream.MOST_PIPELINED
-    client.send(b"".join(b"mg k v O%d " % n + P + b"\r\n" for n in range(most)))
-    connection: ClientConnection = world.node._clients.all()[0]
-    await until(lambda: not connection.place.reading)
-    client.send(b"mg k v Omore " + P + b"\r\n")
-    await until(world.node._system.unread(connection.transport))
-    assert not connection.left(False)
-    if how == "half-close":
-        client.writer.write_eof()
-    else:
-        if how == "reset":
-            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        client.writer.transport.abort()
-    await until(connection.left, False)
-    assert not connection.place.reading
--- /dev/null
+++ b/tests/test_time_told.py
@@ -0,0 +1,28 @@
+"""The time that a server is told."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from tests.peers import World, scenario
+
+
+@scenario
+async def test_the_origin_is_told_the_time_that_is_left() -> None:
+    """It works on what its answer can still be used for, as a cache does."""
+    world = await World().start()
+    client = await world.client()
+    client.get("1", wait=3000)
+    got = await world.cache.next()
+    asked = time.monotonic()
+    await asyncio.sleep(0.2)  # what is told is how long this took
+    got.reply(b"EN O1 h0\r\n")
+    fetch = await world.origin.next()
+    passed_ms = (time.monotonic() - asked) * 1000
+    told = dict(pair.split("=") for pair in fetch.headers["request-info"].split(","))
+    assert told.keys() == {"c", "t", "d"}
+    assert 3000 - passed_ms - 500 < int(told["d"]) <= 2800
+    client.put("2", b"v", wait=3000)
+    written = dict(pair.split("=") for pair in (await world.origin.next()).headers["request-info"].split(","))
+    assert 2500 < int(written["d"]) <= 3000
--- /dev/null
+++ b/tests/test_told_moves.py
@@ -0,0 +1,103 @@
+"""The list moves to another place: nothing is lost of the old one, and nothing of it undoes the new."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+import pytest
+
+from ironrail.net import discovery
+from ironrail.net.discovery import Discovery
+from ironrail.net.lists import ListReader
+from ironrail.policy import interface as api
+from tests.peers import LOCAL, Peer, read_http, scenario, until
+from tests.told import DRAINS, ROW, Told, followed, listed, write_unread
+
+
+@scenario
+@pytest.mark.parametrize("on_request", [False, True])
+async def test_news_that_lies_unread_when_the_list_moves_is_told(on_request: bool) -> None:
+    """It was written to the router, and so it counts as told."""
+    other = await Peer(read_http).start()
+    async with followed(on_request) as (peer, follows, told):
+        watch = await listed(peer, told)
+        write_unread(watch, 2, DRAINS)
+        follows.move((LOCAL, other.port))
+        assert await told.state() is api.State.DRAINING
+        if on_request:
+            assert (await told.next()).kind is api.ListKind.MOVED
+            follows.ask()
+        await listed(other, told, 1)
+
+
+@scenario
+async def test_nothing_from_where_the_list_was_undoes_what_the_new_place_said() -> None:
+    other = await Peer(read_http).start()
+    async with followed() as (peer, follows, told):
+        watch = await listed(peer, told)
+        body = orjson.dumps({"version": 2, "full": False, "servers": [ROW]})
+        watch.reply(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:-9])
+        follows.move((LOCAL, other.port))
+        again = await listed(other, told, 1, DRAINS)
+        watch.reply(body[-9:])  # the rest of an answer that had begun
+        await peer.ended.acquire()
+        again.respond_list(2, DRAINS, full=False)
+        assert await told.state() is api.State.DRAINING and not told.news
+
+
+@scenario
+@pytest.mark.parametrize("on_request", [False, True])
+async def test_of_two_moves_in_a_row_the_last_counts(on_request: bool) -> None:
+    first, second = await Peer(read_http).start(), await Peer(read_http).start()
+    async with followed(on_request) as (peer, follows, told):
+        await listed(peer, told)
+        follows.move((LOCAL, first.port))
+        follows.move((LOCAL, second.port))
+        if on_request:
+            assert (await told.next()).kind is api.ListKind.MOVED
+            follows.ask()
+        await listed(second, told)
+        assert not first.opened
+        follows.move((LOCAL, first.port))
+        if on_request:
+            assert (await told.next()).kind is api.ListKind.MOVED
+            follows.ask()
+        await first.next()  # says nothing: a call is out
+        follows.move((LOCAL, second.port))
+        await first.ended.acquire()
+        if on_request:
+            assert (await told.next()).kind is api.ListKind.MOVED
+            follows.ask()
+        await listed(second, told, 2, DRAINS)
+
+
+@scenario
+async def test_a_silent_watch_and_a_move_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The watch is found silent in the very moment in which the list moves."""
+    monkeypatch.setattr(discovery, "WAIT_PUSHED", 0.05)
+    monkeypatch.setattr(discovery, "PATIENCE", 0.05)
+    other = await Peer(read_http).start()
+    async with followed() as (peer, follows, told):
+        await listed(peer, told)
+        await peer.next()  # it was silent, and is followed by a call that says nothing either
+        follows.move((LOCAL, other.port))
+        await listed(other, told, 1, DRAINS)
+        await until(lambda: peer.ended._value >= 2)
+
+
+@scenario
+async def test_a_move_before_the_start_and_one_after_the_end() -> None:
+    """SIGHUP may come while the router is not yet up, or no more."""
+    first, second, told = await Peer(read_http).start(), await Peer(read_http).start(), Told()
+    follows = Discovery((LOCAL, first.port), ListReader(), True)
+    follows.move((LOCAL, second.port))
+    follows.start(told)
+    follows.ask()
+    await listed(second, told)
+    follows.stop()
+    follows.move((LOCAL, first.port))
+    follows.again()
+    await second.ended.acquire()
+    await asyncio.sleep(0.1)
+    assert not first.opened and not told.news
--- a/tests/test_told_of_changes.py
+++ b/tests/test_told_of_changes.py
@@ -3,75 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from typing import Any
 
 import orjson
 import pytest
 
 from ironrail.net import discovery
-from ironrail.net.discovery import Discovery
-from ironrail.net.lists import ListReader
-from ironrail.net.system import Address
 from ironrail.policy import interface as api
-from tests.peers import LOCAL, Message, Peer, World, read_http, scenario, until
-
-ROW = {"id": "c", "addr": "127.0.0.1:9", "state": "in_service"}
-DRAINS = {**ROW, "state": "terminating"}
-FULL, DELTA = api.ListKind.FULL, api.ListKind.DELTA
-FAILED, SPOILT, SILENT = api.ListKind.FAILED, api.ListKind.SPOILT, api.ListKind.SILENT
-
-
-class Told:
-    """What a discovery told, in order."""
-
-    def __init__(self) -> None:
-        self.news: list[api.ServerList] = []
-        self.came = asyncio.Event()
-
-    def __call__(self, news: api.ServerList, addresses: dict[str, Address]) -> None:
-        self.news.append(news)
-        self.came.set()
-
-    async def next(self) -> api.ServerList:
-        while not self.news:
-            self.came.clear()
-            await self.came.wait()
-        return self.news.pop(0)
-
-    async def state(self) -> api.State:
-        return (await self.next()).entries[0].state
-
-
-@asynccontextmanager
-async def followed(on_request: bool = False) -> AsyncIterator[tuple[Peer, Discovery, Told]]:
-    """Somebody who tells, and a router's end that is told."""
-    peer, told = await Peer(read_http).start(), Told()
-    follows = Discovery((LOCAL, peer.port), ListReader(), on_request)
-    follows.start(told)
-    follows.ask()
-    yield peer, follows, told
-    follows.stop()
-
-
-async def listed(peer: Peer, told: Told, version: int = 1, row: dict[str, Any] = ROW) -> Message:
-    """Answer the call for the whole list; the watch that follows."""
-    call = await peer.next()
-    assert call.head == b"GET /api/targets"
-    call.respond_list(version, row)
-    assert (await told.next()).kind is FULL
-    return await peer.next()
-
-
-def write_unread(message: Message, version: int, *rows: dict[str, Any]) -> None:
-    """Answer so that it lies unread at the router's end when this returns."""
-    body = orjson.dumps({"version": version, "full": False, "servers": rows})
-    answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-    assert os.write(message.writer.get_extra_info("socket").fileno(), answer) == len(answer)
-
+from tests.peers import Peer, World, scenario, until
+from tests.told import DRAINS, FAILED, FULL, ROW, connects_come_up, followed, listed
 
 # Watches
 
@@ -105,14 +46,7 @@
 async def test_a_watch_that_has_no_connection_yet_watches_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     """Its connect hung for as long as a watch may wait, half a minute where all ask one service."""
     monkeypatch.setattr(discovery, "CONNECT_PATIENCE", 0.05)
-    opened, opens = asyncio.open_connection, iter([True, False])
-
-    async def open_once(*address: Any) -> Any:
-        if not next(opens):
-            await asyncio.sleep(600.0)
-        return await opened(*address)
-
-    monkeypatch.setattr(asyncio, "open_connection", open_once)
+    connects_come_up(monkeypatch, True, False)
     async with followed(on_request=True) as (peer, _, told):
         call = await peer.next()
         body = orjson.dumps({"version": 1, "full": True, "servers": [ROW]})
@@ -127,14 +61,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What the agent has counts as told at once; sends to what drains must cease in a second."""
-    opened, opens = asyncio.open_connection, iter([False, True])
-
-    async def open_second(*address: Any) -> Any:
-        if not next(opens):
-            await asyncio.sleep(600.0)
-        return await opened(*address)
-
-    monkeypatch.setattr(asyncio, "open_connection", open_second)
+    connects_come_up(monkeypatch, False, True)
     began = time.monotonic()
     async with followed(on_request=False) as (peer, _, told):
         await listed(peer, told, 1, DRAINS)
@@ -204,97 +131,6 @@
         assert b"index=2&" in (await peer.next()).head
 
 
-# Moves
-
-
-@scenario
-@pytest.mark.parametrize("on_request", [False, True])
-async def test_news_that_lies_unread_when_the_list_moves_is_told(on_request: bool) -> None:
-    """It was written to the router, and so it counts as told."""
-    other = await Peer(read_http).start()
-    async with followed(on_request) as (peer, follows, told):
-        watch = await listed(peer, told)
-        write_unread(watch, 2, DRAINS)
-        follows.move((LOCAL, other.port))
-        assert await told.state() is api.State.DRAINING
-        if on_request:
-            assert (await told.next()).kind is api.ListKind.MOVED
-            follows.ask()
-        await listed(other, told, 1)
-
-
-@scenario
-async def test_nothing_from_where_the_list_was_undoes_what_the_new_place_said() -> None:
-    other = await Peer(read_http).start()
-    async with followed() as (peer, follows, told):
-        watch = await listed(peer, told)
-        body = orjson.dumps({"version": 2, "full": False, "servers": [ROW]})
-        watch.reply(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:-9])
-        follows.move((LOCAL, other.port))
-        again = await listed(other, told, 1, DRAINS)
-        watch.reply(body[-9:])  # the rest of an answer that had begun
-        await peer.ended.acquire()
-        again.respond_list(2, DRAINS, full=False)
-        assert await told.state() is api.State.DRAINING and not told.news
-
-
-@scenario
-@pytest.mark.parametrize("on_request", [False, True])
-async def test_of_two_moves_in_a_row_the_last_counts(on_request: bool) -> None:
-    first, second = await Peer(read_http).start(), await Peer(read_http).start()
-    async with followed(on_request) as (peer, follows, told):
-        await listed(peer, told)
-        follows.move((LOCAL, first.port))
-        follows.move((LOCAL, second.port))
-        if on_request:
-            assert (await told.next()).kind is api.ListKind.MOVED
-            follows.ask()
-        await listed(second, told)
-        assert not first.opened
-        follows.move((LOCAL, first.port))
-        if on_request:
-            assert (await told.next()).kind is api.ListKind.MOVED
-            follows.ask()
-        await first.next()  # says nothing: a call is out
-        follows.move((LOCAL, second.port))
-        await first.ended.acquire()
-        if on_request:
-            assert (await told.next()).kind is api.ListKind.MOVED
-            follows.ask()
-        await listed(second, told, 2, DRAINS)
-
-
-@scenario
-async def test_a_silent_watch_and_a_move_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The watch is found silent in the very moment in which the list moves."""
-    monkeypatch.setattr(discovery, "WAIT_PUSHED", 0.05)
-    monkeypatch.setattr(discovery, "PATIENCE", 0.05)
-    other = await Peer(read_http).start()
-    async with followed() as (peer, follows, told):
-        await listed(peer, told)
-        await peer.next()  # it was silent, and is followed by a call that says nothing either
-        follows.move((LOCAL, other.port))
-        await listed(other, told, 1, DRAINS)
-        await until(lambda: peer.ended._value >= 2)
-
-
-@scenario
-async def test_a_move_before_the_start_and_one_after_the_end() -> None:
-    """SIGHUP may come while the router is not yet up, or no more."""
-    first, second, told = await Peer(read_http).start(), await Peer(read_http).start(), Told()
-    follows = Discovery((LOCAL, first.port), ListReader(), True)
-    follows.move((LOCAL, second.port))
-    follows.start(told)
-    follows.ask()
-    await listed(second, told)
-    follows.stop()
-    follows.move((LOCAL, first.port))
-    follows.again()
-    await second.ended.acquire()
-    await asyncio.sleep(0.1)
-    assert not first.opened and not told.news
-
-
 # Nothing new goes to a server that drains or is gone
 
 
--- /dev/null
+++ b/tests/told.py
@@ -0,0 +1,83 @@
+"""What a router's end of discovery is told, for tests: who tells answers only as they say."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import orjson
+import pytest
+
+from ironrail.net.discovery import Discovery
+from ironrail.net.lists import ListReader
+from ironrail.net.system import Address
+from ironrail.policy import interface as api
+from tests.peers import LOCAL, Message, Peer, read_http
+
+ROW = {"id": "c", "addr": "127.0.0.1:9", "state": "in_service"}
+DRAINS = {**ROW, "state": "terminating"}
+FULL, DELTA = api.ListKind.FULL, api.ListKind.DELTA
+FAILED, SPOILT, SILENT = api.ListKind.FAILED, api.ListKind.SPOILT, api.ListKind.SILENT
+
+
+class Told:
+    """What a discovery told, in order."""
+
+    def __init__(self) -> None:
+        self.news: list[api.ServerList] = []
+        self.came = asyncio.Event()
+
+    def __call__(self, news: api.ServerList, addresses: dict[str, Address]) -> None:
+        self.news.append(news)
+        self.came.set()
+
+    async def next(self) -> api.ServerList:
+        while not self.news:
+            self.came.clear()
+            await self.came.wait()
+        return self.news.pop(0)
+
+    async def state(self) -> api.State:
+        return (await self.next()).entries[0].state
+
+
+@asynccontextmanager
+async def followed(on_request: bool = False) -> AsyncIterator[tuple[Peer, Discovery, Told]]:
+    """Somebody who tells, and a router's end that is told."""
+    peer, told = await Peer(read_http).start(), Told()
+    follows = Discovery((LOCAL, peer.port), ListReader(), on_request)
+    follows.start(told)
+    follows.ask()
+    yield peer, follows, told
+    follows.stop()
+
+
+async def listed(peer: Peer, told: Told, version: int = 1, row: dict[str, Any] = ROW) -> Message:
+    """Answer the call for the whole list; the watch that follows."""
+    call = await peer.next()
+    assert call.head == b"GET /api/targets"
+    call.respond_list(version, row)
+    assert (await told.next()).kind is FULL
+    return await peer.next()
+
+
+def write_unread(message: Message, version: int, *rows: dict[str, Any]) -> None:
+    """Answer so that it lies unread at the router's end when this returns."""
+    body = orjson.dumps({"version": version, "full": False, "servers": rows})
+    answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    assert os.write(message.writer.get_extra_info("socket").fileno(), answer) == len(answer)
+
+
+def connects_come_up(monkeypatch: pytest.MonkeyPatch, *whether: bool) -> None:
+    """Of the next connects, in turn: one that does not hangs."""
+    opened, opens = asyncio.open_connection, iter(whether)
+
+    async def open_in_turn(*address: Any) -> Any:
+        if not next(opens):
+            await asyncio.sleep(600.0)
+        return await opened(*address)
+
+    monkeypatch.setattr(asyncio, "open_connection", open_in_turn)
