Test: the planted router that tells too much time does so beyond doubt

The rule wants over a fifth of further attempts to tell 0.15 s too much, and the planted mistake, the client's whole time, lies that far off only where a miss took so long: near a fifth on a quick machine. It tells half a second more now; the rule and what is asked of the test are the same.

--- a/tests/mutants/tells_all_the_time.py
+++ b/tests/mutants/tells_all_the_time.py
@@ -1,4 +1,4 @@
-"""Tells servers the whole time that the client named, however much of it is over."""
+"""Tells servers the whole time that the client named and half a second, however much of it is over."""
 
 from __future__ import annotations
 
@@ -8,5 +8,6 @@
 
 
 def break_it() -> None:
-    memcache.info_with = lambda command, wait_ms: command.info
+    told = memcache.info_with
+    memcache.info_with = lambda command, wait_ms: told(command, int(float(command.fields["d"])) + 500)
     origin.info_with = memcache.info_with  # type: ignore[attr-defined]
