Diagnostics: hold-ups, late answers, and why requests, retries and connections ended

Now: a heartbeat of 20 ms finds hold-ups; late and unanswered requests are logged by id with their attempts (bounded, what is left out is counted); refusals, retries, closes of clients and calls to discovery are counted by reason; news is logged with its version and the servers that drain or are gone.

--- a/ironrail/net/answers.py
+++ b/ironrail/net/answers.py
@@ -7,6 +7,8 @@
 
 from ironrail.access.keep import Ended
 from ironrail.connections.room import Room
+from ironrail.diagnostics.daemon import AttemptSummary, DaemonDiagnostics, RequestSummary
+from ironrail.diagnostics.reasons import RefusalReason
 from ironrail.door.figures import Figures
 from ironrail.net import memcache
 from ironrail.net.driving import Driver
@@ -22,6 +24,7 @@
 Note = Callable[[Command, float, Ended, int], None]  # of a request that ends: its seconds, its value's size
 STREAM_ROOM = 320 * 1024  # bytes of a long value on its way: one read, and what its client has not taken
 MOST_ROOM = 64 * 1024**2  # bytes for all long values where nobody says how much there is
+LATE_SECONDS = 0.03  # after its deadline: an answer that is so late is told of, as the protocol grants 0.05
 
 
 class Answers(Driver):
@@ -34,11 +37,13 @@
         returned: Callable[[], None],
         room: Room | None,
         note: Note | None,
+        diagnostics: DaemonDiagnostics | None = None,
     ) -> None:
         super().__init__(router, system, returned)
         self._note = note
         self.room = room or Room(MOST_ROOM)
         self.figures = Figures(router.settings.classes)
+        self.diagnostics = diagnostics or DaemonDiagnostics()
         self._ending = False
         self._held: dict[str, Held] = {}
         self._open: dict[tuple[str, int], tuple[Attempt, Pool]] = {}  # attempts without an outcome
@@ -94,6 +99,10 @@
     def _close(self, held: Held, counts: dict[str, int]) -> None:
         """A request ends: it is counted, and owed nothing more."""
         counts[held.command.fields["c"]] += 1
+        if counts is not self.figures.success:
+            self.diagnostics.refusals.add(self._refusal_reason(held))
+        if self._now() > held.deadline + LATE_SECONDS:
+            self.diagnostics.answered_late(self._now(), self._summary(held))
         del self._held[held.request]
         held.timer.cancel()
         self._withdraw(held)
@@ -108,10 +117,34 @@
                 held.command, self._now() - held.taken_at, ended, 0 if held.command.write else held.length
             )
 
+    # What the log and the metrics tell
+
+    def _refusal_reason(self, held: Held) -> RefusalReason:
+        if self._ending:
+            return RefusalReason.SHUTDOWN
+        if self._now() >= held.deadline:
+            return RefusalReason.TIME_UP
+        return RefusalReason.ATTEMPT_FAILED if held.attempts else RefusalReason.NOT_SENT
+
+    def _summary(self, held: Held) -> RequestSummary:
+        attempts = tuple(
+            AttemptSummary(
+                attempt.server,
+                attempt.sent_at - held.taken_at,
+                attempt.outcome.value if attempt.outcome is not None else "open",
+            )
+            for attempt in held.attempts
+        )
+        age = self._now() - held.taken_at + held.read_late
+        patience = held.deadline - held.taken_at
+        request_class = held.command.fields["c"]
+        return RequestSummary(held.request, request_class, patience, held.read_late, age, attempts)
+
     # Attempts
 
     def _on_outcome(self, attempt: Attempt, status: api.Status, body: bytes) -> None:
         del self._open[attempt.request, attempt.number]
+        attempt.outcome = status
         if attempt.lent:
             self.room.give_back(attempt)
         held = self._held.get(attempt.request)
--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -7,6 +7,7 @@
 from typing import cast
 
 from ironrail.connections.downstream import Fate, Next, Place
+from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net import memcache
 from ironrail.net.held import Reader
 from ironrail.net.memcache import BadCommand, Command, CommandParser, Noop
@@ -29,6 +30,7 @@
         self._parsing = False
         self._parse_due = False
         self._shut: Shut | None = None  # since then nothing more is answered
+        self._finish_reason = ClientCloseReason.BAD_COMMANDS
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -140,10 +142,10 @@
                 self.place.more, self._parse_due = False, True
                 asyncio.get_running_loop().call_soon(self._parse)
             case Next.FINISH:
-                self.shut()
+                self.shut(self._finish_reason)
             case Next.CLOSE if self.clear():  # else what has come is read first, or the answer goes out first
                 self.place.left = self.place.leaves
-                self.shut()
+                self.shut(ClientCloseReason.MIGRATED if self.place.leaves else ClientCloseReason.SHUTDOWN)
             case Next.MAKE_WAY:
                 self._clients.make_way()
         self._throttle()
@@ -185,10 +187,15 @@
         """Whether it is closing, or shut."""
         return self._shut is not None or self.transport.is_closing()
 
-    def shut(self, ended: bool = False) -> None:
-        """End it behind what is written; what still comes is dropped until the other end closes too."""
+    def shut(self, reason: ClientCloseReason | None = None, ended: bool = False) -> None:
+        """End it behind what is written; what still comes is dropped until the other end closes too.
+
+        `reason`: None where its client ended it.
+        """
         if self.ends:
             return
+        if reason is not None:
+            self._clients.host.diagnostics.client_closes.add(reason)
         self.place.ending = True
         self._shut = Shut(self.transport, ended=ended)
         self._clients.lingers(self)
@@ -199,13 +206,15 @@
             return
         match self._clients.places.fate(now, self.place):
             case Fate.ABORT:
+                self._clients.host.diagnostics.client_closes.add(ClientCloseReason.UNREAD)
                 self.transport.abort()
             case Fate.TOO_LATE:
+                self._finish_reason = ClientCloseReason.PARTIAL_COMMAND
                 self._clients.places.cut_short(self.place)
                 self._slots.append(Slot(self, memcache.TOO_LATE))
                 self._flush()
             case Fate.CLOSE if not self.unread():  # though it may not take the last of its answers, or never
-                self.shut()
+                self.shut(ClientCloseReason.IDLE)
 
     def eof_received(self) -> bool:
         """The client has gone: at once, though what is written to it may be long in going out, or never."""
--- a/ironrail/net/clients.py
+++ b/ironrail/net/clients.py
@@ -14,6 +14,7 @@
 from ironrail.connections.descriptors import MOST_ACCEPTS
 from ironrail.connections.downstream import Downstream, Place
 from ironrail.connections.lingering import Lingering
+from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net import memcache
 from ironrail.net.accepting import Acceptor
 from ironrail.net.client import ClientConnection
@@ -83,7 +84,7 @@
     def _taken(self, connection: socket.socket) -> None:
         admission = self.places.arrived()
         if admission.evicted is not None:
-            self._connections[admission.evicted].shut()
+            self._connections[admission.evicted].shut(ClientCloseReason.EVICTED)
         task = self._loop.create_task(self._adopt(connection, admission.admitted))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
@@ -107,7 +108,7 @@
         while (longest := self.places.makes_way()) is not None:
             connection = self._connections[longest]
             if connection.clear():
-                connection.shut()
+                connection.shut(ClientCloseReason.EVICTED)
                 self.places.gone(longest)  # also where it is closing already
             else:
                 self.places.stays(longest)
@@ -164,7 +165,7 @@
         """Shut those that wait for a command, but where something has just come: behind its answer."""
         for place in self.places.leaving(self.system.now(), hurry):
             if (connection := self._connections.get(place)) is not None and connection.clear():
-                connection.shut()
+                connection.shut(ClientCloseReason.SHUTDOWN)
 
     def end_all(self) -> None:
         """Time is up: all that is held has its answer now, and what is still read is refused at once."""
--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -68,6 +68,8 @@
     begin_by: float = math.inf  # on the host's clock; after that nothing of it may be sent
     timer: asyncio.TimerHandle | None = None
     lent: bool = False  # it has room for a long value
+    server: str = ""
+    outcome: Status | None = None  # once it has one
 
     def end(self, status: Status, body: bytes) -> None:
         """Report the outcome; whatever comes later has nobody left to hear it."""
--- a/ironrail/net/discovery.py
+++ b/ironrail/net/discovery.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from ironrail.diagnostics.counters import ReasonCounter
+from ironrail.diagnostics.reasons import ListCallResult
 from ironrail.net.asked import CONNECT_PATIENCE, CONNECT_PATIENCE_PUSHED, Client, SpoiltAnswer
 from ironrail.net.lists import ListError, ListReader
 from ironrail.net.patience import READ_ON
@@ -36,6 +38,8 @@
 ASKED_PATIENCE = 4.0
 AFTER_SILENCE = 0.7  # the same once a watch fell silent, of the 1.5 s that are left then: for a second try
 PAUSE = 0.5  # from the begin of a call that failed to the next: one that took longer is followed at once
+RESULTS = {api.ListKind.FAILED: ListCallResult.FAILED, api.ListKind.SPOILT: ListCallResult.SPOILT}
+MOST_NAMED = 8  # servers of each state that one line of the log names
 Told = Callable[[api.ServerList, dict[str, Address]], None]
 
 
@@ -46,11 +50,19 @@
 class Discovery:
     """Tells what discovery has to say for as long as it runs; while it is silent the last list stands."""
 
-    def __init__(self, address: Address, reader: ListReader, on_request: bool, index: int = 0) -> None:
+    def __init__(
+        self,
+        address: Address,
+        reader: ListReader,
+        on_request: bool,
+        index: int = 0,
+        calls: ReasonCounter | None = None,
+    ) -> None:
         """`on_request`: a call is made when the module asks, not by itself. `index`: of this router."""
         self._connect_patience = CONNECT_PATIENCE if on_request else CONNECT_PATIENCE_PUSHED
         self._address, self._client = address, self._client_of(address)  # where to ask, and where it is now
         self._reader = reader
+        self._calls = calls or ReasonCounter("list_call", ListCallResult)
         self._on_request = on_request
         aside = 2.0 * (index * EVENLY % 1.0) - 1.0
         self._wait = WAIT + WAIT_SPREAD * aside if on_request else WAIT_PUSHED
@@ -59,6 +71,7 @@
         self._asked = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._anew: asyncio.TimerHandle | None = None  # until the whole list is asked for, maybe elsewhere
+        self._called_at = 0.0  # on the loop's clock: when the call that is out, or the latest, began
         self._sure_at = 0.0  # on the loop's clock: all news until then was told
 
     def _client_of(self, address: Address) -> Client:
@@ -134,11 +147,16 @@
                 await self._follow(self._client)
             except SilentWatch:
                 kind, self._fell_silent = api.ListKind.SILENT, True
+                self._calls.add(ListCallResult.SILENT)
                 log.warning("watch_silent", extra={"seconds": self._wait + PATIENCE})
             except (OSError, ValueError) as e:
                 if isinstance(e, (SpoiltAnswer, ListError)):
                     kind = api.ListKind.SPOILT
-                log.warning("list_call_failed", extra={"error": str(e) or type(e).__name__})
+                self._calls.add(RESULTS[kind])
+                seconds = round(loop.time() - self._called_at, 3)
+                log.warning(
+                    "list_call_failed", extra={"error": str(e) or type(e).__name__, "seconds": seconds}
+                )
             except Exception:  # guards against routing by an old list for good
                 log.exception("list_call_broken")
             if self._on_request:
@@ -150,13 +168,14 @@
     async def _follow(self, client: Client) -> None:
         hurry, self._fell_silent = self._fell_silent, False
         patience = min(AFTER_SILENCE, self._list_patience) if hurry else self._list_patience
+        self._called_at = asyncio.get_running_loop().time()
         version = self._take(await client.get("/api/targets", patience), math.inf)
         while True:  # at once: what changes between an answer and the next watch would be told late
             version = self._take(await self._watch(client, version), version)
 
     async def _watch(self, client: Client, version: int) -> Any:
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = self._called_at = loop.time()
         target = f"/api/targets?index={version}&wait={round(self._wait * 1000)}"
         try:
             return await client.get(target, self._wait + PATIENCE)
@@ -168,7 +187,20 @@
 
     def _take(self, message: Any, least: float) -> int:
         version, news, addresses = self._reader.read(message, least=least)
+        self._calls.add(ListCallResult.ANSWERED)
         if news.entries or news.kind is api.ListKind.FULL:
+            self._report(version, news)
             self._told(news, addresses)
         self._sure_at = asyncio.get_running_loop().time()
         return version
+
+    def _report(self, version: int, news: api.ServerList) -> None:
+        """Log what has changed: the version, and servers by their state, the first few by name."""
+        fields: dict[str, Any] = {"version": version, "full": news.kind is api.ListKind.FULL}
+        for state in api.State:
+            names = [entry.server for entry in news.entries if entry.state is state]
+            fields[state.value] = len(names)
+            if state is not api.State.READY and names:
+                fields[f"{state.value}_servers"] = names[:MOST_NAMED]
+        fields["seconds"] = round(asyncio.get_running_loop().time() - self._called_at, 3)
+        log.info("servers_changed", extra=fields)
--- a/ironrail/net/driving.py
+++ b/ironrail/net/driving.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from ironrail.net.loop_monitor import LoopMonitor
 from ironrail.net.system import System
 from ironrail.policy import interface as api
 from ironrail.policy.balance import Router
@@ -27,6 +28,7 @@
         self._now, self._returned = system.now, returned
         self._router = router
         self._loop = asyncio.get_running_loop()
+        self.monitor = LoopMonitor(system)
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._beat_at, self._catching_up = self._now(), False
--- a/ironrail/net/held.py
+++ b/ironrail/net/held.py
@@ -66,6 +66,7 @@
     taken_at: float = 0.0
     length: int = 0  # bytes of the value that it was given
     reader: Reader | None = None
+    read_late: float = 0.0  # seconds at most for which its last byte had waited unread
 
     def ended(self, now: float, ended: Ended) -> None:
         """Tell whoever wants to know."""
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -7,6 +7,8 @@
 
 from ironrail.access.keep import Ended
 from ironrail.connections.room import Room
+from ironrail.diagnostics.daemon import DaemonDiagnostics
+from ironrail.diagnostics.reasons import RetryReason
 from ironrail.net import memcache
 from ironrail.net.answers import STREAM_ROOM, Answers, Note
 from ironrail.net.driving import BEAT
@@ -22,10 +24,25 @@
 
 log = logging.getLogger(__name__)
 
+RETRY_REASONS = {
+    api.Status.MISS: RetryReason.MISS,
+    api.Status.FULL: RetryReason.BUSY,
+    api.Status.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+    api.Status.TIMEOUT: RetryReason.TIMEOUT,
+    api.Status.RESET: RetryReason.RESET,
+    api.Status.ERROR: RetryReason.ERROR,
+}
 JUST_READ = 0.01  # seconds: what is sent on by then is so in the turn of the loop in which it was read
 SWEEP = 1.0  # seconds between looks at idle connections
 
 
+def retry_reason(previous: Attempt) -> RetryReason:
+    """Why an attempt follows this one."""
+    if previous.outcome is None:
+        return RetryReason.OVERDUE
+    return RETRY_REASONS.get(previous.outcome, RetryReason.OTHER)
+
+
 class Host(Answers):
     """One router on real sockets."""
 
@@ -39,9 +56,10 @@
         returned: Callable[[], None] = lambda: None,
         room: Room | None = None,
         note: Note | None = None,
+        diagnostics: DaemonDiagnostics | None = None,
     ) -> None:
         """`note`: is told of each request that ends; `most_connections` are those to all servers together."""
-        super().__init__(router, system, returned, room, note)
+        super().__init__(router, system, returned, room, note, diagnostics)
         self._ask_list = ask_list
         self._servers = ServerPools(make_pool, most_connections)
         self._pools = self._servers.by_name
@@ -58,6 +76,11 @@
         listed, avoided = self._router.listed(self._now())
         return {"inflight": len(self._held), "hosts_listed": listed, "hosts_down": avoided}
 
+    def metrics(self) -> bytes:
+        """All that operators may ask for, in the form of statsd."""
+        self.diagnostics.held_up = self.monitor.detector.count
+        return self.figures.lines(self.gauges(), self.diagnostics.counts())
+
     def take(self, command: Command, answer: Answer, passage: Passage | None = None) -> str | None:
         """Take a client's request; answers with its name, or None if it was turned down at once.
 
@@ -89,6 +112,7 @@
         self._held[name] = Held(
             name, command, answer, now + time_left, timer, passage, taken_at=now, reader=reader
         )
+        self._held[name].read_late = now - self.monitor.earliest_arrival()
         self._feed(
             api.Request(
                 name,
@@ -108,6 +132,8 @@
         if held is not None:
             held.timer.cancel()
             self._withdraw(held)
+            if self._now() >= held.deadline - held.read_late:
+                self.diagnostics.left_unanswered(self._now(), self._summary(held))
             held.ended(self._now(), Ended.LEFT)
             if self._note is not None:
                 self._note(held.command, self._now() - held.taken_at, Ended.LEFT, 0)
@@ -184,6 +210,9 @@
         attempt = Attempt(name, len(held.attempts), now, until, held.command, self._on_outcome)
         attempt.begun, attempt.piece, attempt.wanted = self._on_begun, self._on_piece, self._wanted
         attempt.alone = held.command.write  # a repeat may not be harmless: its risks are its own
+        attempt.server = action.server
+        if held.attempts:
+            self.diagnostics.retries.add(retry_reason(held.attempts[-1]))
         held.attempts.append(attempt)
         if pool is None:
             self._feed(api.Outcome(name, attempt.number, api.Status.CONNECT_FAILED))
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -15,16 +15,16 @@
 from ironrail.connections.descriptors import share_descriptors
 from ironrail.connections.downstream import Downstream
 from ironrail.connections.room import Room
+from ironrail.diagnostics.daemon import DaemonDiagnostics
 from ironrail.door.calls import Answer, Page, Post
-from ironrail.net.caches import CacheConnection
 from ironrail.net.clients import Clients
 from ironrail.net.config import Config, ConfigError, read_config
+from ironrail.net.connection import Watch
 from ironrail.net.discovery import Discovery
 from ironrail.net.host import Host
 from ironrail.net.lists import ListError, ListReader
 from ironrail.net.operators import Door
-from ironrail.net.origin import OriginConnection
-from ironrail.net.pool import Pool
+from ironrail.net.pool_factory import PoolFactory
 from ironrail.net.shutdown import shut_down
 from ironrail.net.system import REAL, Address, System
 from ironrail.operator_file import Operator
@@ -36,7 +36,6 @@
     from ironrail.net.store import Store
     from ironrail.net.together import Together
 
-ORIGIN_CONNECTIONS = 32
 OWN_MEMORY = 36 * 1024**2  # bytes of a router without long values, some to spare
 LEAST_ROOM = 5 * 1024**2  # bytes for them all the same: one of the longest and a little
 LIST_WAIT = 2.0  # seconds for the first list, where another process serves meanwhile
@@ -67,7 +66,10 @@
         reader = ListReader(system)
         router = Router(config.settings, config.seed, system.now())
         settings = config.settings
-        self._discovery = Discovery(config.discovery, reader, settings.subscribe, settings.index)
+        diagnostics = DaemonDiagnostics()
+        self._discovery = Discovery(
+            config.discovery, reader, settings.subscribe, settings.index, diagnostics.list_calls
+        )
         self._listed, self._listening = asyncio.Event(), False
         self._late: asyncio.Task[None] | None = None
         shares = share_descriptors(config.sockets)
@@ -78,15 +80,17 @@
 
             path = operator.access_log.path.replace("{index}", str(config.settings.index))
             self._access = Access(replace(operator.access_log, path=path), system)
+        self._pools = PoolFactory(config, operator, system, self._wrote, self._watch)
         self._host = Host(
             router,
-            self._pool,
+            self._pools.make,
             self._discovery.ask,
             shares.servers,
             system,
             self._discovery.again,
             room,
             self._access.note if self._access is not None else None,
+            diagnostics,
         )
         self._clients = Clients(
             self._host,
@@ -113,24 +117,11 @@
     def _can_serve(self) -> bool:
         return self._host.can_serve() and (self.together is None or self.together.ready())
 
-    def _pool(self, entry: api.ServerEntry, address: Address) -> Pool:
-        settings = self._config.settings
-        connections = self._operator.connections
-        origin = settings.aside and entry.kind == settings.origin_kind
-        return Pool(
-            entry.server,
-            address,
-            OriginConnection if origin else CacheConnection,
-            most=ORIGIN_CONNECTIONS if origin else connections.each(settings.routers),
-            streams=1 if origin else min(self._config.streams, connections.depth or self._config.streams),
-            connect_timeout=settings.connect_timeout,
-            idle=settings.connection_idle,
-            cost=connections.cost_ms / 1000,
-            copies=settings.second_copies,
-            system=self._system,
-            wrote=self._host.figures.wrote,
-            watch=self.together.watch(entry.zone) if self.together is not None else None,
-        )
+    def _wrote(self) -> None:
+        self._host.figures.wrote()
+
+    def _watch(self, zone: str) -> Watch | None:
+        return self.together.watch(zone) if self.together is not None else None
 
     def start(self) -> Address:
         """Listen and follow discovery; answers with the address listened on.
@@ -183,7 +174,7 @@
         return Answer(503, b"stopping\n" if self._clients.places.draining else b"not ready\n")
 
     def _metrics(self) -> Answer:
-        return Answer(200, self._host.figures.lines(self._host.gauges()))
+        return Answer(200, self._host.metrics())
 
     async def serve(self) -> None:
         """Start, follow the signals, and run until told to stop."""
--- /dev/null
+++ b/tests/diagnostics/test_hold_up.py
@@ -0,0 +1,56 @@
+"""The heartbeat tells how long what is read may have waited."""
+
+from __future__ import annotations
+
+from ironrail.diagnostics.counters import LogSampler, ReasonCounter
+from ironrail.diagnostics.hold_up import HEARTBEAT_INTERVAL_SECONDS as BEAT
+from ironrail.diagnostics.hold_up import HoldUpDetector
+from ironrail.diagnostics.reasons import ListCallResult
+
+
+def test_in_ordinary_service_what_is_read_came_just_now() -> None:
+    detector = HoldUpDetector(10.0)
+    for n in range(1, 50):
+        assert detector.beat(10.0 + n * BEAT) is None
+        assert detector.earliest_arrival(10.0 + (n + 0.9) * BEAT) == 10.0 + (n + 0.9) * BEAT
+    assert detector.count == 0
+
+
+def test_read_before_the_late_heartbeat() -> None:
+    """Where the loop reads sockets before it looks at timers."""
+    detector = HoldUpDetector(10.0)
+    assert detector.earliest_arrival(10.1) == 10.0
+
+
+def test_read_behind_the_late_heartbeat_until_all_is_read() -> None:
+    """Where the loop looks at timers first."""
+    detector = HoldUpDetector(10.0)
+    hold_up = detector.beat(10.1)
+    assert hold_up is not None and hold_up.seconds > 0.09
+    assert detector.earliest_arrival(10.101) == 10.0
+    detector.caught_up(hold_up)
+    assert detector.earliest_arrival(10.102) == 10.102
+    assert (detector.count, detector.longest) == (1, hold_up.seconds)
+
+
+def test_a_second_hold_up_before_the_first_is_caught_up() -> None:
+    detector = HoldUpDetector(10.0)
+    first = detector.beat(10.1)
+    second = detector.beat(10.2)
+    assert first is not None and second is not None
+    detector.caught_up(first)
+    assert detector.earliest_arrival(10.201) == 10.1
+    detector.caught_up(second)
+    assert detector.earliest_arrival(10.202) == 10.202
+
+
+def test_the_log_is_bounded_and_tells_what_it_left_out() -> None:
+    sampler = LogSampler(per_second=2)
+    assert [sampler.admits(5.0 + n / 10) for n in range(5)] == [True, True, False, False, False]
+    assert sampler.admits(6.0) and sampler.take_suppressed() == 3 and sampler.take_suppressed() == 0
+
+
+def test_each_reason_is_counted_by_itself() -> None:
+    counter = ReasonCounter("list_call", ListCallResult)
+    counter.add(ListCallResult.SILENT)
+    assert dict(counter.items())["list_call.silent"] == 1 == counter.total()
--- /dev/null
+++ b/tests/diagnostics/test_request_log.py
@@ -0,0 +1,52 @@
+"""What went wrong with one request is in the log by its id, and counted by its reason."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import pytest
+
+from ironrail.diagnostics.reasons import ClientCloseReason, ListCallResult, RefusalReason, RetryReason
+from tests.peers import World, scenario, until
+
+
+@scenario
+async def test_an_answer_behind_a_hold_up_is_told_with_its_attempts(caplog: pytest.LogCaptureFixture) -> None:
+    world = await World().start()
+    client = await world.client()
+    client.get("late", wait=100)
+    await world.cache.next()
+    time.sleep(0.2)  # the loop does not turn meanwhile: its deadline passes
+    await client.line()
+    diagnostics = world.node._host.diagnostics
+    assert diagnostics.late_answers == 1
+    assert diagnostics.refusals[RefusalReason.TIME_UP] == 1
+    [record] = [r for r in caplog.records if r.message == "request_answered_late"]
+    fields = record.__dict__
+    assert fields["request"] == "late" and fields["age"] >= 0.2
+    assert [text.split()[0] for text in fields["attempts"]] == ["c"]
+    assert any(r.message == "event_loop_held_up" for r in caplog.records)
+    metrics = world.node._host.metrics().decode()
+    assert "edge_node.answered_late:1|c" in metrics and "edge_node.refused.time_up:1|c" in metrics
+
+
+@scenario
+async def test_retries_closes_and_calls_for_the_list_are_counted_by_reason(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    world = await World().start()
+    diagnostics = world.node._host.diagnostics
+    assert diagnostics.list_calls[ListCallResult.ANSWERED] == 1
+    client = await world.client()
+    client.get("1")
+    (await world.cache.next()).reply(b"EN O1\r\n")
+    (await world.origin.next()).respond(b"v")
+    assert await client.value("1") == b"v"
+    assert diagnostics.retries[RetryReason.MISS] == 1
+    client.send(b"nonsense\r\n" * 8)
+    await until(lambda: diagnostics.client_closes[ClientCloseReason.BAD_COMMANDS] == 1)
+    await world.tell(world.cache.row("c", state="terminating"))
+    [*_, record] = [r for r in caplog.records if r.message == "servers_changed"]
+    assert (record.__dict__["version"], record.__dict__["draining_servers"]) == (2, ["c"])
--- a/tests/test_clients_shut.py
+++ b/tests/test_clients_shut.py
@@ -99,7 +99,7 @@
     connection = connection_of(world)
     shut = connection.shut
 
-    def crossed() -> None:
+    def crossed(*_: object) -> None:
         client.send(ASKED)
         shut()
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -130,10 +130,10 @@
 def test_imports_point_one_way() -> None:
     """Kit to daemon to policy; within the kit faults act on stand-ins, which know of none."""
     kit = "ironrail.rehearsal"
-    for folder in ("policy", "connections", "door", "net"):
+    for folder in ("policy", "connections", "diagnostics", "door", "net"):
         assert not any(name.startswith(kit) for name in imports_of(folder)), folder
     assert all(name.startswith("ironrail.policy") for name in imports_of("policy"))
-    for folder in ("connections", "door"):
+    for folder in ("connections", "diagnostics", "door"):
         assert not any(name.startswith("ironrail.net") for name in imports_of(folder))
     assert not any(
         name.startswith((f"{kit}.faults", f"{kit}.virtual")) for name in imports_of("rehearsal/standins")
