--- /dev/null
+++ b/tests/incidents/test_held_up_process.py
@@ -0,0 +1,67 @@
+"""A router process that is held up while requests come: their time runs from their last byte.
+
+Incident of 2026-12-02, replay `incident-1`: clients that leave 60 ms after the time they named got no answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.peers import LOCAL, Client, Peer, connect, scenario
+from tests.test_process import free_port, start
+
+HOLD_UP = 0.14  # seconds; a router may be held up for 0.15
+PATIENCE_MS = 600  # that a client names
+CLIENT_LEAVES_AFTER = 0.06  # seconds beyond that, in which an answer still counts
+
+
+def stop(process: asyncio.subprocess.Process) -> None:
+    """Hold a process up; returns once the system says that it has stopped."""
+    process.send_signal(signal.SIGSTOP)
+    stat = Path(f"/proc/{process.pid}/stat")
+    while stat.read_text().rpartition(")")[2].split()[0] != "T":
+        os.sched_yield()
+
+
+async def late_by(client: Client, sent_at: float) -> float:
+    """Seconds after its time at which a request is answered."""
+    line = await client.line()
+    assert line.startswith(b"SERVER_ERROR "), line
+    return time.monotonic() - sent_at - PATIENCE_MS / 1000
+
+
+@pytest.mark.sockets
+@pytest.mark.parametrize("how", ["open connection", "new connection", "pipelined", "in pieces"])
+@scenario
+async def test_a_request_that_comes_while_the_process_is_held_up_is_answered_in_its_time(
+    how: str, tmp_path: Path
+) -> None:
+    cache, port = await Peer().start(), free_port()
+    process, client = await start(tmp_path / "config.json", port, cache)
+    if how == "in pieces":
+        client.send(b"mg k v Olate ")
+        await asyncio.sleep(0.05)  # it is read
+    stop(process)
+    sent_at = time.monotonic()
+    requests = 1
+    if how == "new connection":
+        client = await connect((LOCAL, port))
+    if how == "in pieces":
+        client.send(b"Pc=read,t=x,d=%d\r\n" % PATIENCE_MS)
+    else:
+        client.get("late", wait=PATIENCE_MS)
+    if how == "pipelined":
+        client.get("later", wait=PATIENCE_MS)
+        requests = 2
+    await asyncio.sleep(HOLD_UP)
+    process.send_signal(signal.SIGCONT)
+    for _ in range(requests):
+        assert await late_by(client, sent_at) < CLIENT_LEAVES_AFTER
+    process.kill()
+    await process.wait()
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -113,6 +113,17 @@
     assert len(d.sends["r"]) == 2 and d.sends["r"][1] != first
 
 
+@pytest.mark.parametrize("early", [0.0003, 0.01])
+def test_an_attempt_that_was_given_up_as_overdue_is_no_broken_connection(early: float) -> None:
+    """Its timer may fire a fraction of a tick early: the silent server got the request a second time."""
+    d = Driver(settings(**ASIDE, second_copies=False))
+    d.list(*fleet("a", "b", "o"))
+    d.request("r", key="k")
+    d.wait(0.51)
+    assert d.last == [api.Cancel("r", 0)]
+    assert d.end("r", api.Status.CANCELLED, 0, latency=0.5 - early) == "o"
+
+
 def test_nothing_is_overtaken_in_a_crowd_nor_what_must_not_run_twice() -> None:
     d = Driver(settings())
     d.list(*fleet("a", "b"))
