One guard: requests are started, sent, repeated, answered and closed by invariants

The virtual kit fails every world in which a counter is not 0. What waits for a connection is asked for its deadline again as it is written. Planted mistakes of the kit run without the guard, which tests/diagnostics tries by itself. test_ends sent an unsafe request twice by its script; it uses a safe class now, all else as it was.

--- a/ironrail/connections/placing.py
+++ b/ironrail/connections/placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ironrail.connections.actions import Look
+from ironrail.connections.actions import Action, Look
 from ironrail.connections.book import Book
 from ironrail.connections.link import Attempt, Link
 from ironrail.policy.interface import Status
@@ -13,6 +13,17 @@
 class Placing(Book):
     """Finds the place of an attempt; the latest used connection is reused first."""
 
+    def refused(self, now: float, attempt: Attempt) -> list[Action]:
+        """The host did not write an attempt: nothing of it is out, and its connection takes another."""
+        link = attempt.link
+        assert link is not None
+        attempt.link = None
+        link.out.remove(attempt)
+        self._end(attempt, Status.UNSENT)
+        if not link.out:
+            self._freed(now, link)
+        return self._take()
+
     def _seek(self, now: float, attempt: Attempt) -> None:
         while self._idle:
             link = self._idle.pop()
--- a/ironrail/diagnostics/daemon.py
+++ b/ironrail/diagnostics/daemon.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ironrail.diagnostics.counters import LogSampler, ReasonCounter
+from ironrail.diagnostics.invariants import InvariantGuard
 from ironrail.diagnostics.reasons import ClientCloseReason, ListCallResult, RefusalReason, RetryReason
 
 log = logging.getLogger(__name__)
@@ -45,6 +46,7 @@
         self.retries = ReasonCounter("retried", RetryReason)
         self.client_closes = ReasonCounter("client_closed", ClientCloseReason)
         self.list_calls = ReasonCounter("list_call", ListCallResult)
+        self.guard = InvariantGuard()
         self.late_answers = 0
         self.unanswered = 0  # the client waited its time and left
         self.held_up = 0  # times that the process did not run
@@ -64,6 +66,7 @@
         """Names and values for the metrics."""
         for counter in (self.refusals, self.retries, self.client_closes, self.list_calls):
             yield from counter.items()
+        yield from self.guard.violations.items()
         yield "answered_late", self.late_answers
         yield "left_unanswered", self.unanswered
         yield "held_up", self.held_up
--- a/ironrail/diagnostics/hold_up.py
+++ b/ironrail/diagnostics/hold_up.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 HEARTBEAT_INTERVAL_SECONDS = 0.02
+SETTLING_SECONDS = 0.02  # after a hold-up, in which what takes some turns of the loop is noticed
 TOLERANCE_SECONDS = 0.01  # by which a heartbeat may be late in ordinary service
 
 
@@ -31,6 +32,7 @@
     def __init__(self, now: float) -> None:
         self._last_beat = now
         self._unread: HoldUp | None = None  # what came in it may not be read yet
+        self._latest: HoldUp | None = None
         self.count = 0
         self.longest = 0.0  # seconds
 
@@ -39,7 +41,7 @@
         hold_up = None
         if self._overdue(now):
             hold_up = HoldUp(self._last_beat, now)
-            self._unread = hold_up
+            self._unread = self._latest = hold_up
             self.count += 1
             self.longest = max(self.longest, hold_up.seconds)
         self._last_beat = now
@@ -56,5 +58,12 @@
             return self._unread.since
         return self._last_beat if self._overdue(now) else now
 
+    def earliest_event(self, now: float) -> float:
+        """The same of what is noticed some turns later: a signal, the first bytes of a connection."""
+        latest = self._latest
+        if latest is not None and now - latest.until < SETTLING_SECONDS:
+            return latest.since
+        return self.earliest_arrival(now)
+
     def _overdue(self, now: float) -> bool:
         return now - self._last_beat > HEARTBEAT_INTERVAL_SECONDS + TOLERANCE_SECONDS
--- a/ironrail/diagnostics/reasons.py
+++ b/ironrail/diagnostics/reasons.py
@@ -58,6 +58,22 @@
     MIGRATED = "migrated"  # its client belongs to another router
 
 
+class Violation(StrEnum):
+    """An invariant that would have been broken."""
+
+    STARTED_TWICE = "started_twice"  # a request with the id of one that is in flight
+    STARTED_AFTER_END = "started_after_end"  # once the router has given its last answers
+    SENT_AFTER_END = "sent_after_end"  # the request has its answer, or its client has gone
+    SENT_AFTER_DEADLINE = "sent_after_deadline"
+    SENT_TO_DRAINED = "sent_to_drained"
+    REPEATED_UNSAFE = "repeated_unsafe"  # though an earlier attempt may have run
+    REPEATED_AFTER_WINDOW = "repeated_after_window"
+    SECOND_COPY = "second_copy"  # while the first is out, where the settings forbid it
+    REFUSED_UNSAFE = "refused_unsafe"  # promised to have had no effect, though it may have run
+    ANSWERED_TWICE = "answered_twice"
+    CLOSED_OWING = "closed_owing"  # a client's connection, with an answer still owed
+
+
 class ListCallResult(StrEnum):
     """How a call to discovery ended."""
 
--- a/ironrail/net/answers.py
+++ b/ironrail/net/answers.py
@@ -8,6 +8,7 @@
 from ironrail.access.keep import Ended
 from ironrail.connections.room import Room
 from ironrail.diagnostics.daemon import AttemptSummary, DaemonDiagnostics, RequestSummary
+from ironrail.diagnostics.invariants import EarlierAttempt, Sending
 from ironrail.diagnostics.reasons import RefusalReason
 from ironrail.door.figures import Figures
 from ironrail.net import memcache
@@ -27,6 +28,15 @@
 LATE_SECONDS = 0.03  # after its deadline: an answer that is so late is told of, as the protocol grants 0.05
 
 
+def _written(held: Held, count: int) -> list[EarlierAttempt]:
+    """Of the first so many attempts of a request those that were written to a connection."""
+    return [
+        EarlierAttempt(attempt.written_at, attempt.outcome, attempt in attempt.link.out)
+        for attempt in held.attempts[:count]
+        if attempt.link is not None
+    ]
+
+
 class Answers(Driver):
     """Owes each request it holds one answer, and each attempt that is out its end; a subclass sends."""
 
@@ -93,6 +103,8 @@
 
     def _finish(self, held: Held, answer: bytes, counts: dict[str, int]) -> None:
         """Give the one final answer of a request."""
+        if not self.diagnostics.guard.may_answer(self._now(), held.request, held.request in self._held):
+            return
         self._close(held, counts)
         held.answer(answer)
 
@@ -142,6 +154,40 @@
 
     # Attempts
 
+    def _may_send(self, attempt: Attempt, server_ready: bool) -> bool:
+        """The last look before an attempt is written."""
+        held = self._held.get(attempt.request)
+        request_class = self._router.settings.classes[attempt.command.fields["c"]]
+        guard = self.diagnostics.guard
+        known = guard.violations.total()
+        allowed = guard.may_send(
+            Sending(
+                self._now(),
+                attempt.request,
+                attempt.server,
+                server_ready,
+                held is not None,
+                attempt.until,
+                attempt.begin_by,
+                request_class.effect,
+                request_class.window,
+                self._router.settings.second_copies,
+                _written(held, attempt.number) if held is not None else (),
+            )
+        )
+        if held is not None and guard.violations.total() > known:
+            self._lose(held)  # the module has lost its way with this request
+        return allowed
+
+    def _refuse(self, held: Held, retry_after: float | None) -> None:
+        """Answer that the request had no effect, where that is sure."""
+        effect = self._router.settings.classes[held.command.fields["c"]].effect
+        written = _written(held, len(held.attempts))
+        if self.diagnostics.guard.may_refuse(self._now(), held.request, effect, written):
+            self._finish(held, memcache.write_busy(retry_after), self.figures.busy)
+        else:
+            self._finish(held, memcache.FAILED, self.figures.failure)
+
     def _on_outcome(self, attempt: Attempt, status: api.Status, body: bytes) -> None:
         del self._open[attempt.request, attempt.number]
         attempt.outcome = status
--- a/ironrail/net/client.py
+++ b/ironrail/net/client.py
@@ -9,7 +9,6 @@
 from ironrail.connections.downstream import Fate, Next, Place
 from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net import memcache
-from ironrail.net.arrival import ArrivalEstimate
 from ironrail.net.held import Reader
 from ironrail.net.memcache import BadCommand, Command, CommandParser, Noop
 from ironrail.net.others import Others
@@ -24,9 +23,9 @@
     place: Place
     reader: Reader | None
 
-    def __init__(self, clients: Others[ClientConnection], arrival: ArrivalEstimate) -> None:
+    def __init__(self, clients: Others[ClientConnection]) -> None:
         self._clients = clients
-        self._arrival = arrival
+        self._earliest_arrival = clients.host.monitor.earliest_event  # of its first bytes
         self.arrived_at: float | None = None
         self._parser = CommandParser()
         self._slots: deque[Slot] = deque()
@@ -47,7 +46,8 @@
             return
         self._clients.places.received(self._clients.system.now(), self.place)
         self._parser.add(data)
-        self.arrived_at = self._arrival.earliest()
+        self.arrived_at = self._earliest_arrival()
+        self._earliest_arrival = self._clients.host.monitor.earliest_arrival
         self._parse()
         self.arrived_at = None  # what has to wait for those before it has its time from its turn on
 
@@ -193,18 +193,22 @@
         return self._shut is not None or self.transport.is_closing()
 
     def shut(self, reason: ClientCloseReason | None = None, ended: bool = False) -> None:
-        """End it behind what is written; what still comes is dropped until the other end closes too.
-
-        `reason`: None where its client ended it.
-        """
+        """End it behind what is written, dropping what still comes. `reason`: None where its client did."""
         if self.ends:
             return
+        diagnostics = self._clients.host.diagnostics
         if reason is not None:
-            self._clients.host.diagnostics.client_closes.add(reason)
+            if not diagnostics.guard.may_close(self._clients.system.now(), self._owed()):
+                return
+            diagnostics.client_closes.add(reason)
         self.place.ending = True
         self._shut = Shut(self.transport, ended=ended)
         self._clients.lingers(self)
 
+    def _owed(self) -> list[str]:
+        """Requests that were taken and have no answer yet."""
+        return [slot.request for slot in self._slots if slot.request is not None and slot.answer is None]
+
     def check(self, now: float) -> None:
         """Do what is due if it has been waited for, or waits, for too long."""
         if self.ends:
--- a/ironrail/net/clients.py
+++ b/ironrail/net/clients.py
@@ -17,7 +17,6 @@
 from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net import memcache
 from ironrail.net.accepting import Acceptor
-from ironrail.net.arrival import ArrivalEstimate
 from ironrail.net.client import ClientConnection
 from ironrail.net.held import Reader
 from ironrail.net.host import Host
@@ -86,18 +85,14 @@
         admission = self.places.arrived()
         if admission.evicted is not None:
             self._connections[admission.evicted].shut(ClientCloseReason.EVICTED)
-        monitor = self.host.monitor
-        arrival = ArrivalEstimate(self.system, monitor, monitor.earliest_arrival())
-        task = self._loop.create_task(self._adopt(connection, admission.admitted, arrival))
+        task = self._loop.create_task(self._adopt(connection, admission.admitted))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
 
-    async def _adopt(self, connection: socket.socket, admitted: bool, arrival: ArrivalEstimate) -> None:
-        def make() -> ClientConnection | TurnedAway:
-            return ClientConnection(self, arrival) if admitted else TurnedAway(self)
-
+    async def _adopt(self, connection: socket.socket, admitted: bool) -> None:
+        make = ClientConnection if admitted else TurnedAway
         try:
-            await self._loop.connect_accepted_socket(make, connection)
+            await self._loop.connect_accepted_socket(lambda: make(self), connection)
         except OSError:  # it has ended already
             if admitted:
                 self.places.not_opened()
--- a/ironrail/net/connection.py
+++ b/ironrail/net/connection.py
@@ -65,6 +65,9 @@
     begun: Callable[[Attempt, int, Connection], None] | None = None  # a long value comes in pieces
     piece: Callable[[Attempt, bytes], None] | None = None
     wanted: Callable[[Attempt], bool] | None = None  # asked before it is written, where it had to wait
+    may_send: Callable[[Attempt, bool], bool] | None = (
+        None  # asked as it is written; whether its server is ready
+    )
     begin_by: float = math.inf  # on the host's clock; after that nothing of it may be sent
     timer: asyncio.TimerHandle | None = None
     lent: bool = False  # it has room for a long value
--- a/ironrail/net/host.py
+++ b/ironrail/net/host.py
@@ -89,6 +89,9 @@
         ):
             answer(b"CLIENT_ERROR id in use\r\n")
             return None
+        if not self.diagnostics.guard.may_start(self._now(), name, name in self._held, self._ending):
+            answer(memcache.write_busy(None))
+            return None
         reader = passage.reader if passage is not None else None
         now, arrived_at = self._now(), passage.arrived_at if passage is not None else None
         read_late = 0.0 if arrived_at is None else now - arrived_at
@@ -176,7 +179,7 @@
             case api.Cancel(name, number):
                 self._cancel(name, number)
             case api.Refuse(name) if name in self._held:
-                self._finish(self._held[name], memcache.write_busy(action.retry_after), self.figures.busy)
+                self._refuse(self._held[name], action.retry_after)
             case api.Fail(name) if name in self._held:
                 self._finish(self._held[name], memcache.FAILED, self.figures.failure)
             case api.CloseIdle(server) if server in self._pools:
@@ -207,6 +210,7 @@
         until = held.deadline if action.timeout is None else min(held.deadline, now + action.timeout)
         attempt = Attempt(name, len(held.attempts), now, until, held.command, self._on_outcome)
         attempt.begun, attempt.piece, attempt.wanted = self._on_begun, self._on_piece, self._wanted
+        attempt.may_send = self._may_send
         attempt.alone = held.command.write  # a repeat may not be harmless: its risks are its own
         attempt.server = action.server
         if held.attempts:
@@ -227,4 +231,7 @@
     def _wanted(self, attempt: Attempt) -> bool:
         """Whether an attempt that had to wait is still to be sent."""
         held = self._held.get(attempt.request)
-        return held is not None and not self._left(held, True) and self._now() < attempt.begin_by
+        now = self._now()
+        if held is None or now >= min(held.deadline, attempt.begin_by):
+            return False
+        return not self._left(held, True)
--- a/ironrail/net/loop_monitor.py
+++ b/ironrail/net/loop_monitor.py
@@ -26,6 +26,10 @@
         """The earliest moment, on the system's clock, at which something that is read now may have come."""
         return self.detector.earliest_arrival(self._system.now())
 
+    def earliest_event(self) -> float:
+        """The same of a signal, or of the first bytes on a connection that was just accepted."""
+        return self.detector.earliest_event(self._system.now())
+
     def _schedule(self) -> None:
         self._loop.call_later(HEARTBEAT_INTERVAL_SECONDS, self._beat)
 
--- a/ironrail/net/node.py
+++ b/ironrail/net/node.py
@@ -184,7 +184,7 @@
 
         def note_end() -> None:
             if not told.is_set():
-                self._told_at = self._host.monitor.earliest_arrival()
+                self._told_at = self._host.monitor.earliest_event()
                 told.set()
 
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/ironrail/net/pool.py
+++ b/ironrail/net/pool.py
@@ -175,7 +175,11 @@
 
     def _write(self, write: upstream.Write) -> None:
         connection = self._connections[write.link]
-        data = connection.encode(cast(Attempt, write.attempt))
+        attempt = cast(Attempt, write.attempt)
+        if attempt.may_send is not None and not attempt.may_send(attempt, self.upstream.ready):
+            self._tell(self.upstream.refused, attempt)
+            return
+        data = connection.encode(attempt)
         if len(data) == 1:
             connection.transport.write(data[0])
         else:
--- a/ironrail/rehearsal/virtual/invariants.py
+++ b/ironrail/rehearsal/virtual/invariants.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ironrail.diagnostics.invariants import InvariantGuard
 from ironrail.net.node import Node
 
 
@@ -34,6 +35,7 @@
 def _of_node(node: Node) -> Iterator[tuple[str, str]]:
     host, clients = node._host, node._clients
     policy = host._router
+    yield from _of_guard(host.diagnostics.guard)
     if host._held:
         yield "held", f"{len(host._held)} requests still held by the host: {list(host._held)[:3]}"
     room = host.room
@@ -63,6 +65,12 @@
             )
 
 
+def _of_guard(guard: InvariantGuard) -> Iterator[tuple[str, str]]:
+    for violation, count in guard.violations.items():
+        if count:
+            yield "invariant", f"{violation}: {count}"
+
+
 def _of_pool(name: str, pool: Any) -> Iterator[tuple[str, str]]:
     upstream = pool.upstream
     if upstream._waiting:
--- a/tests/diagnostics/test_hold_up.py
+++ b/tests/diagnostics/test_hold_up.py
@@ -33,6 +33,15 @@
     assert (detector.count, detector.longest) == (1, hold_up.seconds)
 
 
+def test_signals_and_first_bytes_may_be_noticed_some_turns_later() -> None:
+    detector = HoldUpDetector(10.0)
+    hold_up = detector.beat(10.1)
+    assert hold_up is not None
+    detector.caught_up(hold_up)
+    assert detector.earliest_event(10.11) == 10.0
+    assert detector.earliest_event(10.125) == 10.125
+
+
 def test_a_second_hold_up_before_the_first_is_caught_up() -> None:
     detector = HoldUpDetector(10.0)
     first = detector.beat(10.1)
--- /dev/null
+++ b/tests/diagnostics/test_invariants.py
@@ -0,0 +1,166 @@
+"""The guard refuses what would break an invariant, counts it, and lets all else pass."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from ironrail.connections.upstream import Action, Attempt, Upstream
+from ironrail.diagnostics.invariants import HOLD_UP_SECONDS, EarlierAttempt, InvariantGuard, Sending
+from ironrail.diagnostics.reasons import Violation
+from ironrail.policy.attempts import Attempts
+from ironrail.policy.interface import Effect, Status
+from ironrail.rehearsal.scenario.reader import parse_scenario
+from ironrail.rehearsal.virtual.play import play_virtual
+from tests.peers import World, scenario
+
+SENDING = Sending(
+    now=100.0,
+    request="r",
+    server="s",
+    server_ready=True,
+    pending=True,
+    deadline=101.0,
+    begin_by=101.0,
+    effect=Effect.SAFE,
+    window=0.5,
+    second_copies=True,
+)
+OUT = EarlierAttempt(99.9, None, True)
+LOST = EarlierAttempt(99.9, Status.RESET, False)
+MISSED = EarlierAttempt(99.9, Status.MISS, False)
+LONG_AGO = EarlierAttempt(99.0, Status.RESET, False)
+
+
+def violations_of(**changes: Any) -> set[Violation]:
+    guard = InvariantGuard()
+    allowed = guard.may_send(replace(SENDING, **changes))
+    counted = {violation for violation in Violation if guard.violations[violation]}
+    assert not (counted and allowed)
+    return counted
+
+
+@pytest.mark.parametrize(
+    ("changes", "violation"),
+    [
+        ({"pending": False}, Violation.SENT_AFTER_END),
+        ({"server_ready": False}, Violation.SENT_TO_DRAINED),
+        ({"deadline": 100.0 - HOLD_UP_SECONDS - 0.01}, Violation.SENT_AFTER_DEADLINE),
+        ({"effect": Effect.UNSAFE, "earlier": [LOST]}, Violation.REPEATED_UNSAFE),
+        ({"effect": Effect.UNSAFE, "earlier": [OUT]}, Violation.REPEATED_UNSAFE),
+        ({"effect": Effect.KEYED, "earlier": [LONG_AGO]}, Violation.REPEATED_AFTER_WINDOW),
+        ({"second_copies": False, "earlier": [OUT]}, Violation.SECOND_COPY),
+    ],
+)
+def test_what_breaks_an_invariant_is_refused_and_counted(changes: Any, violation: Violation) -> None:
+    assert violations_of(**changes) == {violation}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {},
+        {"earlier": [OUT]},
+        {"effect": Effect.UNSAFE, "earlier": [MISSED]},
+        {"effect": Effect.KEYED, "earlier": [LOST]},
+        {"second_copies": False, "earlier": [LOST]},
+    ],
+)
+def test_all_else_passes(changes: Any) -> None:
+    assert InvariantGuard().may_send(replace(SENDING, **changes))
+
+
+@pytest.mark.parametrize("bound", ["deadline", "begin_by"])
+def test_what_a_hold_up_made_late_is_refused_but_no_violation(bound: str) -> None:
+    guard = InvariantGuard()
+    late = replace(SENDING, deadline=99.95) if bound == "deadline" else replace(SENDING, begin_by=99.95)
+    assert not guard.may_send(late)
+    assert guard.violations.total() == 0
+
+
+def test_starting_answering_and_closing() -> None:
+    guard = InvariantGuard()
+    assert guard.may_start(1.0, "r", in_flight=False, ended=False)
+    assert guard.may_answer(1.0, "r", pending=True)
+    assert guard.may_close(1.0, [])
+    assert guard.violations.total() == 0
+    assert not guard.may_start(1.0, "r", in_flight=True, ended=False)
+    assert not guard.may_start(1.0, "r", in_flight=False, ended=True)
+    assert not guard.may_answer(1.0, "r", pending=False)
+    assert not guard.may_close(1.0, ["r"])
+    assert guard.violations.total() == 4
+    assert guard.may_refuse(1.0, "r", Effect.SAFE, [LOST])
+    assert guard.may_refuse(1.0, "r", Effect.UNSAFE, [MISSED])
+    assert not guard.may_refuse(1.0, "r", Effect.UNSAFE, [LOST])
+    assert guard.violations[Violation.REFUSED_UNSAFE] == 1
+
+
+WORLD = """
+summary = "caches are lost and drain under writes that may not be repeated"
+length = "6 s"
+warm_up = "0 ms"
+[load]
+rate = 60
+[routers]
+count = 2
+[caches]
+count = 3
+[[fault]]
+kind = "drain"
+whom = "cache-1"
+at = "1 s"
+lasts = "4 s"
+[[fault]]
+kind = "late-connect"
+whom = "all"
+at = "0 ms"
+lasts = "5 s"
+hard = 1.0
+[[fault]]
+kind = "reset"
+whom = "archive"
+at = "1 s"
+lasts = "4 s"
+hard = 0.4
+"""
+
+
+def found() -> set[str]:
+    played = play_virtual(parse_scenario(WORLD, "world.toml"), 1)
+    # refused by the guard, it does not come to the servers
+    assert not {"no-second-effect", "drains"} & {broken.rule for broken in played.result.broken}
+    return {
+        fault.what.split(": ")[1].removeprefix("violation.")
+        for fault in played.faults
+        if fault.kind == "invariant"
+    }
+
+
+def test_a_router_without_mistakes_has_no_violation() -> None:
+    assert found() == set()
+
+
+def test_a_policy_that_repeats_unsafe_requests_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Attempts, "permits", lambda *_: True)
+    assert Violation.REPEATED_UNSAFE in found()
+
+
+@scenario
+async def test_a_pool_that_sends_to_a_drained_server_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    def want(self: Upstream, now: float, attempt: Attempt) -> list[Action]:
+        self._seek(now, attempt)
+        return self._take()
+
+    monkeypatch.setattr(Upstream, "want", want)
+    world = await World().start()
+    client = await world.client()
+    client.get("1")
+    (await world.cache.next()).reply_value(b"v")  # its connection rests from now on
+    assert await client.value("1") == b"v"
+    world.node._host._pools["c"].upstream.ready = False  # and the policy does not know
+    client.get("2", wait=200)
+    assert (await client.line()).startswith(b"SERVER_ERROR")
+    assert world.node._host.diagnostics.guard.violations[Violation.SENT_TO_DRAINED] > 0
+    assert world.cache.messages.empty()
--- a/tests/incidents/test_held_up_process.py
+++ b/tests/incidents/test_held_up_process.py
@@ -18,6 +18,7 @@
 
 HOLD_UP = 0.14  # seconds; a router may be held up for 0.15
 PATIENCE_MS = 600  # that a client names
+FIRST_KILL = 3.7  # seconds after SIGTERM: the longest deadline of which 3 s count, and 0.7 s
 CLIENT_LEAVES_AFTER = 0.06  # seconds beyond that, in which an answer still counts
 
 
@@ -65,3 +66,49 @@
         assert await late_by(client, sent_at) < CLIENT_LEAVES_AFTER
     process.kill()
     await process.wait()
+
+
+@pytest.mark.sockets
+@scenario
+async def test_nothing_is_sent_on_for_a_client_that_left_while_the_process_was_held_up(
+    tmp_path: Path,
+) -> None:
+    """Its request and its end are read in one turn, more than 0.1 s after it closed."""
+    cache, port = await Peer().start(), free_port()
+    process, client = await start(tmp_path / "config.json", port, cache)
+    other = await connect((LOCAL, port))
+    other.get("warm")
+    (await cache.next()).reply_value(b"v")
+    assert await other.value("warm") == b"v"
+    stop(process)
+    client.get("gone")
+    client.close()
+    await client.writer.wait_closed()
+    await asyncio.sleep(HOLD_UP)
+    process.send_signal(signal.SIGCONT)
+    other.get("stays")
+    message = await cache.next()
+    assert message.flag == b"Ostays"
+    message.reply_value(b"v")
+    assert await other.value("stays") == b"v"
+    assert cache.messages.empty()
+    process.kill()
+    await process.wait()
+
+
+@pytest.mark.sockets
+@scenario
+async def test_a_signal_that_is_noticed_late_delays_no_answer(tmp_path: Path) -> None:
+    """All is answered before SIGKILL may come, counted from when SIGTERM was sent."""
+    cache, port = await Peer().start(), free_port()
+    process, client = await start(tmp_path / "config.json", port, cache)
+    client.get("held", wait=8000)
+    await cache.next()  # never answered
+    stop(process)
+    sent_at = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(HOLD_UP)
+    process.send_signal(signal.SIGCONT)
+    assert (await client.line()).startswith(b"SERVER_ERROR ")
+    assert time.monotonic() - sent_at < FIRST_KILL - HOLD_UP / 2
+    assert await process.wait() == 0
--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -68,9 +68,14 @@
         self.host.servers(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s"),)), {"s": (LOCAL, port)})
 
     def take(
-        self, name: str, value: bytes | None = None, wait: int = 5000, passage: Passage | None = None
+        self,
+        name: str,
+        value: bytes | None = None,
+        wait: int = 5000,
+        passage: Passage | None = None,
+        request_class: str = "once",
     ) -> None:
-        info = b"c=once,t=x,d=%d" % wait
+        info = f"c={request_class},t=x,d={wait}".encode()
         command = Command(b"k", name.encode(), info, read_fields(info), value)
         answers = self.answers[name] = []
         self.host.take(command, answers.append, passage)
--- a/tests/outcomes/test_ends.py
+++ b/tests/outcomes/test_ends.py
@@ -46,7 +46,7 @@
     peer = await Peer().start()
     script = Timed(api.Send("1", "s"))
     bench = Bench(script, peer.port)
-    bench.take("1")
+    bench.take("1", request_class="read")  # one that may be sent again
     first = await peer.next()
     assert 0 < int(first.head.rpartition(b"d=")[2]) <= 50
     assert (await script.outcome()).attempt == 0
