--- a/tests/mutants/writes_late.py
+++ b/tests/mutants/writes_late.py
@@ -12,7 +12,7 @@
 
 
 def break_it() -> None:
-    init, abandon = Pool.__init__, Upstream.abandon
+    init, abandon, withdraw = Pool.__init__, Upstream.abandon, Upstream.withdraw
 
     def patient(self: Pool, *what: Any, **how: Any) -> None:
         init(self, *what, **how | {"connect_timeout": 5.0})
@@ -23,5 +23,12 @@
         self._end(attempt, Status.CONNECT_FAILED)
         return self._take()
 
+    def unheeding(self: Upstream, now: float, attempt: Attempt) -> list[Action]:
+        if attempt not in self._waiting:
+            return withdraw(self, now, attempt)
+        self._end(attempt, Status.UNSENT)
+        return self._take()
+
     Pool.__init__ = patient  # type: ignore[method-assign]
     Upstream.abandon = forgetful  # type: ignore[method-assign]
+    Upstream.withdraw = unheeding  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/rehearsal/test_soak.py
@@ -0,0 +1,51 @@
+"""The soak test: the same worlds from the same seeds, and router processes that keep rules and invariants."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
+import click
+import pytest
+
+from ironrail.rehearsal.scenario.names import router_names
+from ironrail.rehearsal.soak import draw_world, read_seeds, read_violations, soak
+
+
+def test_a_seed_draws_the_same_overlapping_faults_each_time() -> None:
+    for seed in range(20):
+        world = draw_world(seed)
+        assert world == draw_world(seed)
+        assert len(world.faults) >= 4 and len(router_names(world)) == 24
+        ordered = sorted(world.faults, key=lambda fault: fault.at)
+        assert any(b.at < a.at + a.lasts for a, b in zip(ordered, ordered[1:], strict=False))
+
+
+def test_seeds_are_a_number_or_a_range() -> None:
+    assert (list(read_seeds("3")), list(read_seeds("2..4"))) == ([3], [2, 3, 4])
+    with pytest.raises(click.BadParameter):
+        read_seeds("some")
+
+
+def test_counters_that_are_not_zero_are_found() -> None:
+    class Metrics(BaseHTTPRequestHandler):
+        def do_GET(self) -> None:  # noqa: N802 - the library's name
+            self.send_response(200)
+            self.end_headers()
+            self.wfile.write(b"edge_node.violation.sent_after_end:2|c\nedge_node.violation.second_copy:0|c\n")
+
+        def log_message(self, *_: object) -> None:
+            """Nothing: it would stand between the lines of the test run."""
+
+    server = HTTPServer(("127.0.0.1", 0), Metrics)
+    threading.Thread(target=server.handle_request).start()
+    assert read_violations(("127.0.0.1", server.server_port)) == [("sent_after_end", 2)]
+    server.server_close()
+
+
+@pytest.mark.sockets
+def test_a_few_processes_under_overlapping_faults_keep_rules_and_invariants() -> None:
+    result = asyncio.run(soak(1, routers=3))
+    assert (result.broken_rules, result.crashes, result.violations) == ((), (), {})
+    assert result.hold_ups > 10 and result.served > 0.5
