Hedged calls: what is collected behind its loop's end is not cancelled

Seen as a warning of test_cuts (coroutine ignored GeneratorExit): cancelling a task of a closed loop raises, which Discovery._run took for a failed call. Only a world of the virtual kit that is thrown away comes there. The warning is gone.

--- a/ironrail/net/hedged_call.py
+++ b/ironrail/net/hedged_call.py
@@ -82,6 +82,8 @@
     def _give_up(self, tasks: list[asyncio.Task[Any]]) -> None:
         for task in tasks:
             del self._out[task]
+            if task.get_loop().is_closed():  # it is collected behind the loop's end, and can't be told
+                continue
             task.add_done_callback(_retrieve)
             task.cancel()
 
