--- a/ironrail/net/asked.py
+++ b/ironrail/net/asked.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 import h11
@@ -36,6 +37,7 @@
         self.address, self._connect_patience = address, connect_patience
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._http = h11.Connection(h11.CLIENT)
+        self.heard_at = -math.inf  # on the loop's clock: when the latest bytes came
 
     async def get(self, target: str, timeout: float) -> Any:
         """The JSON of a 200; OSError, ValueError or a time-out when there is none.
@@ -74,6 +76,7 @@
         writer.write((self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b""))
         if not (first := await reader.read(65536)):
             raise ConnectionResetError("discovery closed the connection")
+        self.heard_at = asyncio.get_running_loop().time()
         return first
 
     async def _read(self, data: bytes) -> tuple[int, bytes]:
@@ -85,6 +88,7 @@
         while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 self._http.receive_data(await reader.read(65536))
+                self.heard_at = asyncio.get_running_loop().time()
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
--- a/ironrail/net/hedged_call.py
+++ b/ironrail/net/hedged_call.py
@@ -2,7 +2,8 @@
 
 An agent on the router's own machine answers at once. One call that gets lost, or whose answer stops short,
 must not hide what the agent tells from then on; one that is only slow must not be given up for ever. So calls
-overlap: the first to be answered wins.
+overlap: the first to be answered wins. While an answer is coming in none is begun besides: a long list on a
+slow machine would only come later for it.
 """
 
 from __future__ import annotations
@@ -42,13 +43,19 @@
         """The first answer and the client that got it, whose connection stays open."""
         try:
             while True:
-                self._begin(target)
+                if not self._comes_in():
+                    self._begin(target)
                 answered = await self._first_answered()
                 if answered is not None:
                     return self._out.pop(answered), answered.result()
         finally:
             self._give_up(list(self._out))
 
+    def _comes_in(self) -> bool:
+        """Whether some of an answer has come in the latter half of the interval."""
+        since = asyncio.get_running_loop().time() - self._interval / 2
+        return any(client.heard_at > since for client in self._out.values())
+
     def _begin(self, target: str) -> None:
         if len(self._out) >= MOST_CALLS_OUT:
             self._give_up([next(iter(self._out))])
--- /dev/null
+++ b/tests/test_hedged_call.py
@@ -0,0 +1,80 @@
+"""Calls to an agent overlap: what is lost or stops short is overtaken, what comes in is waited for."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ironrail.net.asked import Client
+from ironrail.net.hedged_call import MOST_CALLS_OUT, HedgedCall
+from tests.peers import LOCAL, Peer, read_http, scenario
+
+INTERVAL = 0.1  # seconds
+HEAD = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n"
+BODY = b'{"version": 1}' + b" " * 86
+
+
+def call_to(peer: Peer, failures: list[BaseException]) -> HedgedCall:
+    return HedgedCall(lambda: Client((LOCAL, peer.port), 1.0), INTERVAL, 5.0, failures.append)
+
+
+@scenario
+async def test_a_call_that_is_lost_is_overtaken_and_a_slow_one_is_still_heard() -> None:
+    peer = await Peer(read_http).start()
+    answer = asyncio.create_task(call_to(peer, []).answer("/x"))
+    first = await peer.next()
+    await peer.next()
+    first.respond(BODY)
+    client, message = await answer
+    assert message == {"version": 1}
+    client.close()
+
+
+@scenario
+async def test_no_other_call_is_begun_while_an_answer_comes_in() -> None:
+    peer = await Peer(read_http).start()
+    answer = asyncio.create_task(call_to(peer, []).answer("/x"))
+    call = await peer.next()
+    call.reply(HEAD % len(BODY))
+    for at in range(0, len(BODY), 10):  # half a second, in which five calls would have been due
+        call.reply(BODY[at : at + 10])
+        await asyncio.sleep(INTERVAL / 3)
+    await answer
+    assert peer.opened == 1
+
+
+@scenario
+async def test_an_answer_that_stops_short_is_overtaken() -> None:
+    peer = await Peer(read_http).start()
+    answer = asyncio.create_task(call_to(peer, []).answer("/x"))
+    (await peer.next()).reply(HEAD % len(BODY) + BODY[:5])
+    (await peer.next()).respond(BODY)
+    await answer
+
+
+@scenario
+async def test_calls_out_are_bounded_and_all_end_with_the_answer() -> None:
+    peer = await Peer(read_http).start()
+    call = call_to(peer, [])
+    answer = asyncio.create_task(call.answer("/x"))
+    for _ in range(MOST_CALLS_OUT + 2):
+        last = await peer.next()
+        assert len(call._out) <= MOST_CALLS_OUT
+    last.respond(BODY)
+    client, _ = await answer
+    assert not call._out
+    for _ in range(MOST_CALLS_OUT + 1):
+        await peer.ended.acquire()
+    client.close()
+
+
+@scenario
+async def test_a_call_that_fails_at_once_is_told_and_begun_anew_no_sooner() -> None:
+    peer, failures = await Peer(read_http).start(), list[BaseException]()
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    answer = asyncio.create_task(call_to(peer, failures).answer("/x"))
+    (await peer.next()).reset()
+    (await peer.next()).respond(BODY)
+    await answer
+    assert len(failures) == 1 and isinstance(failures[0], OSError)
+    assert loop.time() - began >= INTERVAL * 0.9
