Tests: ports of router processes lie below those that the system deals out

Trace of the one failure of the whole suite (1 of 60 real-time tests, 2038 of 2038 others): the connection to a router that had just been started ended before its first MN. free_port let go of a port that the system dealt out, which any peer of a test beside could be given before the router listened there. Ports are now taken from below that range, other ones in each worker.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
 import signal
@@ -21,11 +23,19 @@
 ROOT = Path(__file__).parent.parent
 
 
+# below the ports that the system deals out itself: one of those may be some other test's before a router that
+# has just been started listens there
+FIRST_PORT, PORTS, PORTS_EACH = 10_000, 20_000, 131
+_taken = itertools.count()
+
+
 def free_port() -> int:
-    with socket.socket() as s:
-        s.bind((LOCAL, 0))
-        port: int = s.getsockname()[1]
-        return port
+    """A port that no other process of this test run takes."""
+    while True:
+        port = FIRST_PORT + (os.getpid() * PORTS_EACH + next(_taken)) % PORTS
+        with contextlib.suppress(OSError), socket.socket() as s:
+            s.bind((LOCAL, port))
+            return port
 
 
 def config(port: int, *rows: dict[str, Any], **changes: Any) -> dict[str, Any]:
