The poll after a malformed endpoint list comes within a short slow start

Callers saw requests go to a server that drained for up to half a second longer than the settings allow: where at most four routers poll one service, the poll after a malformed list waited up to 0.5 s though the settings name a slow start of 0.25 s.

Cause: `_backoff` capped the backoff at MAX_BACKOFF_SECONDS for few pollers and at the slow start for many; the first cap was never held against the slow start. The fix takes the smaller of the two caps, so each pause is at most the slow start, whoever polls.

--- a/ironrail/policy/discovery_freshness.py
+++ b/ironrail/policy/discovery_freshness.py
@@ -118,8 +118,10 @@
         """Return the longest backoff in seconds after the current number of failures."""
         conf = self._settings
         doublings = 2.0**self.failures
+        max_backoff = conf.slow_start_duration
         has_few_pollers = not self.poll_spread and self._stale_at < math.inf
-        max_backoff = MAX_BACKOFF_SECONDS if has_few_pollers else conf.slow_start_duration
+        if has_few_pollers:
+            max_backoff = min(max_backoff, MAX_BACKOFF_SECONDS)
         backoff = min(max_backoff, conf.overload_window * BACKOFF_WINDOW_RATIO * doublings)
         if not self._was_malformed:
             # after a malformed answer the list is due within seconds, however many others poll
