Soak: routers go on before they are asked for their counters

Cause: `_collect` blocked the kit's loop, in which the SIGCONT of a hold-up waited: the kernel takes the connect, nobody answers.

Hold-ups end, with their SIGCONT, before counters are read, and the calls run beside the loop.

--- a/ironrail/rehearsal/faults/carry.py
+++ b/ironrail/rehearsal/faults/carry.py
@@ -68,8 +68,8 @@
     registry: Registry
     front: Front
     routers: dict[str, Router]
-    start_router: Callable[[str, float], None]  # once it has ended, or is killed so many seconds later
-    replace_router: Callable[[str], None]
+    start_router: Callable[[str, float], object]  # once it has ended, or is killed so many seconds later
+    replace_router: Callable[[str], object]
     reconfigure: Callable[[str, str], None]  # a router, to be told of the list at another address
     leave: Callable[[float], None]  # such a share of the clients that wait gives up
     spells: Spells = field(default_factory=Spells)
--- a/ironrail/rehearsal/processes.py
+++ b/ironrail/rehearsal/processes.py
@@ -44,10 +44,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._ending = False
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Start a task that ends with the run at the latest."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _make_router(self, name: str, turn: int) -> Router:
         """A process for a router; `turn` counts those that replace one another."""
--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import tempfile
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from ironrail.rehearsal.account.record import RouterFacts, Try
@@ -38,6 +38,10 @@
 Progress = Callable[[float, str], None]
 
 
+async def ask_nothing() -> None:
+    """Look at nothing before the routers are stopped."""
+
+
 class Rehearsal(Processes):
     """One run."""
 
@@ -48,10 +52,19 @@
         *,
         ground: Ground | None = None,
         progress: Progress = lambda at, text: None,
-        at_rest: Callable[[], None] = lambda: None,
+        at_rest: Callable[[], Awaitable[None]] = ask_nothing,
         schedule: list[Planned] | None = None,
     ) -> None:
-        """`schedule`: what clients ask for, in place of what the scenario would have drawn."""
+        """Prepare a run.
+
+        Args:
+            scenario: The world, its load and its faults.
+            seed: Of all draws.
+            ground: Real processes, or virtual ones.
+            progress: Told what happens, and when.
+            at_rest: Awaited once nothing is out any more and the routers still run.
+            schedule: What clients ask for, in place of what the scenario would have drawn.
+        """
         super().__init__(scenario, seed, ground if ground is not None else RealGround(OWN_ROUTER))
         self._progress, self._at_rest = progress, at_rest
         self._schedule = make_schedule(scenario, seed) if schedule is None else schedule
@@ -160,7 +173,7 @@
             await asyncio.sleep(HEARD)
         if not self._scenario.limits.may_cancel:  # what lost to another attempt stays out for its time
             await asyncio.sleep(max(kind.give_up for kind in self._scenario.classes))
-        self._at_rest()
+        await self._at_rest()
         self._progress(self._world.now(), "stopping routers")
         self._ending = True
         await asyncio.gather(*(self._stop(router) for router in self._routers.values()))
--- a/ironrail/rehearsal/soak.py
+++ b/ironrail/rehearsal/soak.py
@@ -116,9 +116,10 @@
         self._hold_up_draws = stream(seed, "soak.hold_ups")
         self.hold_ups = 0
         self.violations: dict[str, int] = {}
+        self._hold_ups: asyncio.Task[None] | None = None
 
     async def _load(self) -> None:
-        self._spawn(self._hold_up_routers())
+        self._hold_ups = self._spawn(self._hold_up_routers())
         await super()._load()
 
     async def _hold_up_routers(self) -> None:
@@ -129,14 +130,19 @@
             if router.running:
                 self.hold_ups += 1
                 router.signal(signal.SIGSTOP, asked=False)
-                await asyncio.sleep(draws.uniform(0.0, LONGEST_HOLD_UP_SECONDS))
-                router.signal(signal.SIGCONT, asked=False)
-
-    def _collect(self) -> None:
-        """Nothing is out any more: the loop may stand still while routers tell their counters."""
+                try:
+                    await asyncio.sleep(draws.uniform(0.0, LONGEST_HOLD_UP_SECONDS))
+                finally:  # also where the run ends meanwhile: it could answer nobody
+                    router.signal(signal.SIGCONT, asked=False)
+
+    async def _collect(self) -> None:
+        """Read the counters of all routers, none of which is held up any more."""
+        if self._hold_ups is not None:
+            self._hold_ups.cancel()
+            await asyncio.wait([self._hold_ups])
         for router in self._routers.values():
             if router.running:
-                for name, value in read_violations(router.door):
+                for name, value in await asyncio.to_thread(read_violations, router.door):
                     self.violations[name] = self.violations.get(name, 0) + value
 
 
--- a/ironrail/rehearsal/virtual/play.py
+++ b/ironrail/rehearsal/virtual/play.py
@@ -80,15 +80,14 @@
     cutter = Cutter(loop, ground, scenario.cut) if scenario.cut is not None else None
     faults: list[Fault] = []
     errors: list[str] = []
+
+    async def look_at_rest() -> None:
+        faults.extend(faults_at_rest(ground.routers))
+
     with logs_to_processes():
         try:
             rehearsal = rehearsal_of(
-                scenario,
-                seed,
-                ground=ground,
-                progress=progress,
-                at_rest=lambda: faults.extend(faults_at_rest(ground.routers)),
-                schedule=schedule,
+                scenario, seed, ground=ground, progress=progress, at_rest=look_at_rest, schedule=schedule
             )
             result = loop.run_until_complete(rehearsal.run())
             errors += loop.errors
