Kit: a signal to a router that has just ended does not cost its exit code

The soak reported a crash with exit code 255 that was none. Cause: Popen.send_signal polls before it sends, and where the process has ended but the loop's watcher thread has not run yet, the exit code goes there; asyncio then logs "Unknown child process" and reports 255.

--- a/ironrail/rehearsal/routers.py
+++ b/ironrail/rehearsal/routers.py
@@ -121,8 +121,9 @@
         """Send it a signal; `asked` where its end is wanted."""
         if self._process is not None and self._process.returncode is None:
             self._asked = self._asked or asked
+            # `Process.send_signal` would reap one that has just ended, whose exit code were lost to `_watch`
             with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(number)
+                os.kill(self._process.pid, number)
 
     async def ended(self) -> None:
         """Wait for the end of the process and of its log."""
