Kit: runs of neighbouring process ids no longer share their addresses

Two of five soaks started at once reported values and attempts of requests "which nobody asked for", with ids of each other's. Cause: a run's loopback addresses are made of its process id, and `max(1, pid & 255)` gave ids that end with the bytes 0 and 1 the same one. Evidence: the ids of requests in both reports show that just these two met; the process ids of that minute held such a pair; 288 ids in a row gave 286 addresses.

--- a/ironrail/rehearsal/ground.py
+++ b/ironrail/rehearsal/ground.py
@@ -87,7 +87,7 @@
     connecting to it.
     """
     pid = os.getpid()
-    return f"127.{network}.{(pid >> 8) & 255}.{max(1, pid & 255)}"
+    return f"127.{network}.{(pid >> 8) & 255}.{pid & 255}"
 
 
 class RealGround:
--- a/tests/rehearsal/test_ports.py
+++ b/tests/rehearsal/test_ports.py
@@ -32,6 +32,17 @@
     other.close()
 
 
+def test_runs_of_neighbouring_process_ids_have_different_addresses(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against two runs that take each other's caches for their own."""
+    hosts = set()
+    for pid in range(0x2BF0, 0x2D10):
+        monkeypatch.setattr("os.getpid", lambda pid=pid: pid)
+        hosts.add(RealGround(("false",)).address_of(0))
+    assert len(hosts) == 0x2D10 - 0x2BF0
+    with socket.create_server(("127.64.44.0", 0)) as server, socket.create_connection(server.getsockname()):
+        pass  # an address that ends with 0 is one like any other
+
+
 @scenario
 async def test_stand_ins_and_routers_of_one_run_have_different_addresses() -> None:
     ground = RealGround(("false",))
