Soak: kills at the earliest, clients that stay, signals in series, crowds, short deadlines

The soak killed routers 4.7 s after SIGTERM always, let half of the clients stay in half of the worlds, sent each router one signal, had no crowd and only the kit's usual deadlines. Routers that broke a rule in any of these ways passed it.

Now: SIGKILL at the protocol's earliest (longest deadline, 3 s at most, and 0.7 s); half of all tries go on on open connections to routers that were told to end; SIGTERM twice, right after the start and behind a SIGHUP, two or three SIGHUPs within 0.09 s with discovery moved and a drain behind them; idle clients that take all descriptors, in some worlds with discovery out; deadlines of 1, 0.6 and 0.3 and windows of 1, 0.4 and 0.16 of the usual. What SIGKILL finds unanswered counts as lost, as the protocol has it, and limits of descriptors and memory count.

`soak.py` is a package now.

--- a/ironrail/rehearsal/account/record.py
+++ b/ironrail/rehearsal/account/record.py
@@ -103,6 +103,7 @@
     outcome: Outcome = Outcome.OPEN
     ended_at: float | None = None
     left_at: float | None = None  # when its client closed the connection, with no answer so far
+    killed_at: float | None = None  # when its router was killed, as it had not ended, with no answer so far
     excuse: str = ""  # why no answer can be owed
 
     def end(self, outcome: Outcome, at: float) -> None:
--- a/ironrail/rehearsal/account/rules.py
+++ b/ironrail/rehearsal/account/rules.py
@@ -114,6 +114,8 @@
     if one.answers:
         at = one.answers[0].at
         return (at, "answered after its time was up") if at > one.due + LATE_GRANTED + OWN_SLACK else None
+    if one.killed_at is not None:
+        return one.killed_at, "unanswered when its router was killed, as it had not ended"
     crossed = one.outcome is Outcome.CLOSED and not one.attempts
     if one.outcome not in (Outcome.UNANSWERED, Outcome.CLOSED) or crossed:
         return None
--- a/ironrail/rehearsal/processes.py
+++ b/ironrail/rehearsal/processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 from collections.abc import Coroutine
 from pathlib import Path
@@ -107,20 +106,29 @@
         """Start it again once it has ended; it is killed after so many seconds."""
         router = self._routers[name]
         if patience:
-            with contextlib.suppress(TimeoutError):
+            try:
                 async with asyncio.timeout(patience):
                     await router.ended()
+            except TimeoutError:
+                self._will_kill(router)
         await router.kill()
         if self._ending:
             return
         self._told_at_start(name)
-        await router.start()
+        await self._start_again(router)
         if await ready(router):
             self._front.ready(name)
             self._carrier.recovered(name)
         else:
             router.facts.ready = False
 
+    async def _start_again(self, router: Router) -> None:
+        """Start a process that has ended."""
+        await router.start()
+
+    def _will_kill(self, router: Router) -> None:
+        """Record what is unanswered at a router that did not end in time, right before its SIGKILL."""
+
     async def _replace(self, name: str) -> None:
         """Start another process beside the one that serves, and end that once the new one says yes."""
         old = self._routers[name]
--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -12,7 +12,7 @@
 from ironrail.rehearsal.account.service import account
 from ironrail.rehearsal.faults import plan as faults
 from ironrail.rehearsal.faults.carry import Carrier
-from ironrail.rehearsal.ground import Ground, RealGround, ready
+from ironrail.rehearsal.ground import Ground, RealGround, Router, ready
 from ironrail.rehearsal.lateness import Lateness
 from ironrail.rehearsal.load.schedule import Planned, digest, make_schedule
 from ironrail.rehearsal.processes import Processes
@@ -121,6 +121,9 @@
     def _excuse(self, one: Try) -> str:
         return self._carrier.excuse(one.router, one.sent_at, self._world.now())
 
+    def _will_kill(self, router: Router) -> None:
+        self._clients.router_killed(router.name)
+
     # The run
 
     async def _play(self) -> str:
--- a/ironrail/rehearsal/standins/clientpool.py
+++ b/ironrail/rehearsal/standins/clientpool.py
@@ -160,13 +160,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def take_open(self, due: float) -> ClientConnection | None:
-        """A connection that a client may go on with: free or, where clients pipeline, with others out."""
-        return self._free() or (self._behind(due) if self._pipelined else None)
+    def take_open(self, due: float, oldest: bool = False) -> ClientConnection | None:
+        """A connection that a client may go on with: free or, where clients pipeline, with others out.
 
-    def _free(self) -> ClientConnection | None:
+        `oldest`: the one that was free for longest, so that all of them stay in use.
+        """
+        return self._free(oldest) or (self._behind(due) if self._pipelined else None)
+
+    def _free(self, oldest: bool = False) -> ClientConnection | None:
         while self._idle:
-            connection = self._idle.pop()
+            connection = self._idle.popleft() if oldest else self._idle.pop()
             if not connection.transport.is_closing():
                 return connection
         return None
--- a/ironrail/rehearsal/standins/clients.py
+++ b/ironrail/rehearsal/standins/clients.py
@@ -50,6 +50,7 @@
         self._pending = 0  # retries to come
         self._quiet = asyncio.Event()
         self.excused: Callable[[Try], str] = lambda one: ""
+        self.staying_share = 0.0  # of all tries that go on there, if not that router's own share
 
     # Tries
 
@@ -87,11 +88,13 @@
 
         They go on with the share of all tries that was that router's once nobody new is sent there.
         """
-        for router in self._front.told:
-            if self._front.routers[router].alive:
-                continue
-            if self._stay_draws.random() < self._conf.stay / len(self._front.routers):
-                return self.pools[router].take_open(due)
+        told = [router for router in self._front.told if not self._front.routers[router].alive]
+        for router in told:
+            share = self._conf.stay / len(self._front.routers)
+            if self.staying_share:
+                share = self.staying_share / len(told)
+            if self._stay_draws.random() < share:
+                return self.pools[router].take_open(due, oldest=bool(self.staying_share))
         return None
 
     def _leaves_after(self, kind: RequestClass, patience: float) -> float | None:
@@ -134,6 +137,14 @@
                 waiting.timer.cancel()
                 self._time_is_up(name, early=True)
 
+    def router_killed(self, router: str) -> None:
+        """A router that was told to end is killed now: what it has taken and not answered is lost."""
+        now = self.world.now()
+        for connection in self.pools[router].all:
+            for one in connection.out:
+                if one.request in self._waiting and one.sent_at < now - OWN_SLACK:
+                    one.killed_at = now
+
     def unconnected(self, one: Try) -> None:
         """No connection came up."""
         self._end(one, Outcome.UNCONNECTED)
@@ -144,7 +155,9 @@
         waiting = self._waiting.get(one.request)
         if waiting is None:
             return
-        if uses > 1 and not one.attempts and not self.excused(one):  # the router closed it as this was sent
+        killed = one.killed_at is not None
+        if uses > 1 and not one.attempts and not killed and not self.excused(one):
+            # the router closed it as this was sent
             self.pools[one.router].send(one, waiting.data, True)
             return
         self._end(one, Outcome.CLOSED)
--- a/tests/rehearsal/test_rules.py
+++ b/tests/rehearsal/test_rules.py
@@ -213,3 +213,17 @@
     for n in range(100_000):
         record.stray(float(n), "cache-1", "noise")
     assert (len(record.strays), record.stray_count) == (1000, 100_000)
+
+
+@pytest.mark.parametrize("attempted", [False, True])
+def test_what_is_unanswered_as_a_router_is_killed_that_had_not_ended_is_lost(attempted: bool) -> None:
+    """Guards against a request that SIGKILL finds unanswered and that counts as crossed by a close."""
+    record = Record()
+    story = Story(record, planned())
+    if attempted:
+        story.attempt(1.0)
+    story.one.first_on_connection = False
+    story.one.killed_at = 1.5
+    story.end(Outcome.CLOSED, 1.51)
+    found = [("one-answer", "unanswered when its router was killed, as it had not ended")]
+    assert rules(record) == found
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -3,28 +3,100 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import signal
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, HTTPServer
+from itertools import pairwise
+from pathlib import Path
 from types import SimpleNamespace
 
 import click
 import pytest
 
+from ironrail.rehearsal.scenario.faults import Fault, FaultKind
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import router_names
-from ironrail.rehearsal.soak import SoakRehearsal, draw_world, read_seeds, read_violations, soak
+from ironrail.rehearsal.soak.command import SoakResult, read_seeds, soak
+from ironrail.rehearsal.soak.crowd import IdleCrowd
+from ironrail.rehearsal.soak.rehearsal import SoakRehearsal, read_violations
+from ironrail.rehearsal.soak.troubles import draw_troubles
+from ironrail.rehearsal.soak.world import draw_world, kill_after
 from tests.machine_room import play_until_verdict
 
+FOLDER = Path(__file__).parents[1] / "mutants" / "soak"
+MUTANTS = sorted(path.stem for path in FOLDER.glob("*.py") if path.stem != "__init__")
+
 
 def test_a_seed_draws_the_same_overlapping_faults_each_time() -> None:
     for seed in range(20):
         world = draw_world(seed)
         assert world == draw_world(seed)
+        assert draw_troubles(seed, world) == draw_troubles(seed, world)
         assert len(world.faults) >= 4 and len(router_names(world)) == 24
         ordered = sorted(world.faults, key=lambda fault: fault.at)
         assert any(b.at < a.at + a.lasts for a, b in zip(ordered, ordered[1:], strict=False))
 
 
+def restarts(world: Scenario) -> list[Fault]:
+    return [fault for fault in world.faults if fault.kind is FaultKind.ROUTER_RESTART]
+
+
+def test_each_world_ends_routers_at_the_earliest_moment_that_its_deadlines_allow() -> None:
+    """Guards against a soak that leaves routers more time to end than the protocol does."""
+    seen = set()
+    for seed in range(40):
+        world = draw_world(seed)
+        longest = max(kind.give_up for kind in world.classes)
+        assert restarts(world) and world.clients.stay == 1.0
+        for fault in restarts(world):
+            assert fault.lasts == pytest.approx(min(longest, 3.0) + 0.7, abs=0.001)
+        seen.add(round(kill_after(world), 3))
+    assert seen == {3.7, 3.1, 1.9}
+
+
+def test_all_troubles_are_drawn_within_a_few_seeds() -> None:
+    """Guards against a trouble that is written and never played."""
+    worlds = [draw_world(seed) for seed in range(10)]
+    troubles = [draw_troubles(seed, world) for seed, world in enumerate(worlds)]
+    assert any(found.second_terms for found in troubles) and any(found.early_terms for found in troubles)
+    assert any(found.crowds for found in troubles) and any(not found.crowds for found in troubles)
+    windows = {kind.window for world in worlds for kind in world.classes}
+    assert min(windows) < 0.5 and max(windows) == 2.5
+    series, silences = 0, 0
+    for world, found in zip(worlds, troubles, strict=True):
+        moves = [fault.at for fault in world.faults if fault.kind is FaultKind.LIST_MOVES]
+        series += any(later - earlier < 0.05 for earlier, later in pairwise(moves))
+        for fault in world.faults:
+            if fault.kind is FaultKind.LIST_SILENT:
+                ends = fault.at + fault.lasts
+                silences += any(
+                    crowd.at < ends and fault.at < crowd.at + crowd.seconds for crowd in found.crowds
+                )
+    assert series >= 2 and silences >= 1
+
+
+def test_a_crowd_takes_its_size_and_opens_others_for_those_that_are_closed() -> None:
+    async def play() -> tuple[int, int]:
+        accepted: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(lambda _, writer: accepted.append(writer), "127.0.0.1", 0)
+        crowd = IdleCrowd(server.sockets[0].getsockname()[:2], 12)
+        staying = asyncio.create_task(crowd.stay(5.0))
+        while len(accepted) < 12:
+            await asyncio.sleep(0.01)
+        accepted[0].transport.abort()
+        while len(accepted) < 13:
+            await asyncio.sleep(0.01)
+        size = len(crowd.connections)
+        staying.cancel()
+        await asyncio.wait([staying])
+        server.close()
+        return size, len(accepted)
+
+    assert asyncio.run(play()) == (12, 13)
+
+
 def test_seeds_are_a_number_or_a_range() -> None:
     assert (list(read_seeds("3")), list(read_seeds("2..4"))) == ([3], [2, 3, 4])
     with pytest.raises(click.BadParameter):
@@ -100,7 +172,22 @@
 
 
 @pytest.mark.sockets
-def test_a_few_processes_under_overlapping_faults_keep_rules_and_invariants() -> None:
-    result = play_until_verdict(lambda: asyncio.run(soak(1, routers=3)), lambda played: played.no_verdict)
-    assert (result.broken_rules, result.crashes, result.violations) == ((), (), {})
+@pytest.mark.parametrize("seed", [1, 5])  # with a crowd, signals in series and short deadlines or windows
+def test_a_few_processes_under_overlapping_faults_keep_rules_and_invariants(seed: int) -> None:
+    result = play_until_verdict(lambda: asyncio.run(soak(seed, routers=6)), lambda played: played.no_verdict)
+    assert result.findings == []
     assert result.hold_ups > 10 and result.served > 0.5
+
+
+@pytest.mark.sockets
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_soak_finds_each_broken_router(name: str) -> None:
+    """Guards against a trouble that finds nothing; the soak of before found none of these routers."""
+    mutant = importlib.import_module(f"tests.mutants.soak.{name}")
+    command = (sys.executable, "-B", "-m", "tests.mutants", f"soak.{name}")
+
+    def play() -> SoakResult:
+        return asyncio.run(soak(mutant.SEED, routers=6, command=command))
+
+    result = play_until_verdict(play, lambda played: played.no_verdict)
+    assert any(finding.startswith(mutant.FOUND) for finding in result.findings), result.findings
--- a/tests/rehearsal/test_standins_clients.py
+++ b/tests/rehearsal/test_standins_clients.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from ironrail.rehearsal.account.record import Outcome
+from ironrail.rehearsal.account.rules import OWN_SLACK
 from ironrail.rehearsal.standins.front import Front, Seen
 from tests.peers import scenario, until
 from tests.rehearsal.facts import planned
@@ -94,3 +97,21 @@
     front.hot["f"] = "r3", 0.5
     share = sum(front.choose("a", 7.0, draws) == "r3" for _ in range(2000)) / 2000
     assert share == pytest.approx(0.5, abs=0.05)
+
+
+@scenario
+async def test_a_request_that_a_kill_finds_unanswered_is_not_sent_again_on_another_connection() -> None:
+    """Guards against a lost request that its client repeats as if a close had crossed it."""
+    async with stage() as s:
+        router, clients = await client_of(s)
+        clients.send(plan_of(s))
+        (await router.next()).reply_value(b"v")
+        await until(lambda: clients.pools[R]._idle)
+        clients.send(planned(1, s.world.now()))
+        taken = await router.next()
+        await asyncio.sleep(2 * OWN_SLACK)
+        clients.router_killed(R)
+        taken.reset()
+        await clients.quiet()
+        lost = next(one for one in s.record.tries.values() if one.request.encode() in taken.flag)
+        assert lost.outcome is Outcome.CLOSED and lost.killed_at is not None
