Kit: stand-ins of a run never share a port, and a plan that breaks off ends the run

A soak's plan of faults ended in the middle: a cache that was to come back found its port taken, and the run went on with fewer faults and a verdict. Cause: a stand-in that is down releases its port, and the system deals it out anew to another one of the same run; with discovery moved several times there are dozens. Evidence: the address in the error is this run's own; 2,000 stand-ins that come and go had 1,733 ports. A run deals out its ports in turn now: 2,000. An error in the plan of faults ends the run in that error; its test fails without that.

--- a/ironrail/rehearsal/run.py
+++ b/ironrail/rehearsal/run.py
@@ -138,9 +138,10 @@
         loop = asyncio.get_running_loop()
         self._world.start = loop.time() + START + self._scenario.warm_up
         self._spawn(self._sample())
-        self._spawn(self._carry_out())
+        faults_carried_out = self._spawn(self._carry_out())
         await self._load()
         await self._finish()
+        await faults_carried_out  # an error there means that fewer were played than planned
         return self._lateness.too_late()
 
     async def _load(self) -> None:
--- a/ironrail/rehearsal/standins/listening.py
+++ b/ironrail/rehearsal/standins/listening.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import itertools
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol
 
 LOCAL = "127.0.0.1"
 BACKLOG = 512
+# below the ports that the system deals out itself: it would deal out those of stand-ins that are down anew
+OWN_PORTS = range(20_000, 32_768)
 FILLERS = 3  # connects that fill a backlog of 0: the system then drops the packets of any further one
 
 Late = Callable[[], float]  # draws by how many seconds a connection comes up late
@@ -37,6 +41,26 @@
 Listen = Callable[[int, Accepted], Listening]  # at a port, or at any for 0
 
 
+_next_ports = itertools.cycle(OWN_PORTS)
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    """Listen at a port, or for 0 at one that no stand-in of this process has had lately.
+
+    Raises:
+        OSError: The port is in use, or there is none left.
+    """
+    if port or host == LOCAL:  # that address is every process's: there the system deals out ports
+        return socket.create_server((host, port), backlog=BACKLOG)
+    for own in itertools.islice(_next_ports, len(OWN_PORTS)):
+        try:
+            return socket.create_server((host, own), backlog=BACKLOG)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+    raise OSError(errno.EADDRINUSE, f"all ports of {host} are in use")
+
+
 class SocketListening:
     """On the machine's own loopback.
 
@@ -49,7 +73,7 @@
         self._loop = asyncio.get_running_loop()
         self._accepted = accepted
         self._host = host
-        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        self._socket = _bind(host, port)
         self._socket.setblocking(False)
         self._open = True
         self.port: int = self._socket.getsockname()[1]
--- a/tests/rehearsal/test_ports.py
+++ b/tests/rehearsal/test_ports.py
@@ -7,8 +7,12 @@
 
 import pytest
 
+from ironrail.rehearsal.faults.carry import Carrier
+from ironrail.rehearsal.faults.plan import Step
 from ironrail.rehearsal.ground import FIRST_ROUTER_NETWORK, RealGround
+from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.standins.listening import LOCAL
+from ironrail.rehearsal.virtual.play import play_virtual
 from tests.peers import scenario
 
 
@@ -32,6 +36,18 @@
     other.close()
 
 
+@scenario
+async def test_the_port_of_a_stand_in_that_is_down_is_not_given_to_another_one() -> None:
+    """Guards against a restart that finds its port taken, and ends the plan of faults."""
+    ground = RealGround(("false",))
+    ports = set()
+    for _ in range(2000):
+        stand_in = ground.listen(0, lambda connection, late: None)
+        ports.add(stand_in.port)
+        stand_in.close()
+    assert len(ports) == 2000
+
+
 def test_runs_of_neighbouring_process_ids_have_different_addresses(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against two runs that take each other's caches for their own."""
     hosts = set()
@@ -51,3 +67,16 @@
     assert ground.address_of(0).split(".")[1] == str(FIRST_ROUTER_NETWORK)
     with socket.create_connection((host_of(stand_in.address), stand_in.port)):
         stand_in.close()
+
+
+def test_a_plan_of_faults_that_breaks_off_ends_the_run_in_its_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a run that plays fewer faults than planned and says nothing of it."""
+
+    def fail(self: Carrier, step: Step) -> None:
+        raise OSError("Address already in use")
+
+    monkeypatch.setattr(Carrier, "carry_out", fail)
+    fault = {"kind": "stall", "whom": "cache-1", "at": "500 ms", "lasts": "500 ms"}
+    world = {"summary": "x", "length": "2 s", "warm_up": "0 s", "load": {"rate": 20.0}, "fault": [fault]}
+    with pytest.raises(OSError, match="Address already in use"):
+        play_virtual(Scenario.model_validate(world), 1)
