--- a/tests/machine_room.py
+++ b/tests/machine_room.py
@@ -40,6 +40,7 @@
 
     reason: str
     busy_share: float  # of all cores, over the run
+    steal_share: float  # the part of it that the host gave to others
     load_average: float
     beside: tuple[str, ...]  # tests that ran at its end
 
@@ -100,16 +101,18 @@
 
 
 class LoadMeter:
-    """The share of all cores that was busy since the meter was made."""
+    """What all cores did since the meter was made."""
 
     def __init__(self) -> None:
         self._before = psutil.cpu_times()
 
-    def busy_share(self) -> float:
+    def shares(self) -> tuple[float, float]:
+        """Return the shares of the time that were busy, and of that taken by the host."""
         now = psutil.cpu_times()
         spent = {name: getattr(now, name) - getattr(self._before, name) for name in now._fields}
         busy = sum(seconds for name, seconds in spent.items() if name not in NOT_LISTED)
-        return float(busy / max(busy + spent["idle"] + spent["iowait"], 1e-9))
+        total = max(busy + spent["idle"] + spent["iowait"], 1e-9)
+        return float(busy / total), float(spent["steal"] / total)
 
 
 def wait_until_idle() -> None:
@@ -134,8 +137,8 @@
         reason = why_no_verdict(played)
         if not reason:
             return played
-        load = os.getloadavg()[0]
-        runs_without_verdict.append(RunWithoutVerdict(reason, meter.busy_share(), load, ROOM.tests_beside()))
+        run = RunWithoutVerdict(reason, *meter.shares(), os.getloadavg()[0], ROOM.tests_beside())
+        runs_without_verdict.append(run)
     raise NoVerdictError(f"no verdict in {TRIES} runs: {'; '.join(map(str, runs_without_verdict))}")
 
 
