--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -179,6 +179,14 @@
     assert result.hold_ups > 10 and result.served > 0.5
 
 
+@pytest.mark.sockets
+@pytest.mark.parametrize("seed", [3017, 3049])
+def test_routers_that_start_while_their_agent_is_silent_send_to_no_draining_server(seed: int) -> None:
+    """Guards against sends by the old list of a process that has started during an outage of discovery."""
+    result = play_until_verdict(lambda: asyncio.run(soak(seed)), lambda played: played.no_verdict)
+    assert result.findings == []
+
+
 @pytest.mark.sockets
 @pytest.mark.parametrize("name", MUTANTS)
 def test_a_soak_finds_each_broken_router(name: str) -> None:
