Count and log why client connections, connects and callbacks fail

Change: counters client_lost, connect_failed and internal_error by reason; events client_connection_failed (with the unanswered request ids), internal_error, accept_resumed.

--- a/ironrail/diagnostics/reasons.py
+++ b/ironrail/diagnostics/reasons.py
@@ -65,6 +65,30 @@
     MIGRATED = "migrated"  # its client was steered to another router
 
 
+class ClientLoss(StrEnum):
+    """Why a client's connection ended that the router did not end."""
+
+    CLOSED = "closed"  # by the client
+    SOCKET_ERROR = "socket_error"  # a system call on it failed, or the client reset it
+    SETUP_FAILED = "setup_failed"  # accepted, but its socket could not be set up
+
+
+class ConnectFailure(StrEnum):
+    """Why a connection to a server could not be opened."""
+
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    LOCAL = "local"  # this machine lacks descriptors, ports or memory
+    OTHER = "other"
+
+
+class InternalError(StrEnum):
+    """Where an exception was caught that no code expects."""
+
+    EVENT_LOOP = "event_loop"  # in a callback of the event loop
+    POLICY = "policy"  # in a decision of the policy
+
+
 class Violation(StrEnum):
     """An invariant that a prevented step would have broken."""
 
--- a/ironrail/net/dispatch/action_executor.py
+++ b/ironrail/net/dispatch/action_executor.py
@@ -6,6 +6,8 @@
 import logging
 from collections.abc import Callable, Mapping
 
+from ironrail.diagnostics.counters import ReasonCounter
+from ironrail.diagnostics.reasons import InternalError
 from ironrail.net.dispatch.attempt_dispatcher import AttemptDispatcher
 from ironrail.net.dispatch.open_attempts import AttemptId, OpenAttempts
 from ironrail.net.dispatch.policy_driver import PolicyDriver, request_id_of
@@ -40,6 +42,7 @@
         sender: AttemptDispatcher,
         pools: Mapping[str, ConnectionPool],
         fetch_endpoint_list: Callable[[], None],
+        internal_errors: ReasonCounter,
     ) -> None:
         self._driver = driver
         self._requests = requests
@@ -48,6 +51,7 @@
         self._sender = sender
         self._pools = pools
         self._fetch_endpoint_list = fetch_endpoint_list
+        self._internal_errors = internal_errors
         self._hedging_allowed = driver.router.settings.hedging_allowed
         self._loop = asyncio.get_running_loop()
 
@@ -74,6 +78,7 @@
 
     def on_policy_failed(self, event: Event) -> None:
         """Fail the request that an event was about after the policy raised an exception on it."""
+        self._internal_errors.add(InternalError.POLICY)
         request = self._requests.by_id.get(request_id_of(event) or "")
         if request is not None:
             self._termination.drop(request)
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -8,7 +8,7 @@
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
-from ironrail.diagnostics.reasons import ClientCloseReason
+from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
 from ironrail.net.downstream.half_closed import HalfClosedConnection
@@ -78,9 +78,17 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the client's requests, and unregister the connection."""
+        if self.close_reason is None:
+            self._report_loss(exc)
         self._context.remove(self)
         self._cancel_requests()
 
+    def _report_loss(self, error: Exception | None) -> None:
+        loss = ClientLoss.CLOSED if error is None else ClientLoss.SOCKET_ERROR
+        self._context.dispatcher.diagnostics.client_lost(
+            self._context.system.now(), loss, error, self._pipeline.unanswered_requests()
+        )
+
     def _cancel_requests(self) -> None:
         self.session.end()
         self._pipeline.cancel_requests()
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -11,7 +11,7 @@
 
 from ironrail.connections.downstream.descriptor_budget import MAX_ACCEPTS_PER_TURN
 from ironrail.connections.downstream.session_manager import ClientSessionManager
-from ironrail.diagnostics.reasons import ClientCloseReason
+from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.downstream.client_connection import ClientConnection
 from ironrail.net.downstream.rejected_connection import RejectedConnection
@@ -87,7 +87,10 @@
             await self._loop.connect_accepted_socket(
                 lambda: protocol_class(self.context), connection
             )
-        except OSError:  # the client has closed it already
+        except OSError as error:  # the client has closed it already
+            self._dispatcher.diagnostics.client_lost(
+                self._system.now(), ClientLoss.SETUP_FAILED, error
+            )
             if admitted:
                 self.sessions.cancel_admission()
             connection.close()
--- a/ironrail/net/lifecycle/node.py
+++ b/ironrail/net/lifecycle/node.py
@@ -6,10 +6,11 @@
 import logging
 import signal
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ironrail.connections.downstream.descriptor_budget import allocate_descriptors
 from ironrail.diagnostics.daemon import DaemonDiagnostics
+from ironrail.diagnostics.reasons import InternalError
 from ironrail.net.config import Config, ConfigError
 from ironrail.net.discovery.endpoint_list import EndpointListReader
 from ironrail.net.discovery.errors import EndpointListError
@@ -86,7 +87,12 @@
         self._reloader = ConfigReloader(config, read_latest_config, self._endpoint_watcher.relocate)
         self._access_log = make_access_log(config, operator, system)
         self._pool_factory = PoolFactory(
-            config, operator, system, self._attempt_written, self._link_observer
+            config,
+            operator,
+            system,
+            self._attempt_written,
+            self._link_observer,
+            diagnostics.connect_failures,
         )
         self._dispatcher = self._make_dispatcher(diagnostics)
         self._client_listener = make_client_listener(
@@ -180,6 +186,7 @@
     async def serve(self) -> None:
         """Start, handle signals, and return after a graceful shutdown."""
         shutdown_requested = asyncio.Event()
+        asyncio.get_running_loop().set_exception_handler(self._unhandled)
         self._handle_signals(shutdown_requested)
         if self.peer_runtime is not None:
             await self.peer_runtime.open()
@@ -192,6 +199,15 @@
         log.info("stopping")
         await self.stop()
 
+    def _unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Count and log an exception that a callback of the event loop raised."""
+        self._dispatcher.diagnostics.internal_error(
+            self._system.now(),
+            InternalError.EVENT_LOOP,
+            context["message"],
+            context.get("exception"),
+        )
+
     def _handle_signals(self, shutdown_requested: asyncio.Event) -> None:
         """Register handlers: shutdown, reload of the configuration, reopening of the access log."""
         loop = asyncio.get_running_loop()
--- a/ironrail/net/listener.py
+++ b/ironrail/net/listener.py
@@ -38,7 +38,7 @@
         """
         self._on_accepted = on_accepted
         self._accepts_per_turn = accepts_per_turn
-        self._is_paused = False
+        self._paused_at: float | None = None  # since when accepting fails
         self._loop = asyncio.get_running_loop()
         self._socket = system.listen(address, MAX_LISTEN_BACKLOG)
         self._loop.add_reader(self._socket, self._accept_some)
@@ -57,19 +57,24 @@
             except OSError as error:
                 self._pause(error)
                 return False
-            self._is_paused = False
+            if self._paused_at is not None:
+                self._log_resumed(self._paused_at)
             connection.setblocking(False)
             self._on_accepted(connection)
         return True
 
     def _pause(self, error: OSError) -> None:
         """Pause accepting: the socket stays readable, which would make the event loop spin."""
-        if not self._is_paused:  # logged once per shortage
+        if self._paused_at is None:  # logged once per shortage
             log.error("accept_paused", extra={"error": str(error)})
-        self._is_paused = True
+            self._paused_at = self._loop.time()
         self._loop.remove_reader(self._socket)
         self._loop.call_later(ACCEPT_RETRY_DELAY_SECONDS, self._resume)
 
+    def _log_resumed(self, paused_at: float) -> None:
+        log.info("accept_resumed", extra={"seconds": round(self._loop.time() - paused_at, 3)})
+        self._paused_at = None
+
     def _resume(self) -> None:
         if self._socket.fileno() >= 0:
             self._loop.add_reader(self._socket, self._accept_some)
--- a/ironrail/net/upstream/connection_pool.py
+++ b/ironrail/net/upstream/connection_pool.py
@@ -22,6 +22,7 @@
 from ironrail.connections.upstream.pool_manager import UpstreamPoolManager
 from ironrail.connections.upstream.pool_settings import PoolSettings
 from ironrail.connections.upstream.reply_handler import AttemptReply
+from ironrail.diagnostics.counters import ReasonCounter
 from ironrail.net.system import REAL, Address, System
 from ironrail.net.upstream.connection import Attempt, Connection, LinkObserver
 from ironrail.net.upstream.connector import Connector
@@ -44,6 +45,7 @@
         system: Provides the clock and the sockets.
         on_written: Called for each attempt that is written.
         link_observer: Collects measurements of the link to the server.
+        connect_failures: Counts the connects that failed, by reason.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         system: System = REAL,
         on_written: Callable[[], None] = lambda: None,
         link_observer: LinkObserver | None = None,
+        connect_failures: ReasonCounter | None = None,
     ) -> None:
         self.system = system
         self.address = address
@@ -68,6 +71,7 @@
             self._on_connected,
             self._on_connect_failed,
             link_observer,
+            connect_failures,
         )
         self._now = system.now
         self._on_written = on_written
--- a/ironrail/net/upstream/connector.py
+++ b/ironrail/net/upstream/connector.py
@@ -7,7 +7,10 @@
 from typing import cast
 
 from ironrail.connections.upstream.connection import UpstreamConnection
+from ironrail.diagnostics.counters import ReasonCounter
+from ironrail.diagnostics.reasons import ConnectFailure
 from ironrail.net.io_timeout import io_timeout
+from ironrail.net.local_errors import is_local_error
 from ironrail.net.system import Address
 from ironrail.net.upstream.connection import Connection, LinkObserver
 
@@ -22,6 +25,7 @@
         on_connected: Called with an open connection.
         on_failed: Called after a connect that failed or timed out.
         link_observer: Collects measurements of the link to the server.
+        failures: Counts the connects that failed, by reason.
     """
 
     def __init__(
@@ -32,6 +36,7 @@
         on_connected: Callable[[UpstreamConnection, Connection], None],
         on_failed: Callable[[UpstreamConnection], None],
         link_observer: LinkObserver | None,
+        failures: ReasonCounter | None = None,
     ) -> None:
         self.tasks: set[asyncio.Task[None]] = set()
         self._connect_timeout = connect_timeout
@@ -40,6 +45,7 @@
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._link_observer = link_observer
+        self._failures = failures or ReasonCounter("connect_failed", ConnectFailure)
         self._loop = asyncio.get_running_loop()
 
     def start(self, upstream: UpstreamConnection) -> None:
@@ -66,6 +72,7 @@
             self._on_connected(upstream, connection)
 
     def _observe_failure(self, error: Exception, started_at: float) -> None:
+        self._failures.add(_reason_of(error))
         if isinstance(error, ConnectionRefusedError):
             self._observe_answer(started_at)
         elif self._link_observer is not None and isinstance(error, TimeoutError):
@@ -74,3 +81,12 @@
     def _observe_answer(self, started_at: float) -> None:
         if self._link_observer is not None:
             self._link_observer.on_connect_answered(self._now() - started_at)
+
+
+def _reason_of(error: Exception) -> ConnectFailure:
+    """Return why a connect failed."""
+    if isinstance(error, ConnectionRefusedError):
+        return ConnectFailure.REFUSED
+    if isinstance(error, TimeoutError):
+        return ConnectFailure.TIMEOUT
+    return ConnectFailure.LOCAL if is_local_error(error) else ConnectFailure.OTHER
--- a/ironrail/net/upstream/pool_factory.py
+++ b/ironrail/net/upstream/pool_factory.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ironrail.connections.upstream.pool_settings import PoolSettings
+from ironrail.diagnostics.counters import ReasonCounter
 from ironrail.net.config import Config
 from ironrail.net.system import Address, System
 from ironrail.net.upstream.cache_connection import CacheConnection
@@ -27,6 +28,7 @@
         system: Provides the clock and the sockets.
         on_written: Called for each attempt that is written.
         link_observer_of: Returns the observer of the link to a zone.
+        connect_failures: Counts the connects that failed, by reason.
     """
 
     def __init__(
@@ -36,12 +38,14 @@
         system: System,
         on_written: Callable[[], None],
         link_observer_of: Callable[[str], LinkObserver | None],
+        connect_failures: ReasonCounter,
     ) -> None:
         self._config = config
         self._operator = operator
         self._system = system
         self._on_written = on_written
         self._link_observer_of = link_observer_of
+        self._connect_failures = connect_failures
 
     def make(self, endpoint: Endpoint, address: Address) -> ConnectionPool:
         """Make the pool of a server in the endpoint list."""
@@ -71,4 +75,5 @@
             system=self._system,
             on_written=self._on_written,
             link_observer=self._link_observer_of(endpoint.zone),
+            connect_failures=self._connect_failures,
         )
