Failing tests: requests lost while system calls of a router fail for a moment

Need: the incident of 2026-12-04 has to be reproduced before anything is mended. No code of the daemon changed.

--- /dev/null
+++ b/tests/incidents/test_failing_system_calls.py
@@ -0,0 +1,291 @@
+"""System calls of a router fail for a moment: each request that it has taken gets its whole answer in time.
+
+Incident of 2026-12-04. Real processes on loopback; the shim of the kit makes the calls fail.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from ironrail.rehearsal.syscalls.control import SHORT, SystemCall
+from tests.incidents.failing_calls import CLIENT_GRACE_SECONDS, VALUE, FailingRouter, failing_router
+from tests.net.lifecycle.test_process import config
+from tests.peers import LOCAL, Message, Peer, read_http, scenario
+
+pytestmark = pytest.mark.sockets
+
+ACCEPT_UNTIL_SECONDS = 0.45  # after SIGTERM, when the router stops listening
+SETTLED_SECONDS = 0.3  # after a burst of failures, within which service has to be back
+CLIENT_TIMEOUT_MS = 700
+RELOAD_SECONDS = 4.0  # after SIGHUP, when the new discovery counts
+REQUESTS = 40
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (SystemCall.SOCKET, errno.EMFILE),
+        (SystemCall.SETSOCKOPT, errno.ENOBUFS),
+        (SystemCall.BIND, errno.ENOMEM),
+        (SystemCall.POLL, errno.ENOMEM),
+        (SystemCall.IOCTL, errno.ENOMEM),
+        (SystemCall.SHUTDOWN, errno.ENOBUFS),
+        (SystemCall.ACCEPT, errno.EMFILE),
+    ],
+)
+@scenario
+async def test_a_failed_call_does_not_end_a_shutdown_before_its_requests_are_answered(
+    call: SystemCall, error: int, tmp_path: Path
+) -> None:
+    async with failing_router(tmp_path) as router:
+        held = await router.request(router.client, "held")
+        router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(ACCEPT_UNTIL_SECONDS - 0.1)
+        router.faults.fail(call, error)
+        await asyncio.sleep(0.4)
+        router.faults.clear_all()
+        assert router.process.returncode is None
+        held.reply_value(VALUE)
+        assert await router.client.value("held") == VALUE
+        assert await router.process.wait() == 0
+
+
+@scenario
+async def test_requests_in_the_backlog_are_answered_if_accept_fails_as_the_listener_closes(
+    tmp_path: Path,
+) -> None:
+    async with failing_router(tmp_path) as router, router.answering():
+        router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(ACCEPT_UNTIL_SECONDS - 0.15)
+        router.faults.fail(SystemCall.ACCEPT, errno.EMFILE)
+        client = await router.connect()
+        client.get("late", wait=3000)
+        await asyncio.sleep(0.35)
+        router.faults.clear_all()
+        assert await client.value("late") == VALUE
+        assert await router.process.wait() == 0
+
+
+@pytest.mark.parametrize("per_thousand", [1000, 200])
+@scenario
+async def test_requests_are_answered_while_and_after_poll_fails(per_thousand: int, tmp_path: Path) -> None:
+    """Guards against an error between two actions that drops the rest, or ends a client's connection."""
+    async with failing_router(tmp_path) as router, router.answering(0.01):
+        clients = [await router.connect() for _ in range(4)]
+        router.faults.fail(SystemCall.POLL, errno.ENOMEM, per_thousand=per_thousand)
+        for number in range(REQUESTS):
+            for client in clients:
+                client.get(f"{id(client)}n{number}", wait=2000)
+                client.get(f"{id(client)}m{number}", wait=2000)
+            for client in clients:
+                for letter in "nm":
+                    assert await client.value(f"{id(client)}{letter}{number}") == VALUE
+        assert router.faults.failed(SystemCall.POLL) > 0
+        router.faults.clear_all()
+        client = await router.connect()
+        for number in range(REQUESTS):
+            client.get(f"after{number}", wait=2000)
+            assert await client.value(f"after{number}") == VALUE
+
+
+@pytest.mark.parametrize(
+    ("call", "error"), [(SystemCall.SETSOCKOPT, errno.ENOBUFS), (SystemCall.IOCTL, errno.ENOMEM)]
+)
+@scenario
+async def test_a_client_whose_socket_can_not_be_set_up_at_once_is_served(
+    call: SystemCall, error: int, tmp_path: Path
+) -> None:
+    async with failing_router(tmp_path) as router, router.answering():
+        router.faults.fail(call, error)
+        client = await router.connect()
+        client.get("1", wait=3000)
+        await asyncio.sleep(0.25)
+        assert router.faults.failed(call) > 0
+        router.faults.clear_all()
+        assert await client.value("1") == VALUE
+
+
+@pytest.mark.parametrize(
+    ("call", "error"), [(SystemCall.ACCEPT, errno.EMFILE), (SystemCall.SETSOCKOPT, errno.ENOBUFS)]
+)
+@scenario
+async def test_a_request_that_waits_for_accept_is_answered_by_its_deadline(
+    call: SystemCall, error: int, tmp_path: Path
+) -> None:
+    """Guards against a deadline that counts from the accept in place of the request's arrival."""
+    async with failing_router(tmp_path) as router:
+        router.faults.fail(call, error)
+        client = await router.connect()
+        sent_at = time.monotonic()
+        client.get("late", wait=CLIENT_TIMEOUT_MS)  # the cache never answers
+        await asyncio.sleep(0.3)
+        router.faults.clear_all()
+        assert (await client.line()).startswith(b"SERVER_ERROR ")
+        assert time.monotonic() - sent_at < CLIENT_TIMEOUT_MS / 1000 + CLIENT_GRACE_SECONDS
+
+
+@pytest.mark.parametrize("call", [SystemCall.READ, SystemCall.WRITE])
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM])
+@scenario
+async def test_a_read_or_write_without_memory_is_tried_again(
+    call: SystemCall, error: int, tmp_path: Path
+) -> None:
+    """Guards against a client's connection that is closed because this machine lacks memory."""
+    async with failing_router(tmp_path) as router, router.answering():
+        clients = [await router.connect() for _ in range(4)]
+        router.faults.fail(call, error, per_thousand=50)
+        for number in range(REQUESTS):
+            for client in clients:
+                client.get(f"{id(client)}n{number}", wait=2000)
+            for client in clients:
+                head, *_ = (await client.line()).split()
+                if head == b"VA":  # an attempt may fail, if it is its server's connection that is lost
+                    await client.reader.readexactly(len(VALUE) + 2)
+                else:
+                    assert head == b"SERVER_ERROR"
+        assert router.faults.failed(call) > 0
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (SystemCall.READ, SHORT),
+        (SystemCall.READ, errno.EINTR),
+        (SystemCall.READ, errno.EAGAIN),
+        (SystemCall.WRITE, SHORT),
+        (SystemCall.WRITE, errno.EINTR),
+        (SystemCall.WRITE, errno.EAGAIN),
+    ],
+)
+@scenario
+async def test_a_short_or_interrupted_read_or_write_tears_no_answer(
+    call: SystemCall, error: int, tmp_path: Path
+) -> None:
+    async with failing_router(tmp_path) as router, router.answering():
+        router.faults.fail(call, error, per_thousand=500)
+        for number in range(REQUESTS):
+            router.client.get(f"n{number}", wait=2000)
+            assert await router.client.value(f"n{number}") == VALUE
+        assert router.faults.failed(call) > 0
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (SystemCall.SOCKET, errno.EMFILE),
+        (SystemCall.SOCKET, errno.ENOBUFS),
+        (SystemCall.CONNECT, errno.EADDRNOTAVAIL),
+        (SystemCall.CONNECT, errno.EAGAIN),
+    ],
+)
+@scenario
+async def test_requests_are_served_right_after_connects_have_failed_on_this_machine(
+    call: SystemCall, error: int, tmp_path: Path
+) -> None:
+    """Guards against a lack of descriptors or ports that counts as a fault of the server."""
+    async with failing_router(tmp_path) as router:
+        router.faults.fail(call, error)
+        for number in range(10):
+            router.client.get(f"n{number}", wait=100)
+            assert (await router.client.line()).startswith(b"SERVER_ERROR ")
+        router.faults.clear_all()
+        await asyncio.sleep(SETTLED_SECONDS)
+        async with router.answering():
+            for number in range(REQUESTS):
+                router.client.get(f"after{number}", wait=2000)
+                assert await router.client.value(f"after{number}") == VALUE
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO, errno.EAGAIN, SHORT])
+@scenario
+async def test_a_log_that_can_not_be_written_changes_no_answer(error: int, tmp_path: Path) -> None:
+    async with failing_router(tmp_path) as router, router.answering():
+        router.faults.fail(SystemCall.LOG_WRITE, error)
+        for number in range(REQUESTS):
+            router.process.send_signal(signal.SIGHUP)  # logs a line or two
+            router.client.get(f"n{number}", wait=500)
+            assert await router.client.value(f"n{number}") == VALUE
+        assert router.faults.failed(SystemCall.LOG_WRITE) > 0
+        router.faults.clear_all()
+        router.process.send_signal(signal.SIGTERM)
+        assert await router.process.wait() == 0
+        assert any('"stopping"' in line for line in await router.log())
+
+
+@scenario
+async def test_a_configuration_that_can_not_be_read_at_sighup_is_read_again(tmp_path: Path) -> None:
+    """Guards against a new address of discovery that is never used."""
+    old, new = await Peer(read_http).start(), await Peer(read_http).start()
+    async with failing_router(tmp_path, discovery=f"{LOCAL}:{old.port}") as router:
+        table = config(router.port, router.cache.row("c"), discovery=f"{LOCAL}:{new.port}")
+        (tmp_path / "config.json").write_text(json.dumps(table))
+        router.faults.fail(SystemCall.OPEN, errno.EMFILE)
+        router.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        assert router.faults.failed(SystemCall.OPEN) > 0
+        router.faults.clear_all()
+        async with asyncio.timeout(RELOAD_SECONDS - 1.0 - 0.5):
+            await new.next()
+
+
+@scenario
+async def test_a_signal_whose_wake_up_can_not_be_written_is_handled(tmp_path: Path) -> None:
+    async with failing_router(tmp_path) as router:
+        router.faults.fail(SystemCall.WAKE_UP, errno.EAGAIN)
+        router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        assert router.faults.failed(SystemCall.WAKE_UP) > 0
+        router.faults.clear_all()
+        async with asyncio.timeout(3.0):
+            assert await router.process.wait() == 0
+
+
+@scenario
+async def test_a_server_is_not_ejected_because_this_machine_could_not_connect(tmp_path: Path) -> None:
+    """Guards against a lack of descriptors or ports that counts as a fault of the server."""
+    caches = [await Peer().start(), await Peer().start()]
+    rows = [cache.row(f"c{number}") for number, cache in enumerate(caches)]
+    known = {"version": 1, "full": True, "servers": rows}
+    async with failing_router(tmp_path, known=known) as router:
+        keys: dict[Peer, str] = {}
+        number = 0
+        while len(keys) < len(caches):  # both have a connection, and one key is known of each
+            number += 1
+            router.client.get(f"first{number}", key=f"k{number}")
+            calls = {asyncio.create_task(cache.next()): cache for cache in caches}
+            done, rest = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+            for task in rest:
+                task.cancel()
+            (task,) = done
+            message = task.result()
+            message.reply_value(VALUE)
+            assert await router.client.value(f"first{number}") == VALUE
+            keys[calls[task]] = f"k{number}"
+        home, key = next(iter(keys.items()))
+        message = await asyncio.wait_for(_request(router, home, key), 1.0)
+        message.reply_value(VALUE)
+        assert await router.client.value("again") == VALUE
+        message.end()  # the next request there needs a new connection
+        await asyncio.sleep(0.1)
+        router.faults.fail(SystemCall.SOCKET, errno.EMFILE)
+        for attempt in range(30):
+            router.client.get(f"n{attempt}", key=key, wait=100)
+            await router.client.line()
+        assert router.faults.failed(SystemCall.SOCKET) > 0
+        router.faults.clear_all()
+        await asyncio.sleep(SETTLED_SECONDS)
+        router.client.get("after", key=key)
+        async with asyncio.timeout(1.0):
+            assert (await home.next()).flag == b"Oafter"
+
+
+async def _request(router: FailingRouter, home: Peer, key: str) -> Message:
+    router.client.get("again", key=key)
+    return await home.next()
