A failed socket call no longer ends a shutdown with requests in flight

Callers saw: 0.45 s after SIGTERM the router's process ended, and requests that it had taken got no answer. Cause: at that moment the shutdown asks whether another process serves the address. With no descriptor left (EMFILE) or ENOBUFS that question raised an error, which passed through GracefulShutdown and serve() and ended the process with exit code 1. Evidence: test_a_failed_call_does_not_end_a_shutdown_before_its_requests_are_answered with SOCKET and SETSOCKOPT failed each time: returncode 1 in place of none, 'Too many open files' on standard error at 0.45 s. Change: where the answer is unknown, another process is assumed, which only keeps partial commands for longer. Each step of the shutdown is contained as well: an exception is counted and logged, and the next step follows.

--- a/ironrail/net/lifecycle/graceful_shutdown.py
+++ b/ironrail/net/lifecycle/graceful_shutdown.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ironrail.net.containment import run_contained
 from ironrail.policy.settings import Settings
 
 if TYPE_CHECKING:
@@ -84,14 +85,14 @@
         after this process has stopped listening.
         """
         await self._sleep_until(self.schedule.accept_until)
-        self.clients.stop_listening()
+        run_contained("stop listening", self.clients.stop_listening)
         serves_alone = not is_served_by_other()
         await self._sleep_until(self.schedule.idle_close_at)
         drained = asyncio.create_task(self.clients.wait_closed())
         await self._wait_for_responses(drained, serves_alone)
         if not drained.done():
             log.warning("shutdown_deadline_reached")
-            self.clients.reject_all()
+            run_contained("reject requests", self.clients.reject_all)
         await self._wait_for_flush(drained)
         drained.cancel()
 
@@ -106,12 +107,13 @@
         deadline = self.started_at + self.schedule.response_deadline
         while not drained.done() and (remaining := deadline - self.now()) > 0:
             partial_commands_expired = self._elapsed() >= self.schedule.partial_command_deadline
-            self.clients.close_idle(serves_alone and partial_commands_expired)
+            close_partial = serves_alone and partial_commands_expired
+            run_contained("close idle clients", self.clients.close_idle, close_partial)
             timeout = max(MIN_POLL_INTERVAL_SECONDS, min(POLL_INTERVAL_SECONDS, remaining))
             await asyncio.wait([drained], timeout=timeout)
 
     async def _wait_for_flush(self, drained: asyncio.Task[None]) -> None:
         """Let clients read the last responses, until `exit_at`."""
         while not drained.done() and self._elapsed() < self.schedule.exit_at:
-            self.clients.close_idle(close_partial=True)
+            run_contained("close clients", self.clients.close_idle, True)
             await asyncio.wait([drained], timeout=MIN_POLL_INTERVAL_SECONDS)
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -15,6 +15,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from ironrail.net.local_errors import is_local_error
+
 Address = tuple[str, int]
 
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -45,7 +47,7 @@
         """
 
     def is_served(self, address: Address) -> bool:
-        """Whether another process listens on an address already."""
+        """Whether another process listens on an address already; True if that is unknown."""
 
     def unread_check(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Return a function that checks whether data or an end of file can be read."""
@@ -80,12 +82,12 @@
 
     def is_served(self, address: Address) -> bool:
         """Whether another process listens on an address already."""
-        with socket.socket(_family(address)) as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
+        try:
+            with socket.socket(_family(address)) as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 probe.bind(address)
-            except OSError as error:
-                return error.errno == errno.EADDRINUSE
+        except OSError as error:
+            return error.errno == errno.EADDRINUSE or is_local_error(error)
         return False
 
     def unread_check(self, transport: asyncio.Transport) -> Callable[[], bool]:
