A listener that can't accept as it closes stays open until its backlog is empty

Callers saw: a connection that the machine had accepted after SIGTERM was reset, and the request on it got no answer. Cause: Acceptor.close stopped after one failed accept (EMFILE, ENFILE, ENOBUFS, ENOMEM) and closed the socket, at which the kernel resets what is in the backlog.

--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -127,7 +127,8 @@
         self._dispatcher.expire_all()
 
     async def wait_closed(self) -> None:
-        """Wait until the last connection has closed."""
+        """Wait until the listener and the last connection have closed."""
+        await self._acceptor.wait_closed()
         if self._opening:
             await asyncio.wait(self._opening)
         await self.context.wait_all_closed()
--- a/ironrail/net/listener.py
+++ b/ironrail/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Callable
@@ -39,6 +40,8 @@
         self._on_accepted = on_accepted
         self._accepts_per_turn = accepts_per_turn
         self._paused_at: float | None = None  # since when accepting fails
+        self._is_closing = False
+        self._closed = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._socket = system.listen(address, MAX_LISTEN_BACKLOG)
         self._loop.add_reader(self._socket, self._accept_some)
@@ -76,13 +79,31 @@
         self._paused_at = None
 
     def _resume(self) -> None:
-        if self._socket.fileno() >= 0:
+        if self._is_closing:
+            self._close_when_drained()
+        else:
             self._loop.add_reader(self._socket, self._accept_some)
 
     def close(self) -> None:
-        """Accept the connections in the backlog, which a close would reset, and stop listening."""
+        """Accept the connections in the backlog, which a close would reset, and stop listening.
+
+        While accepting fails, the socket stays open and is tried again.
+        """
+        self._is_closing = True
+        if self._paused_at is None:
+            self._close_when_drained()
+
+    def _close_when_drained(self) -> None:
         for _ in range(MAX_LISTEN_BACKLOG // self._accepts_per_turn + 1):
             if not self._accept_some():
                 break
+        if self._paused_at is not None:
+            return  # `_resume` follows
         self._loop.remove_reader(self._socket)
-        self._socket.close()
+        with contextlib.suppress(OSError):
+            self._socket.close()
+        self._closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until the backlog is empty and the socket is closed, after `close`."""
+        await self._closed.wait()
