An accepted socket that can't be set up at once is tried again, not closed

Callers saw: while this machine lacked memory for sockets, each new connection was reset, and the request on it got no answer. Cause: an error of setsockopt (in connect_accepted_socket) was taken for a client that has left, and one of ioctl (setblocking) was not caught at all, so that the socket was closed by the garbage collector. Change: set_up_accepted tries again every 20 ms for up to 3 s after ENOBUFS, ENOMEM and the like, for clients and the admin endpoint. What the callback of an accept raises is contained, so that the other connections of that turn are still accepted.

--- a/ironrail/net/admin_server.py
+++ b/ironrail/net/admin_server.py
@@ -10,7 +10,7 @@
 
 from ironrail.admin.connection_limit import AdminConnection, ConnectionLimit
 from ironrail.admin.http_call import Handler, HttpCall, PostHandler
-from ironrail.net.listener import Acceptor
+from ironrail.net.listener import Acceptor, set_up_accepted
 from ironrail.net.system import REAL, Address, System
 
 EXPIRY_CHECK_INTERVAL_SECONDS = 0.25
@@ -97,9 +97,7 @@
 
     async def _open(self, connection: AdminConnection, accepted: socket.socket) -> None:
         try:
-            await self._loop.connect_accepted_socket(
-                lambda: AdminConnectionProtocol(self, connection), accepted
-            )
+            await set_up_accepted(accepted, lambda: AdminConnectionProtocol(self, connection))
         except OSError:  # the client has closed it already
             self._limit.remove(connection)
             with contextlib.suppress(OSError):
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -16,7 +17,7 @@
 from ironrail.net.downstream.client_connection import ClientConnection
 from ironrail.net.downstream.rejected_connection import RejectedConnection
 from ironrail.net.downstream.session_context import SessionContext
-from ironrail.net.listener import Acceptor
+from ironrail.net.listener import Acceptor, set_up_accepted
 from ironrail.net.system import REAL, Address, System
 
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.25
@@ -84,16 +85,15 @@
     async def _open_connection(self, connection: socket.socket, admitted: bool) -> None:
         protocol_class = ClientConnection if admitted else RejectedConnection
         try:
-            await self._loop.connect_accepted_socket(
-                lambda: protocol_class(self.context), connection
-            )
+            await set_up_accepted(connection, lambda: protocol_class(self.context))
         except OSError as error:  # the client has closed it already
             self._dispatcher.diagnostics.client_lost(
                 self._system.now(), ClientLoss.SETUP_FAILED, error
             )
             if admitted:
                 self.sessions.cancel_admission()
-            connection.close()
+            with contextlib.suppress(OSError):
+                connection.close()
 
     def _check_timeouts(self) -> None:
         now = self._system.now()
--- a/ironrail/net/listener.py
+++ b/ironrail/net/listener.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 
 from ironrail.connections.downstream.descriptor_budget import MAX_ACCEPTS_PER_TURN
+from ironrail.net.containment import run_contained
+from ironrail.net.local_errors import is_local_error
 from ironrail.net.system import Address, System
 
 log = logging.getLogger(__name__)
@@ -18,6 +20,9 @@
 ACCEPT_RETRY_DELAY_SECONDS = 0.1
 """Pause after an accept that failed, such as when no file descriptors are left."""
 
+SETUP_RETRY_DELAY_SECONDS = 0.02
+SETUP_TIMEOUT_SECONDS = 3.0
+
 
 class Acceptor:
     """Accepts connections at one address and hands them to a callback."""
@@ -34,7 +39,7 @@
         Args:
             system: Opens the listening socket.
             address: Address to listen on; port 0 selects any free port.
-            on_accepted: Called with each accepted socket, which is non-blocking.
+            on_accepted: Called with each accepted socket.
             accepts_per_turn: Limit on the accepts in one iteration of the event loop.
         """
         self._on_accepted = on_accepted
@@ -62,8 +67,7 @@
                 return False
             if self._paused_at is not None:
                 self._log_resumed(self._paused_at)
-            connection.setblocking(False)
-            self._on_accepted(connection)
+            run_contained("handle an accepted connection", self._on_accepted, connection)
         return True
 
     def _pause(self, error: OSError) -> None:
@@ -107,3 +111,25 @@
     async def wait_closed(self) -> None:
         """Wait until the backlog is empty and the socket is closed, after `close`."""
         await self._closed.wait()
+
+
+async def set_up_accepted(
+    accepted: socket.socket, make_protocol: Callable[[], asyncio.BaseProtocol]
+) -> None:
+    """Give an accepted socket its protocol; tried again while this machine lacks memory for it.
+
+    Raises:
+        OSError: The peer has closed the connection, or it could not be set up in time.
+    """
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + SETUP_TIMEOUT_SECONDS
+    while True:
+        try:
+            accepted.setblocking(False)
+            await loop.connect_accepted_socket(make_protocol, accepted)
+        except OSError as error:
+            if not is_local_error(error) or loop.time() >= give_up_at:
+                raise
+            await asyncio.sleep(SETUP_RETRY_DELAY_SECONDS)
+        else:
+            return
