The deadline of a request on a new connection counts from when accepting failed

Callers saw: after descriptors or memory had run out for a moment, answers on new connections came as much too late as the shortage had lasted; clients had left. Cause: a connection waits in the backlog while accept fails, or unread while it can't be set up; the deadline of its first request counted from when it was read. Change: the listener knows since when its backlog may not be empty; if a connection waited for over 20 ms, what is read right after its set-up counts from then. Accept is tried every 20 ms in place of 100 after a failure.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -8,6 +8,7 @@
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
+from ironrail.diagnostics.hold_up import SETTLING_SECONDS
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
@@ -22,11 +23,17 @@
     session: ClientSession
     client_region: ClientRegion | None
 
-    def __init__(self, context: SessionContext[ClientConnection]) -> None:
-        """Wait for `connection_made`; `context` is shared by all connections."""
+    def __init__(self, context: SessionContext[ClientConnection], waiting_since: float) -> None:
+        """Wait for `connection_made`.
+
+        Args:
+            context: Shared by all connections.
+            waiting_since: Since when the connection may have waited to be accepted and set up, in
+                seconds on the monotonic clock.
+        """
         self._context = context
-        # The first bytes may have arrived before the connection was accepted.
-        self._earliest_arrival = context.dispatcher.monitor.earliest_event
+        self._waiting_since = waiting_since
+        self._earliest_arrival = self._earliest_first_arrival
         self.arrived_at: float | None = None
         """Earliest arrival time of the data that is being parsed; None at other times."""
         self._pipeline = CommandPipeline(context, self)
@@ -40,6 +47,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin the client's session."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class is no subclass of it
+        self._opened_at = self._context.system.now()
         self.session = self._context.add(self)
         self.client_region = self._context.client_region_of(self.transport)
 
@@ -55,6 +63,17 @@
         self._pipeline.feed(data)
         self.arrived_at = None
 
+    def _earliest_first_arrival(self) -> float:
+        """Return the earliest arrival time of the first bytes.
+
+        They may have arrived before the connection was accepted.
+        """
+        earliest = self._context.dispatcher.monitor.earliest_event()
+        has_waited = self._opened_at - self._waiting_since > SETTLING_SECONDS
+        if has_waited and earliest - self._opened_at < SETTLING_SECONDS:
+            return min(earliest, self._waiting_since)
+        return earliest
+
     def pause_writing(self) -> None:
         """Record that the client has stopped reading responses."""
         self._set_responses_unread(True)
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -78,14 +78,23 @@
         admission = self.sessions.admit()
         if admission.evicted is not None:
             self.context.connections[admission.evicted].close(ClientCloseReason.EVICTED)
-        task = self._loop.create_task(self._open_connection(connection, admission.admitted))
+        waiting_since = self._acceptor.waiting_since or self._system.now()
+        task = self._loop.create_task(
+            self._open_connection(connection, admission.admitted, waiting_since)
+        )
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
 
-    async def _open_connection(self, connection: socket.socket, admitted: bool) -> None:
-        protocol_class = ClientConnection if admitted else RejectedConnection
+    async def _open_connection(
+        self, connection: socket.socket, admitted: bool, waiting_since: float
+    ) -> None:
+        def make_protocol() -> asyncio.Protocol:
+            if admitted:
+                return ClientConnection(self.context, waiting_since)
+            return RejectedConnection(self.context)
+
         try:
-            await set_up_accepted(connection, lambda: protocol_class(self.context))
+            await set_up_accepted(connection, make_protocol)
         except OSError as error:  # the client has closed it already
             self._dispatcher.diagnostics.client_lost(
                 self._system.now(), ClientLoss.SETUP_FAILED, error
--- a/ironrail/net/listener.py
+++ b/ironrail/net/listener.py
@@ -17,7 +17,7 @@
 
 MAX_LISTEN_BACKLOG = 512
 
-ACCEPT_RETRY_DELAY_SECONDS = 0.1
+ACCEPT_RETRY_DELAY_SECONDS = 0.02
 """Pause after an accept that failed, such as when no file descriptors are left."""
 
 SETUP_RETRY_DELAY_SECONDS = 0.02
@@ -44,7 +44,9 @@
         """
         self._on_accepted = on_accepted
         self._accepts_per_turn = accepts_per_turn
-        self._paused_at: float | None = None  # since when accepting fails
+        self._is_paused = False
+        self.waiting_since: float | None = None
+        """Since when connections may have waited, on the loop's clock, if accepting has failed."""
         self._is_closing = False
         self._closed = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -59,30 +61,34 @@
             try:
                 connection, _ = self._socket.accept()
             except BlockingIOError:
+                self._backlog_emptied()
                 return False
             except ConnectionError:  # aborted while in the backlog; others may follow
                 continue
             except OSError as error:
                 self._pause(error)
                 return False
-            if self._paused_at is not None:
-                self._log_resumed(self._paused_at)
+            self._is_paused = False
             run_contained("handle an accepted connection", self._on_accepted, connection)
         return True
 
     def _pause(self, error: OSError) -> None:
         """Pause accepting: the socket stays readable, which would make the event loop spin."""
-        if self._paused_at is None:  # logged once per shortage
+        if self.waiting_since is None:  # logged once per shortage
             log.error("accept_paused", extra={"error": str(error)})
-            self._paused_at = self._loop.time()
+            self.waiting_since = self._loop.time()
+        self._is_paused = True
         self._loop.remove_reader(self._socket)
         self._loop.call_later(ACCEPT_RETRY_DELAY_SECONDS, self._resume)
 
-    def _log_resumed(self, paused_at: float) -> None:
-        log.info("accept_resumed", extra={"seconds": round(self._loop.time() - paused_at, 3)})
-        self._paused_at = None
+    def _backlog_emptied(self) -> None:
+        if self.waiting_since is not None:
+            seconds = round(self._loop.time() - self.waiting_since, 3)
+            log.info("accept_resumed", extra={"seconds": seconds})
+            self.waiting_since = None
 
     def _resume(self) -> None:
+        self._is_paused = False
         if self._is_closing:
             self._close_when_drained()
         else:
@@ -94,14 +100,14 @@
         While accepting fails, the socket stays open and is tried again.
         """
         self._is_closing = True
-        if self._paused_at is None:
+        if not self._is_paused:
             self._close_when_drained()
 
     def _close_when_drained(self) -> None:
         for _ in range(MAX_LISTEN_BACKLOG // self._accepts_per_turn + 1):
             if not self._accept_some():
                 break
-        if self._paused_at is not None:
+        if self._is_paused:
             return  # `_resume` follows
         self._loop.remove_reader(self._socket)
         with contextlib.suppress(OSError):
