A failed poll says nothing: sockets are looked at in another way, or the careful way

Callers saw: while poll(2) failed for lack of memory, their connections were closed with all pipelined requests unanswered, other requests failed, and service did not come back afterwards. Cause: poll is asked before a send whether the client has left, and whether an idle connection to a server is quiet. Its error passed through the policy's actions and the read of some other client's connection, which the event loop then closed; an idle connection that was being looked at belonged to nobody from then on. Change: where poll fails, the input is peeked at on a duplicate of the descriptor; if that fails too, a connection counts as not quiet, and a client as still there.

--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -16,6 +16,7 @@
 from typing import Any, Protocol
 
 from ironrail.net.local_errors import is_local_error
+from ironrail.net.peek import PeekResult, peek
 
 Address = tuple[str, int]
 
@@ -50,10 +51,16 @@
         """Whether another process listens on an address already; True if that is unknown."""
 
     def unread_check(self, transport: asyncio.Transport) -> Callable[[], bool]:
-        """Return a function that checks whether data or an end of file can be read."""
+        """Return a function that checks whether data or an end of file can be read.
+
+        It returns True if that is unknown.
+        """
 
     def has_hung_up(self, transport: asyncio.Transport) -> bool:
-        """Whether the peer has closed its side, detected even while reading is paused."""
+        """Whether the peer has closed its side, detected even while reading is paused.
+
+        False if that is unknown.
+        """
 
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         """Round-trip time in seconds as estimated by the system; None if it is unknown."""
@@ -92,15 +99,27 @@
 
     def unread_check(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Return a function that checks whether data or an end of file can be read."""
+        descriptor: int = transport.get_extra_info("socket").fileno()
         poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return lambda: bool(poll.poll(0))
+        poll.register(descriptor, select.POLLIN)
+
+        def has_unread() -> bool:
+            try:
+                return bool(poll.poll(0))
+            except OSError:  # no memory for the call
+                return peek(descriptor) is not PeekResult.NOTHING
+
+        return has_unread
 
     def has_hung_up(self, transport: asyncio.Transport) -> bool:
         """Whether the peer has closed its side."""
+        descriptor: int = transport.get_extra_info("socket").fileno()
         poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return any(events & HANGUP_EVENTS for _, events in poll.poll(0))
+        poll.register(descriptor, select.POLLRDHUP)
+        try:
+            return any(events & HANGUP_EVENTS for _, events in poll.poll(0))
+        except OSError:  # no memory for the call
+            return peek(descriptor) is PeekResult.END
 
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         """Round-trip time in seconds as estimated by the kernel; None if it is unknown."""
