An exception in one action no longer drops the actions and events behind it

Cause: the policy's actions, the pool's actions and the events queued behind them were carried out in one loop each, through which any exception passed, up to the read of whichever connection had begun it; uvloop then closes that connection. Change: each action is contained. One that fails is counted (internal_error.action), logged, and its request is failed and withdrawn from the policy; in a pool its connection is ended and its attempt gets an outcome. A connect that fails in an unexpected way no longer counts as under way for ever.

--- a/ironrail/connections/upstream/pool_manager.py
+++ b/ironrail/connections/upstream/pool_manager.py
@@ -89,6 +89,12 @@
             self._lifecycle.release(now, connection)
         return self.actions.take()
 
+    def on_assignment_failed(self, now: float, attempt: Attempt) -> list[PoolAction]:
+        """End an attempt whose connection could not be checked; its host ends the connection."""
+        if attempt.connection is None:
+            self.writer.end(attempt, AttemptStatus.NOT_SENT)
+        return self.actions.take()
+
     def abandon(self, now: float, attempt: Attempt, status: AttemptStatus) -> list[PoolAction]:
         """Stop waiting for an attempt."""
         self._canceller.abandon(now, attempt, status)
--- a/ironrail/diagnostics/reasons.py
+++ b/ironrail/diagnostics/reasons.py
@@ -87,6 +87,7 @@
 
     EVENT_LOOP = "event_loop"  # in a callback of the event loop
     POLICY = "policy"  # in a decision of the policy
+    ACTION = "action"  # while an action of the policy was carried out
 
 
 class Violation(StrEnum):
--- a/ironrail/net/dispatch/action_executor.py
+++ b/ironrail/net/dispatch/action_executor.py
@@ -6,8 +6,9 @@
 import logging
 from collections.abc import Callable, Mapping
 
-from ironrail.diagnostics.counters import ReasonCounter
+from ironrail.diagnostics.daemon import DaemonDiagnostics
 from ironrail.diagnostics.reasons import InternalError
+from ironrail.net.containment import run_contained
 from ironrail.net.dispatch.attempt_dispatcher import AttemptDispatcher
 from ironrail.net.dispatch.open_attempts import AttemptId, OpenAttempts
 from ironrail.net.dispatch.policy_driver import PolicyDriver, request_id_of
@@ -25,7 +26,7 @@
     SendAttempt,
     SetTimer,
 )
-from ironrail.policy.events import AttemptStatus, Event, TimerFired
+from ironrail.policy.events import AttemptEnded, AttemptStatus, Event, TimerFired
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +43,7 @@
         sender: AttemptDispatcher,
         pools: Mapping[str, ConnectionPool],
         fetch_endpoint_list: Callable[[], None],
-        internal_errors: ReasonCounter,
+        diagnostics: DaemonDiagnostics,
     ) -> None:
         self._driver = driver
         self._requests = requests
@@ -51,7 +52,7 @@
         self._sender = sender
         self._pools = pools
         self._fetch_endpoint_list = fetch_endpoint_list
-        self._internal_errors = internal_errors
+        self._diagnostics = diagnostics
         self._hedging_allowed = driver.router.settings.hedging_allowed
         self._loop = asyncio.get_running_loop()
 
@@ -78,11 +79,29 @@
 
     def on_policy_failed(self, event: Event) -> None:
         """Fail the request that an event was about after the policy raised an exception on it."""
-        self._internal_errors.add(InternalError.POLICY)
+        self._diagnostics.internal_errors.add(InternalError.POLICY)
         request = self._requests.by_id.get(request_id_of(event) or "")
         if request is not None:
             self._termination.drop(request)
 
+    def on_action_failed(self, action: Action, error: Exception) -> None:
+        """Fail the request that an action was about after the action raised an exception."""
+        now = self._loop.time()
+        self._diagnostics.internal_error(now, InternalError.ACTION, repr(action), error)
+        if isinstance(action, SendAttempt):
+            run_contained("withdraw a failed attempt", self._withdraw_failed, action)
+        request = self._requests.by_id.get(getattr(action, "request_id", ""))
+        if request is not None:
+            run_contained("drop a request", self._termination.drop, request)
+
+    def _withdraw_failed(self, action: SendAttempt) -> None:
+        """Give the policy the outcome of an attempt that could not be handed to its pool."""
+        attempt_id = AttemptId(action.request_id, action.attempt_number)
+        if attempt_id in self._attempts:
+            self._attempts.abandon(attempt_id, AttemptStatus.CANCELLED)
+        else:
+            self._driver.submit(AttemptEnded(*attempt_id, AttemptStatus.NOT_SENT, True))
+
     def _cancel(self, attempt_id: AttemptId) -> None:
         """Stop waiting for an attempt, and keep it from running where hedging is not allowed."""
         is_in_flight = attempt_id.request_id in self._requests.by_id
--- a/ironrail/net/dispatch/dispatcher.py
+++ b/ironrail/net/dispatch/dispatcher.py
@@ -108,7 +108,7 @@
             self.sender,
             self.pools,
             fetch_endpoint_list,
-            self.diagnostics.internal_errors,
+            self.diagnostics,
         )
 
     @property
--- a/ironrail/net/dispatch/policy_driver.py
+++ b/ironrail/net/dispatch/policy_driver.py
@@ -48,6 +48,9 @@
     def on_policy_failed(self, event: Event) -> None:
         """Handle an event on which the policy raised an exception."""
 
+    def on_action_failed(self, action: Action, error: Exception) -> None:
+        """Handle an action that raised an exception."""
+
 
 class PolicyDriver:
     """Owns the queue of events for the policy, and detects stalls of the process.
@@ -104,7 +107,7 @@
     def apply_now(self, change: PolicyOverridesChanged | ZoneLinksChanged) -> None:
         """Pass a change to the policy at once, ahead of all queued events."""
         for action in self.router.handle(self._now(), change):
-            self._handler.carry_out(action)
+            self._carry_out(action)
 
     def expire_now(self, request_id: str) -> None:
         """Process the queued events of one request at once, with no time left for it."""
@@ -124,7 +127,14 @@
             self._handler.on_policy_failed(event)
             return
         for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: Action) -> None:
+        """Carry out one action; if it fails, the others and the queued events still follow."""
+        try:
             self._handler.carry_out(action)
+        except Exception as error:
+            self._handler.on_action_failed(action, error)
 
     def check_stall(self) -> None:
         """Stop processing events if the process stalled: servers may be draining or gone."""
--- a/ironrail/net/upstream/connection_pool.py
+++ b/ironrail/net/upstream/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -183,7 +184,22 @@
 
     def _carry_out(self, actions: list[PoolAction]) -> None:
         for action in actions:
-            self._handlers[type(action)](action)
+            try:
+                self._handlers[type(action)](action)
+            except Exception as error:  # the actions behind it must still follow
+                self._on_action_failed(action, error)
+
+    def _on_action_failed(self, action: PoolAction, error: Exception) -> None:
+        """Report an exception, and end the connection that it leaves in an unknown state."""
+        context = {"message": f"pool action {type(action).__name__}", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+        upstream = getattr(action, "connection", None)
+        if isinstance(action, OpenConnection):
+            self._submit(self.manager.on_connect_failed, upstream)
+        elif upstream in self._connections:
+            self._connections[upstream].transport.abort()
+        if isinstance(action, CheckIdle) and action.attempt is not None:
+            self._submit(self.manager.on_assignment_failed, action.attempt)
 
     def _check_idle(self, check: CheckIdle) -> None:
         """Check a connection, and carry out the resulting actions before the remaining ones."""
--- a/ironrail/net/upstream/connector.py
+++ b/ironrail/net/upstream/connector.py
@@ -62,7 +62,10 @@
                 _, connection = await self._loop.create_connection(
                     lambda: self._make_connection(upstream), host, port
                 )
-        except (OSError, TimeoutError) as e:
+        except Exception as e:
+            if not isinstance(e, OSError):  # without a report it would stay in `connecting`
+                context = {"message": "connect to a server", "exception": e}
+                self._loop.call_exception_handler(context)
             self._observe_failure(e, started_at)
             self.tasks.discard(task)
             self._on_failed(upstream)
