An exception in a periodic check no longer ends the check for the rest of the process

Evidence: test_a_failed_check_of_one_connection_does_not_end_the_timeouts_of_others timed out before: one connection's check raises, another's partial command never gets its error.

--- a/ironrail/net/admin_server.py
+++ b/ironrail/net/admin_server.py
@@ -10,6 +10,7 @@
 
 from ironrail.admin.connection_limit import AdminConnection, ConnectionLimit
 from ironrail.admin.http_call import Handler, HttpCall, PostHandler
+from ironrail.net.containment import run_contained
 from ironrail.net.listener import Acceptor, set_up_accepted
 from ironrail.net.system import REAL, Address, System
 
@@ -122,8 +123,9 @@
         self._protocols.pop(connection, None)
 
     def _close_expired(self) -> None:
+        # First, so that no exception below ends the checks.
+        self._loop.call_later(EXPIRY_CHECK_INTERVAL_SECONDS, self._close_expired)
         for connection in self._limit.expired(self._system.now()):
             protocol = self._protocols.get(connection)
             if protocol is not None:
-                protocol.expire()
-        self._loop.call_later(EXPIRY_CHECK_INTERVAL_SECONDS, self._close_expired)
+                run_contained("close an expired admin connection", protocol.expire)
--- a/ironrail/net/dispatch/policy_driver.py
+++ b/ironrail/net/dispatch/policy_driver.py
@@ -159,9 +159,10 @@
             self._is_busy = False
 
     def _beat(self) -> None:
+        # First, so that no exception below ends the checks.
+        self._loop.call_later(STALL_CHECK_INTERVAL_SECONDS, self._beat)
         self.check_stall()
         self._heartbeat_at = self._now()
-        self._loop.call_later(STALL_CHECK_INTERVAL_SECONDS, self._beat)
 
     def _end_catch_up(self) -> None:
         self.is_catching_up = False
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -13,6 +13,7 @@
 from ironrail.connections.downstream.descriptor_budget import MAX_ACCEPTS_PER_TURN
 from ironrail.connections.downstream.session_manager import ClientSessionManager
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
+from ironrail.net.containment import run_contained
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.downstream.client_connection import ClientConnection
 from ironrail.net.downstream.rejected_connection import RejectedConnection
@@ -105,13 +106,14 @@
                 connection.close()
 
     def _check_timeouts(self) -> None:
+        # First, so that no exception below ends the checks.
+        self._loop.call_later(TIMEOUT_CHECK_INTERVAL_SECONDS, self._check_timeouts)
         now = self._system.now()
         for session in self.sessions:
             # The check of one connection may have closed another.
             connection = self.context.connections.get(session)
             if connection is not None:
-                connection.check_timeouts(now)
-        self._loop.call_later(TIMEOUT_CHECK_INTERVAL_SECONDS, self._check_timeouts)
+                run_contained("check a client's timeouts", connection.check_timeouts, now)
 
     # Graceful shutdown
 
--- a/ironrail/net/lifecycle/loop_monitor.py
+++ b/ironrail/net/lifecycle/loop_monitor.py
@@ -38,6 +38,7 @@
         self._loop.call_later(HEARTBEAT_INTERVAL_SECONDS, self._beat)
 
     def _beat(self) -> None:
+        self._schedule()  # first, so that no exception below ends the heartbeat
         now = self._system.now()
         hold_up = self.detector.beat(now)
         if hold_up is not None:
@@ -45,7 +46,6 @@
             # Timers and the callbacks that they schedule run before sockets are read: everything
             # has been read only in the iteration after the next.
             self._loop.call_soon(self._loop.call_soon, self.detector.caught_up, hold_up)
-        self._schedule()
 
     def _log_hold_up(self, hold_up: HoldUp) -> None:
         if self._log_sampler.admits(hold_up.until):
--- a/tests/net/downstream/test_client_timeouts.py
+++ b/tests/net/downstream/test_client_timeouts.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 
 import pytest
 
 from ironrail.connections.downstream import client_session, session_timeouts
 from ironrail.net.downstream import client_listener
+from ironrail.net.downstream.client_connection import ClientConnection
 from tests.net.downstream.test_client_admission import P, is_ready
 from tests.peers import World, scenario, until
 
@@ -22,6 +24,27 @@
     assert await client.ended()
 
 
+@scenario
+async def test_a_failed_check_of_one_connection_does_not_end_the_timeouts_of_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against partial commands that get no error for the rest of the process's life."""
+    monkeypatch.setattr(session_timeouts, "IDLE_TIMEOUT_SECONDS", 0.05)
+    monkeypatch.setattr(session_timeouts, "COMMAND_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr(client_listener, "TIMEOUT_CHECK_INTERVAL_SECONDS", 0.02)
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
+    world = await World().start()
+    client, other = await world.client(), await world.client()
+    assert await is_ready(client)
+
+    def fail(_: ClientConnection) -> bool:
+        raise OSError(errno.ENOMEM, "Cannot allocate memory")
+
+    monkeypatch.setattr(ClientConnection, "has_unread_input", fail)
+    other.send(b"mg k v Ohalf ")
+    assert (await other.line()).startswith(b"CLIENT_ERROR")
+
+
 @scenario
 async def test_a_client_that_reads_no_responses_is_aborted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(session_timeouts, "UNREAD_RESPONSE_TIMEOUT_SECONDS", 0.1)
