A signal whose wake-up of the event loop fails is handled at the next heartbeat

Callers saw: a router that was told to end went on, and SIGKILL found their requests unanswered. Cause: a signal wakes the event loop up by a write to a socket pair; where that write fails (EAGAIN, ENOBUFS), the loop never hears of the signal. Evidence: test_a_signal_whose_wake_up_can_not_be_written_is_handled timed out each time, with the write failing at SIGTERM. Change: the interpreter's own handler, which needs no system call, notes the signal, and the heartbeat (20 ms) calls the function of a signal that is still noted.

--- a/ironrail/net/lifecycle/assembly.py
+++ b/ironrail/net/lifecycle/assembly.py
@@ -10,6 +10,7 @@
 from ironrail.connections.downstream.memory_budget import MemoryBudget
 from ironrail.connections.downstream.session_manager import ClientSessionManager
 from ironrail.diagnostics.counters import ReasonCounter
+from ironrail.diagnostics.daemon import DaemonDiagnostics
 from ironrail.net.config import Config
 from ironrail.net.discovery.endpoint_list import EndpointListReader
 from ironrail.net.discovery.factory import make_endpoint_watcher
@@ -17,7 +18,9 @@
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.downstream.client_listener import ClientListener
 from ironrail.net.system import System
+from ironrail.net.upstream.pool_factory import PoolFactory
 from ironrail.operator_file import OperatorSettings
+from ironrail.policy.router import Router
 
 if TYPE_CHECKING:
     from ironrail.net.access_log_writer import AccessLogRecorder
@@ -61,6 +64,28 @@
     )
 
 
+def make_dispatcher(
+    config: Config,
+    pool_factory: PoolFactory,
+    watcher: EndpointWatcher,
+    access_log: AccessLogRecorder | None,
+    system: System,
+    diagnostics: DaemonDiagnostics,
+) -> RequestDispatcher:
+    """Return the dispatcher of requests, with the policy."""
+    return RequestDispatcher(
+        Router(config.settings, config.seed, system.now()),
+        pool_factory.make,
+        watcher.poll,
+        allocate_descriptors(config.max_sockets).servers,
+        system,
+        watcher.refresh,
+        make_value_memory(config),
+        access_log.record if access_log is not None else None,
+        diagnostics,
+    )
+
+
 def make_client_listener(
     config: Config,
     dispatcher: RequestDispatcher,
--- a/ironrail/net/lifecycle/loop_monitor.py
+++ b/ironrail/net/lifecycle/loop_monitor.py
@@ -39,6 +39,7 @@
 
     def _beat(self) -> None:
         self._schedule()  # first, so that no exception below ends the heartbeat
+        self._system.run_pending_signals()
         now = self._system.now()
         hold_up = self.detector.beat(now)
         if hold_up is not None:
--- a/ironrail/net/lifecycle/node.py
+++ b/ironrail/net/lifecycle/node.py
@@ -8,18 +8,16 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from ironrail.connections.downstream.descriptor_budget import allocate_descriptors
 from ironrail.diagnostics.daemon import DaemonDiagnostics
 from ironrail.diagnostics.reasons import InternalError
 from ironrail.net.config import Config, ConfigError
 from ironrail.net.discovery.endpoint_list import EndpointListReader
 from ironrail.net.discovery.errors import EndpointListError
-from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.lifecycle.admin_pages import AdminPages
 from ironrail.net.lifecycle.assembly import (
     make_access_log,
     make_client_listener,
-    make_value_memory,
+    make_dispatcher,
     make_watcher,
 )
 from ironrail.net.lifecycle.graceful_shutdown import GracefulShutdown, shutdown_schedule
@@ -31,7 +29,6 @@
 from ironrail.operator_file import OperatorSettings
 from ironrail.policy.endpoints import EndpointListKind
 from ironrail.policy.events import EndpointListUpdate
-from ironrail.policy.router import Router
 
 if TYPE_CHECKING:
     from ironrail.net.peers.record_store import RecordStore
@@ -94,7 +91,14 @@
             self._link_observer,
             diagnostics.connect_failures,
         )
-        self._dispatcher = self._make_dispatcher(diagnostics)
+        self._dispatcher = make_dispatcher(
+            config,
+            self._pool_factory,
+            self._endpoint_watcher,
+            self._access_log,
+            system,
+            diagnostics,
+        )
         self._client_listener = make_client_listener(
             config, self._dispatcher, self._can_serve, system
         )
@@ -102,20 +106,6 @@
             self._dispatcher, self._client_listener, lambda: self._is_listening
         )
 
-    def _make_dispatcher(self, diagnostics: DaemonDiagnostics) -> RequestDispatcher:
-        config = self._config
-        return RequestDispatcher(
-            Router(config.settings, config.seed, self._system.now()),
-            self._pool_factory.make,
-            self._endpoint_watcher.poll,
-            allocate_descriptors(config.max_sockets).servers,
-            self._system,
-            self._endpoint_watcher.refresh,
-            make_value_memory(config),
-            self._access_log.record if self._access_log is not None else None,
-            diagnostics,
-        )
-
     def _make_peer_runtime(
         self, operator: OperatorSettings, store: RecordStore | None
     ) -> PeerRuntime | None:
@@ -210,18 +200,17 @@
 
     def _handle_signals(self, shutdown_requested: asyncio.Event) -> None:
         """Register handlers: shutdown, reload of the configuration, reopening of the access log."""
-        loop = asyncio.get_running_loop()
 
         def _request_shutdown() -> None:
             if not shutdown_requested.is_set():
                 self._shutdown_requested_at = self._dispatcher.monitor.earliest_event()
                 shutdown_requested.set()
 
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, _request_shutdown)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self._system.on_signal(signal.SIGTERM, _request_shutdown)
+        self._system.on_signal(signal.SIGINT, _request_shutdown)
+        self._system.on_signal(signal.SIGHUP, self.reload)
         if self._access_log is not None:
-            loop.add_signal_handler(signal.SIGUSR1, self._access_log.reopen)
+            self._system.on_signal(signal.SIGUSR1, self._access_log.reopen)
 
     def reload(self) -> None:
         """Read the configuration again, unless the router is shutting down."""
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -9,6 +9,7 @@
 import errno
 import gc
 import select
+import signal
 import socket
 import struct
 import time
@@ -17,6 +18,7 @@
 
 from ironrail.net.local_errors import is_local_error
 from ironrail.net.peek import PeekResult, peek
+from ironrail.net.signals import SignalHandlers
 
 Address = tuple[str, int]
 
@@ -65,6 +67,12 @@
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         """Round-trip time in seconds as estimated by the system; None if it is unknown."""
 
+    def on_signal(self, number: signal.Signals, callback: Callable[[], object]) -> None:
+        """Call `callback` on the running event loop after each signal of this number."""
+
+    def run_pending_signals(self) -> None:
+        """Call the functions of signals that the event loop has missed."""
+
     def startup_complete(self) -> None:
         """Declare all objects that exist now permanent, as the router has started."""
 
@@ -79,6 +87,9 @@
     now = staticmethod(time.monotonic)
     wall = staticmethod(time.time)
 
+    def __init__(self) -> None:
+        self._signal_handlers = SignalHandlers()
+
     def listen(self, address: Address, backlog: int) -> socket.socket:
         """Open a listening socket whose port a successor process can share."""
         listener = socket.create_server(
@@ -134,6 +145,14 @@
         (microseconds,) = TCP_INFO_RTT.unpack_from(info, TCP_INFO_BYTES - TCP_INFO_RTT.size)
         return microseconds * SECONDS_PER_MICROSECOND or None
 
+    def on_signal(self, number: signal.Signals, callback: Callable[[], object]) -> None:
+        """Call `callback` on the running event loop after each signal of this number."""
+        self._signal_handlers.add(number, callback)
+
+    def run_pending_signals(self) -> None:
+        """Call the functions of signals that the event loop has missed."""
+        self._signal_handlers.run_pending()
+
     def startup_complete(self) -> None:
         """Exclude the permanent objects from garbage collection."""
         gc.freeze()
--- a/ironrail/rehearsal/links/peer_group_router.py
+++ b/ironrail/rehearsal/links/peer_group_router.py
@@ -52,6 +52,12 @@
     def has_hung_up(self, transport: Any) -> bool:
         raise NotImplementedError
 
+    def on_signal(self, number: Any, callback: Any) -> Any:
+        raise NotImplementedError
+
+    def run_pending_signals(self) -> None:
+        raise NotImplementedError
+
     def round_trip(self, transport: Any) -> float | None:
         raise NotImplementedError
 
--- a/ironrail/rehearsal/virtual/environment.py
+++ b/ironrail/rehearsal/virtual/environment.py
@@ -42,7 +42,7 @@
         self.wall: Callable[[], float] = lambda: (
             SIMULATION_START_UNIX_SECONDS + loop.time() - LOOP_START_SECONDS
         )
-        self._network = network
+        self._loop, self._network = loop, network
 
     def listen(self, address: tuple[str, int], backlog: int) -> Listener:
         return self._network.listen(address, backlog)
@@ -60,6 +60,12 @@
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         return self._network.round_trip(transport.get_extra_info("socket"))
 
+    def on_signal(self, number: signal.Signals, callback: Callable[[], object]) -> None:
+        self._loop.add_signal_handler(number, callback)
+
+    def run_pending_signals(self) -> None:
+        """Does nothing: a simulated system loses no signal."""
+
     def startup_complete(self) -> None:
         """Does nothing: a simulated system has no startup memory to release."""
 
