--- a/ironrail/rehearsal/ground.py
+++ b/ironrail/rehearsal/ground.py
@@ -99,8 +99,18 @@
     def listen(self) -> OpenPort:
         return partial(SocketListeningPort, host=_own_address(STAND_INS_NETWORK))
 
-    def __init__(self, command: tuple[str, ...]) -> None:
-        self._command = command
+    def __init__(
+        self,
+        command: tuple[str, ...],
+        environment_of: Callable[[str, Path], dict[str, str]] = lambda name, folder: {},
+    ) -> None:
+        """Create the environment.
+
+        Args:
+            command: The command that starts a router.
+            environment_of: Returns further variables of a router, by its name and the folder of the run.
+        """
+        self._command, self._environment_of = command, environment_of
 
     def address_of(self, number: int) -> str:
         return _own_address(FIRST_ROUTER_NETWORK + number)
@@ -108,7 +118,8 @@
     def make_router(
         self, name: str, config: dict[str, Any], folder: Path, facts: RouterFacts, on_exit: OnExit
     ) -> RouterProcess:
-        return RouterProcess(name, self._command, config, folder, facts, on_exit)
+        environment = self._environment_of(name, folder)
+        return RouterProcess(name, self._command, config, folder, facts, on_exit, environment)
 
     def settled(self) -> None:
         gc.collect()
--- a/ironrail/rehearsal/routers.py
+++ b/ironrail/rehearsal/routers.py
@@ -55,9 +55,11 @@
         folder: Path,
         facts: RouterFacts,
         on_exit: Callable[[RouterProcess, Exit], None],
+        environment: dict[str, str] | None = None,
     ) -> None:
         self.name, self._command, self._config = name, command, config
         self._folder, self.facts, self._on_exit = folder, facts, on_exit
+        self._environment = environment or {}
         self.address = read_address(config["listen"])
         self.admin_endpoint = read_address(config["operator"])
         self._process: asyncio.subprocess.Process | None = None
@@ -87,6 +89,7 @@
         path = self._write_config()
         environ = {
             **os.environ,
+            **self._environment,
             "NODE_NAME": self.name,
             "NODE_LISTEN": self._config["listen"],
             "NODE_DISCOVERY": self._config["discovery"],
--- a/ironrail/rehearsal/soak/command.py
+++ b/ironrail/rehearsal/soak/command.py
@@ -27,6 +27,8 @@
     over_limits: tuple[str, ...]
     violations: dict[str, int]  # of invariants, by name, over all routers
     hold_ups: int
+    failed_calls: int
+    bursts: tuple[str, ...]  # of failing system calls, one line each
     served: float  # fraction of the requested worth
     no_verdict: str  # why the run has no verdict, empty if it has one
 
@@ -70,6 +72,8 @@
         ),
         violations=rehearsal.violations,
         hold_ups=rehearsal.hold_ups,
+        failed_calls=rehearsal.failed_calls,
+        bursts=rehearsal.burst_labels(),
         served=result.service.whole.share,
         no_verdict=result.no_verdict,
     )
@@ -99,11 +103,15 @@
         result = asyncio.run(soak(seed, routers, tuple(shlex.split(router))))
         results.append(result)
         print(
-            f"seed {seed}: {result.verdict}, served {result.served:.3f}, {result.hold_ups} hold-ups",
+            f"seed {seed}: {result.verdict}, served {result.served:.3f}, {result.hold_ups} hold-ups,"
+            f" {result.failed_calls} failed calls",
             flush=True,
         )
         for line in [*result.findings, *([result.no_verdict] if result.no_verdict else [])]:
             print(f"  {line}", flush=True)
+        if result.findings:
+            for line in result.bursts:
+                print(f"    {line}", flush=True)
     if any(result.findings and not result.no_verdict for result in results):
         sys.exit(1)
     sys.exit(3 if any(result.no_verdict for result in results) else 0)
--- a/ironrail/rehearsal/soak/extra_faults.py
+++ b/ironrail/rehearsal/soak/extra_faults.py
@@ -9,6 +9,7 @@
 from ironrail.rehearsal.scenario.model import Scenario
 from ironrail.rehearsal.scenario.names import router_names
 from ironrail.rehearsal.soak.world import RESTARTS_UNTIL_SECONDS
+from ironrail.rehearsal.syscalls.bursts import Burst, draw_bursts
 
 SECOND_TERM_FRACTION = 0.5  # of restarts
 MAX_SECOND_TERM_SECONDS = 1.2  # after the first; later only few requests are still open
@@ -18,6 +19,8 @@
 IDLE_LOAD_FRACTION = 0.5  # of scenarios
 IDLE_LOAD_COUNT = (1, 2)  # minimum and maximum number of routers affected in such a scenario
 IDLE_LOAD_SECONDS = (3.0, 6.0)
+BURSTS_UNTIL_SECONDS = 11.0
+ENDING_MOMENTS_SECONDS = (0.0, 0.3, 0.8)  # after SIGTERM: its notice, the end of accepting, the closes
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +48,7 @@
     second_terms: tuple[SecondTerm, ...]
     early_terms: dict[str, float]  # seconds from a router's restart to the next SIGTERM
     idle_loads: tuple[IdleLoad, ...]
+    bursts: tuple[Burst, ...]  # of failing system calls
 
 
 def draw_extra_faults(seed: int, scenario: Scenario) -> ExtraFaults:
@@ -53,9 +57,21 @@
         _draw_second_terms(seed, scenario),
         _draw_early_terms(seed, scenario),
         _draw_idle_loads(seed, scenario),
+        _draw_bursts(seed, scenario),
     )
 
 
+def _draw_bursts(seed: int, scenario: Scenario) -> tuple[Burst, ...]:
+    """Draw bursts of failing calls: anywhere, and around the ends of routers and their reloads."""
+    draws = stream(seed, "soak.syscalls")
+    names = router_names(scenario)
+    ends = [f for f in scenario.faults if f.kind is FaultKind.ROUTER_RESTART]
+    near = [(fault.at + draws.choice(ENDING_MOMENTS_SECONDS), fault.whom) for fault in ends]
+    moves = [fault.at for fault in scenario.faults if fault.kind is FaultKind.LIST_MOVES]
+    near += [(at, draws.choice(names)) for at in moves]
+    return draw_bursts(draws, names, BURSTS_UNTIL_SECONDS, near)
+
+
 def _draw_second_terms(seed: int, scenario: Scenario) -> tuple[SecondTerm, ...]:
     draws = stream(seed, "soak.second_terms")
     found = []
--- a/ironrail/rehearsal/soak/rehearsal.py
+++ b/ironrail/rehearsal/soak/rehearsal.py
@@ -6,9 +6,10 @@
 import contextlib
 import signal
 import urllib.request
+from pathlib import Path
 
 from ironrail.rehearsal.draws import stream
-from ironrail.rehearsal.ground import RealGround, Router
+from ironrail.rehearsal.ground import RealGround, Router, ready
 from ironrail.rehearsal.routers import OWN_ROUTER, Exit
 from ironrail.rehearsal.run import Rehearsal
 from ironrail.rehearsal.scenario.model import Scenario
@@ -16,6 +17,8 @@
 from ironrail.rehearsal.soak.extra_faults import IdleLoad, SecondTerm, draw_extra_faults
 from ironrail.rehearsal.soak.idle_connections import IdleConnectionPool
 from ironrail.rehearsal.soak.world import kill_after
+from ironrail.rehearsal.syscalls.bursts import Burst
+from ironrail.rehearsal.syscalls.control import SyscallFaults
 
 MAX_HOLD_UP_SECONDS = 0.15
 BETWEEN_HOLD_UPS_SECONDS = 0.25  # mean, over all routers
@@ -27,15 +30,25 @@
     """A rehearsal whose routers are suspended, signalled several times and filled with idle connections."""
 
     def __init__(self, scenario: Scenario, seed: int, command: tuple[str, ...] = OWN_ROUTER) -> None:
-        super().__init__(scenario, seed, ground=RealGround(command), at_rest=self._collect)
+        ground = RealGround(command, self._environment_of)
+        super().__init__(scenario, seed, ground=ground, at_rest=self._collect)
+        self._syscalls: dict[str, SyscallFaults] = {}
+        self.failed_calls = 0
         self._hold_up_draws = stream(seed, "soak.hold_ups")
         self._extra_faults = draw_extra_faults(seed, scenario)
         self._early_terms = dict(self._extra_faults.early_terms)
         self._started_again: set[str] = set()
+        self._starting: set[str] = set()  # routers whose new process is not ready yet
         self._hold_ups: asyncio.Task[None] | None = None
         self.hold_ups = 0
         self.violations: dict[str, int] = {}
 
+    def _environment_of(self, name: str, folder: Path) -> dict[str, str]:
+        """Return the variables with which all processes of a router are started."""
+        if name not in self._syscalls:
+            self._syscalls[name] = SyscallFaults(folder / f"{name}.syscalls")
+        return self._syscalls[name].environment()
+
     async def _load(self) -> None:
         self._clients.staying_share = STAYING_FRACTION
         self._hold_ups = self._spawn(self._hold_up_routers())
@@ -43,6 +56,8 @@
             self._spawn(self._send_second_term(term))
         for idle_load in self._extra_faults.idle_loads:
             self._spawn(self._hold_idle_connections(idle_load))
+        for burst in self._extra_faults.bursts:
+            self._spawn(self._fail_calls(burst))
         await super()._load()
 
     async def _hold_up_routers(self) -> None:
@@ -69,9 +84,26 @@
             idle_load.seconds
         )
 
+    def burst_labels(self) -> tuple[str, ...]:
+        """Return the drawn bursts of failing system calls, one line each."""
+        return tuple(burst.label() for burst in self._extra_faults.bursts)
+
+    async def _fail_calls(self, burst: Burst) -> None:
+        await asyncio.sleep(max(0.0, burst.at - self._world.now()))
+        router, faults = self._routers[burst.router], self._syscalls[burst.router]
+        if not router.running or burst.router in self._starting:
+            return  # the interpreter's own start is not under test
+        call = burst.failing.call
+        faults.fail(call, burst.failing.error, per_thousand=burst.per_thousand)
+        await asyncio.sleep(burst.seconds)
+        self.failed_calls += faults.failed(call)
+        faults.clear(call)
+
     async def _start_again(self, router: Router) -> None:
         """Start a router; some get another SIGTERM before they are ready, and are started once more."""
         self._started_again.add(router.name)
+        self._starting.add(router.name)
+        self._syscalls[router.name].clear_all()
         after = self._early_terms.get(router.name)
         if after is not None:
             await router.start()
@@ -86,6 +118,11 @@
             del self._early_terms[router.name]
             self._record_initial_list(router.name)  # notices count from the start of this process
         await super()._start_again(router)
+        self._spawn(self._note_ready(router))
+
+    async def _note_ready(self, router: Router) -> None:
+        if await ready(router):
+            self._starting.discard(router.name)
 
     def _on_exit(self, router: Router, end: Exit) -> None:
         ended_early = router.name in self._early_terms and end.code == -signal.SIGTERM
@@ -94,6 +131,8 @@
 
     async def _collect(self) -> None:
         """Stop the suspensions and read the counters of all routers."""
+        for faults in self._syscalls.values():
+            faults.clear_all()
         if self._hold_ups is not None:
             self._hold_ups.cancel()
             await asyncio.wait([self._hold_ups])
@@ -104,7 +143,7 @@
 
 
 def read_violations(admin_endpoint: tuple[str, int]) -> list[tuple[str, int]]:
-    """Return the non-zero violation counters from a router's admin endpoint.
+    """Return the non-zero counters of violations and internal errors from a router's admin endpoint.
 
     Raises:
         OSError: The endpoint does not answer.
@@ -116,6 +155,6 @@
     for line in lines:
         name, _, rest = line.partition(":")
         value = int(rest.partition("|")[0])
-        if ".violation." in name and value:
+        if name.split(".")[1] in ("violation", "internal_error") and value:
             found.append((name.rpartition(".")[2], value))
     return found
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -24,6 +24,7 @@
 from ironrail.rehearsal.soak.idle_connections import IdleConnectionPool
 from ironrail.rehearsal.soak.rehearsal import SoakRehearsal, read_violations
 from ironrail.rehearsal.soak.world import draw_world, kill_after
+from ironrail.rehearsal.syscalls.bursts import FAILING_CALLS
 from tests.machine_lock import play_until_verdict
 
 FOLDER = Path(__file__).parents[1] / "mutants" / "soak"
@@ -79,6 +80,19 @@
     assert series >= 2 and silences >= 1
 
 
+def test_each_failing_call_is_drawn_within_some_seeds_and_some_near_the_end_of_a_router() -> None:
+    """Guards against a fault of system calls that is implemented and never drawn."""
+    bursts = [
+        (seed, burst) for seed in range(40) for burst in draw_extra_faults(seed, draw_world(seed)).bursts
+    ]
+    assert {burst.failing for _, burst in bursts} == set(FAILING_CALLS)
+    near = 0
+    for seed, burst in bursts:
+        ends = [fault.at for fault in restarts(draw_world(seed)) if fault.whom == burst.router]
+        near += any(at - 0.3 <= burst.at <= at + 1.4 for at in ends)
+    assert near > 40
+
+
 def test_a_pool_of_idle_connections_keeps_its_size() -> None:
     async def play() -> tuple[int, int]:
         accepted: list[asyncio.StreamWriter] = []
@@ -187,7 +201,7 @@
 def test_a_few_processes_under_overlapping_faults_keep_rules_and_invariants(seed: int) -> None:
     result = play_few_processes(seed)
     assert result.findings == []
-    assert result.hold_ups > 10 and result.served > 0.5
+    assert result.hold_ups > 10 and result.served > 0.5 and result.failed_calls > 0
 
 
 @pytest.mark.sockets
