A signal that was handled late by its wake-up is not handled a second time

Callers saw nothing yet; a SIGHUP read the configuration twice in 4 to 10 of 250 cases. Cause: the catch-up of lost signals took a later signal of the same number, whose wake-up was still unread, for the one that it had seen a heartbeat before. Change: a signal that the event loop handles is no longer overdue.

--- a/ironrail/net/signals.py
+++ b/ironrail/net/signals.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self._callbacks: dict[int, Callable[[], object]] = {}
         self._pending: dict[int, FrameType | None] = {}
+        self._overdue: set[int] = set()
 
     def add(self, number: signal.Signals, callback: Callable[[], object]) -> None:
         """Call `callback` on the running event loop after each signal of this number."""
@@ -27,10 +28,15 @@
         signal.signal(number, self._pending.__setitem__)
 
     def run_pending(self) -> None:
-        """Call the functions of signals that the event loop has missed."""
-        for number in list(self._pending):
+        """Call the functions of signals that were noted before the previous call of this.
+
+        The event loop has had its turn for them since, and has missed them.
+        """
+        for number in self._overdue & self._pending.keys():
             self._run(number)
+        self._overdue = set(self._pending)
 
     def _run(self, number: int) -> None:
         self._pending.pop(number, None)
+        self._overdue.discard(number)
         self._callbacks[number]()
