A client's connection outlives reads and writes for which there is no memory

Callers saw: their connection was closed with requests unanswered, while recv or send on it failed with ENOBUFS or ENOMEM for a moment. Cause: the event loop's transport closes a connection on any error but EAGAIN and EINTR. The socket itself is intact then, as the call took and lost no byte. Evidence: test_a_read_or_write_without_memory_is_tried_again failed each time in all four cases with a connection that ended; a probe showed the descriptor still valid in connection_lost, and a second transport on it that reads on. Change: ResilientTransport stands between the event loop's transport and the client's protocol. It sends at once by itself and tries again after 5 ms; after a read that failed it opens a new transport on a duplicate of the socket. What is read after that counts from the failure. Where unsent bytes may be left in the old transport, the connection still ends, as it is not known which went out.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -13,6 +13,7 @@
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
 from ironrail.net.downstream.half_closed import HalfClosedConnection
+from ironrail.net.downstream.resilient_transport import ResilientTransport
 from ironrail.net.downstream.session_context import SessionContext
 
 
@@ -46,7 +47,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin the client's session."""
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's class is no subclass of it
+        self._resilient_transport = cast(ResilientTransport, transport)
+        self.transport = self._resilient_transport
         self._opened_at = self._context.system.now()
         self.session = self._context.add(self)
         self.client_region = self._context.client_region_of(self.transport)
@@ -59,6 +61,9 @@
             return
         self._context.sessions.record_data(self._context.system.now(), self.session)
         self.arrived_at = self._earliest_arrival()
+        unread_since = self._resilient_transport.unread_since
+        if unread_since is not None:
+            self.arrived_at = min(self.arrived_at, unread_since)
         self._earliest_arrival = self._context.dispatcher.monitor.earliest_arrival
         self._pipeline.feed(data)
         self.arrived_at = None
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -17,6 +17,7 @@
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.downstream.client_connection import ClientConnection
 from ironrail.net.downstream.rejected_connection import RejectedConnection
+from ironrail.net.downstream.resilient_transport import ResilientTransport
 from ironrail.net.downstream.session_context import SessionContext
 from ironrail.net.listener import Acceptor, set_up_accepted
 from ironrail.net.system import REAL, Address, System
@@ -91,7 +92,8 @@
     ) -> None:
         def make_protocol() -> asyncio.Protocol:
             if admitted:
-                return ClientConnection(self.context, waiting_since)
+                client = ClientConnection(self.context, waiting_since)
+                return ResilientTransport(connection, client)
             return RejectedConnection(self.context)
 
         try:
--- a/ironrail/net/downstream/resilient_transport.py
+++ b/ironrail/net/downstream/resilient_transport.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import socket
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 from ironrail.net.listener import set_up_accepted
 from ironrail.net.local_errors import is_local_error
@@ -16,17 +16,6 @@
 RETRY_DELAY_SECONDS = 0.005
 
 
-class ClientProtocol(Protocol):
-    """The protocol of a client's connection, as this transport uses it."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None: ...
-    def data_received(self, data: bytes) -> None: ...
-    def eof_received(self) -> bool | None: ...
-    def pause_writing(self) -> None: ...
-    def resume_writing(self) -> None: ...
-    def connection_lost(self, exc: Exception | None) -> None: ...
-
-
 class ResilientTransport(asyncio.Transport, asyncio.Protocol):
     """Stands between the event loop's transport of a client and its protocol.
 
@@ -37,7 +26,7 @@
 
     _transport: asyncio.Transport
 
-    def __init__(self, accepted: socket.socket, protocol: ClientProtocol) -> None:
+    def __init__(self, accepted: socket.socket, protocol: asyncio.Protocol) -> None:
         super().__init__()
         self._socket = accepted
         self._protocol = protocol
