A configuration that can't be read, or a socket that can't be had, is tried again

Callers saw: sends to draining servers after a SIGHUP whose new address was never used; a router that did not start. Cause: one failed open (EMFILE, EIO) at SIGHUP rejected the reload for good; at the start the same, or a failed socket, bind or listen, ended the process. Evidence: test_a_configuration_that_can_not_be_read_at_sighup_is_read_again failed each time, no call at the new address in 2.5 s. Change: after a transient error (no content is judged) the file is read again every 0.1 s at SIGHUP, and for up to 5 s at the start; so is listening at the start.

--- a/ironrail/__main__.py
+++ b/ironrail/__main__.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
@@ -25,8 +26,12 @@
 from ironrail.logs import log_to_stderr  # noqa: E402
 from ironrail.net.config import Config, read_config  # noqa: E402
 from ironrail.net.lifecycle.node import serve  # noqa: E402
+from ironrail.net.local_errors import is_transient_file_error  # noqa: E402
 from ironrail.operator_file import OperatorSettings  # noqa: E402
 
+READ_RETRY_SECONDS = 5.0
+READ_RETRY_DELAY_SECONDS = 0.05
+
 
 def _operator_file(arguments: Sequence[str]) -> str | None:
     """Return the operator's file that the command line names."""
@@ -50,6 +55,22 @@
     return read_operator(path)
 
 
+def _read_config() -> Config:
+    """Read the configuration; a file that can't be read at the moment is tried again.
+
+    Raises:
+        InputError: The configuration can't be used, or can't be read for a while.
+    """
+    give_up_at = time.monotonic() + READ_RETRY_SECONDS
+    while True:
+        try:
+            return read_config(dict(os.environ))
+        except InputError as error:
+            if not is_transient_file_error(error.__cause__) or time.monotonic() >= give_up_at:
+                raise
+            time.sleep(READ_RETRY_DELAY_SECONDS)
+
+
 def main(
     arguments: Sequence[str] = (),
     serve: Callable[[Config, OperatorSettings], Coroutine[None, None, None]] = serve,
@@ -65,7 +86,7 @@
     path = _operator_file(arguments) if arguments else None
     try:
         operator = _read_operator(path) if path else OperatorSettings()
-        config = read_config(dict(os.environ))
+        config = _read_config()
         uvloop.run(serve(config, operator))
     except InputError as error:
         print(f"ironrail: {error.with_advice()}", file=sys.stderr)
--- a/ironrail/net/lifecycle/reload.py
+++ b/ironrail/net/lifecycle/reload.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import os
 from collections.abc import Callable
 from dataclasses import replace
 
 from ironrail.net.config import Config, read_config
+from ironrail.net.local_errors import is_transient_file_error
 from ironrail.net.system import Address
 
+RETRY_INTERVAL_SECONDS = 0.1
+
 log = logging.getLogger(__name__)
 
 
@@ -35,14 +39,32 @@
         self.config = config
         self._read = read
         self._relocate_discovery = relocate_discovery
+        self._retry: asyncio.TimerHandle | None = None
 
     def reload(self) -> None:
-        """Read the configuration again; an unusable one changes nothing."""
+        """Read the configuration again; an unusable one changes nothing.
+
+        A file that can't be read at the moment is tried again.
+        """
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        self._try_reload(is_retry=False)
+
+    def _try_reload(self, is_retry: bool) -> None:
+        self._retry = None
         try:
             latest = self._read()
         except Exception as error:  # no content of the file may stop the router
-            log.error("reload_rejected", extra={"error": str(error)})  # noqa: TRY400
+            if not is_retry:
+                log.error("reload_rejected", extra={"error": str(error)})  # noqa: TRY400
+            if is_transient_file_error(error.__cause__):
+                loop = asyncio.get_running_loop()
+                self._retry = loop.call_later(RETRY_INTERVAL_SECONDS, self._try_reload, True)
             return
+        self._apply(latest)
+
+    def _apply(self, latest: Config) -> None:
         log.info(
             "discovery_address_changed",
             extra={"address": "{}:{}".format(*latest.discovery_address)},
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -32,6 +32,9 @@
 
 SECONDS_PER_MICROSECOND = 1e-6
 
+LISTEN_RETRY_SECONDS = 5.0
+LISTEN_RETRY_DELAY_SECONDS = 0.05
+
 
 class System(Protocol):
     """The interface between the daemon and the operating system."""
@@ -81,6 +84,14 @@
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
+def _open_listener(address: Address, backlog: int) -> socket.socket:
+    listener = socket.create_server(
+        address, family=_family(address), backlog=backlog, reuse_port=True
+    )
+    listener.setblocking(False)
+    return listener
+
+
 class RealSystem:
     """The operating system of this machine."""
 
@@ -92,11 +103,14 @@
 
     def listen(self, address: Address, backlog: int) -> socket.socket:
         """Open a listening socket whose port a successor process can share."""
-        listener = socket.create_server(
-            address, family=_family(address), backlog=backlog, reuse_port=True
-        )
-        listener.setblocking(False)
-        return listener
+        give_up_at = time.monotonic() + LISTEN_RETRY_SECONDS
+        while True:
+            try:
+                return _open_listener(address, backlog)
+            except OSError as error:
+                if not is_local_error(error) or time.monotonic() >= give_up_at:
+                    raise
+                time.sleep(LISTEN_RETRY_DELAY_SECONDS)  # no client is connected yet
 
     def is_served(self, address: Address) -> bool:
         """Whether another process listens on an address already."""
