Pool: its queue contains each action; the soak prints the history of a broken request

Change: EventQueue carries out the actions one by one and reports one that fails; report_error serves all places that contain an error; the soak prints what became of one request for each broken rule.

--- a/ironrail/net/containment.py
+++ b/ironrail/net/containment.py
@@ -6,15 +6,17 @@
 from collections.abc import Callable
 
 
-def run_contained(message: str, step: Callable[..., object], *arguments: object) -> bool:
-    """Call a step, and return whether it raised no exception.
+def report_error(message: str, error: BaseException) -> None:
+    """Pass an exception to the event loop's exception handler, which counts and logs it."""
+    context = {"message": message, "exception": error}
+    asyncio.get_running_loop().call_exception_handler(context)
+
 
-    An exception is passed to the event loop's exception handler, which counts and logs it.
-    """
+def run_contained(message: str, step: Callable[..., object], *arguments: object) -> bool:
+    """Call a step, and return whether it raised no exception; one is reported."""
     try:
         step(*arguments)
     except Exception as error:
-        context = {"message": message, "exception": error}
-        asyncio.get_running_loop().call_exception_handler(context)
+        report_error(message, error)
         return False
     return True
--- a/ironrail/net/upstream/connection_pool.py
+++ b/ironrail/net/upstream/connection_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -24,6 +23,7 @@
 from ironrail.connections.upstream.pool_settings import PoolSettings
 from ironrail.connections.upstream.reply_handler import AttemptReply
 from ironrail.diagnostics.counters import ReasonCounter
+from ironrail.net.containment import report_error
 from ironrail.net.system import REAL, Address, System
 from ironrail.net.upstream.connection import Attempt, Connection, LinkObserver
 from ironrail.net.upstream.connector import Connector
@@ -79,7 +79,9 @@
         self._link_observer = link_observer
         self._fault_log = FaultLog(name, system.now)
         self._connections: dict[UpstreamConnection, Connection] = {}
-        self._submit = EventQueue(system.now, self._carry_out).submit
+        queue = EventQueue(system.now, self._handle, self._on_action_failed)
+        self._submit = queue.submit
+        self._carry_out = queue.carry_out
         self._handlers = self._make_handlers()
 
     def _make_handlers(self) -> dict[type, Callable[[Any], None]]:
@@ -89,10 +91,10 @@
             WriteAttempt: self._write,
             StreamResponse: self._start_stream,
             EndAttempt: self._end,
-            OpenConnection: self._open,
-            CloseConnection: self._close,
-            AbortConnection: self._abort,
-            LogConnectionFault: self._log_fault,
+            OpenConnection: lambda action: self.connector.start(action.connection),
+            CloseConnection: lambda action: self._connections[action.connection].transport.close(),
+            AbortConnection: lambda action: self._connections[action.connection].transport.abort(),
+            LogConnectionFault: lambda action: self._fault_log.warn(action.fault),
         }
 
     @property
@@ -182,17 +184,12 @@
         self.address = address
         self._submit(self.manager.move_to, address)
 
-    def _carry_out(self, actions: list[PoolAction]) -> None:
-        for action in actions:
-            try:
-                self._handlers[type(action)](action)
-            except Exception as error:  # the actions behind it must still follow
-                self._on_action_failed(action, error)
+    def _handle(self, action: PoolAction) -> None:
+        self._handlers[type(action)](action)
 
     def _on_action_failed(self, action: PoolAction, error: Exception) -> None:
         """Report an exception, and end the connection that it leaves in an unknown state."""
-        context = {"message": f"pool action {type(action).__name__}", "exception": error}
-        asyncio.get_running_loop().call_exception_handler(context)
+        report_error(f"pool action {type(action).__name__}", error)
         upstream = getattr(action, "connection", None)
         if isinstance(action, OpenConnection):
             self._submit(self.manager.on_connect_failed, upstream)
@@ -239,18 +236,6 @@
     def _end(end: EndAttempt) -> None:
         cast(Attempt, end.attempt).finish(end.status, end.body)
 
-    def _open(self, action: OpenConnection) -> None:
-        self.connector.start(action.connection)
-
-    def _close(self, close: CloseConnection) -> None:
-        self._connections[close.connection].transport.close()
-
-    def _abort(self, abort: AbortConnection) -> None:
-        self._connections[abort.connection].transport.abort()
-
-    def _log_fault(self, action: LogConnectionFault) -> None:
-        self._fault_log.warn(action.fault)
-
     def _on_connect_failed(self, upstream: UpstreamConnection) -> None:
         self._withdraw_unwanted()  # the remaining ones may be written to busy connections now
         self._submit(self.manager.on_connect_failed, upstream)
--- a/ironrail/net/upstream/connector.py
+++ b/ironrail/net/upstream/connector.py
@@ -9,6 +9,7 @@
 from ironrail.connections.upstream.connection import UpstreamConnection
 from ironrail.diagnostics.counters import ReasonCounter
 from ironrail.diagnostics.reasons import ConnectFailure
+from ironrail.net.containment import report_error
 from ironrail.net.io_timeout import io_timeout
 from ironrail.net.local_errors import is_local_error
 from ironrail.net.system import Address
@@ -64,8 +65,7 @@
                 )
         except Exception as e:
             if not isinstance(e, OSError):  # without a report it would stay in `connecting`
-                context = {"message": "connect to a server", "exception": e}
-                self._loop.call_exception_handler(context)
+                report_error("connect to a server", e)
             self._observe_failure(e, started_at)
             self.tasks.discard(task)
             self._on_failed(upstream)
--- a/ironrail/net/upstream/event_queue.py
+++ b/ironrail/net/upstream/event_queue.py
@@ -19,10 +19,21 @@
     """
 
     def __init__(
-        self, now: Callable[[], float], carry_out: Callable[[list[PoolAction]], None]
+        self,
+        now: Callable[[], float],
+        handle: Callable[[PoolAction], None],
+        on_failed: Callable[[PoolAction, Exception], None],
     ) -> None:
+        """Configure the queue.
+
+        Args:
+            now: Returns the time in seconds on the monotonic clock.
+            handle: Carries out one action.
+            on_failed: Called with an action that raised an exception; the others still follow.
+        """
         self._now = now
-        self._carry_out = carry_out
+        self._handle = handle
+        self._on_failed = on_failed
         self._events: deque[tuple[EventHandler, tuple[Any, ...]]] = deque()
         self._is_busy = False
 
@@ -35,6 +46,14 @@
         try:
             while self._events:
                 handler, arguments = self._events.popleft()
-                self._carry_out(handler(self._now(), *arguments))
+                self.carry_out(handler(self._now(), *arguments))
         finally:
             self._is_busy = False
+
+    def carry_out(self, actions: list[PoolAction]) -> None:
+        """Carry out actions at once, ahead of the queued events."""
+        for action in actions:
+            try:
+                self._handle(action)
+            except Exception as error:
+                self._on_failed(action, error)
--- a/ironrail/rehearsal/soak/command.py
+++ b/ironrail/rehearsal/soak/command.py
@@ -29,6 +29,7 @@
     hold_ups: int
     failed_calls: int
     bursts: tuple[str, ...]  # of failing system calls, one line each
+    histories: tuple[str, ...]  # of one request for each broken rule
     served: float  # fraction of the requested worth
     no_verdict: str  # why the run has no verdict, empty if it has one
 
@@ -60,6 +61,8 @@
     rules: dict[str, str] = {}
     for broken in result.broken:
         rules.setdefault(broken.rule, f"{broken.rule}: {broken.what} (request {broken.request})")
+    requests = {broken.rule: broken.request for broken in reversed(result.broken)}
+    tries = [result.record.tries[request] for request in requests.values() if request in result.record.tries]
     facts = result.record.routers.items()
     return SoakResult(
         seed=seed,
@@ -74,6 +77,7 @@
         hold_ups=rehearsal.hold_ups,
         failed_calls=rehearsal.failed_calls,
         bursts=rehearsal.burst_labels(),
+        histories=tuple(line for one in tries for line in one.history()),
         served=result.service.whole.share,
         no_verdict=result.no_verdict,
     )
@@ -110,7 +114,7 @@
         for line in [*result.findings, *([result.no_verdict] if result.no_verdict else [])]:
             print(f"  {line}", flush=True)
         if result.findings:
-            for line in result.bursts:
+            for line in (*result.histories, *result.bursts):
                 print(f"    {line}", flush=True)
     if any(result.findings and not result.no_verdict for result in results):
         sys.exit(1)
