--- a/ironrail/rehearsal/syscalls/bursts.py
+++ b/ironrail/rehearsal/syscalls/bursts.py
@@ -12,7 +12,8 @@
 BURSTS_PER_ROUTER = 1.5  # mean
 BURST_SECONDS = (0.1, 1.0)  # minimum and maximum
 PROBABILITIES = (50, 300, ALWAYS)  # per thousand calls
-# A socket that is ready does not go on refusing, and a call is interrupted once for each signal.
+# A socket that is ready does not go on refusing, a call is interrupted once for each signal, and a
+# router that can't read at all hears nothing of drains either.
 MAX_SPURIOUS = 300
 NEAR_FRACTION = 0.5  # of the given moments that coincide with a burst
 
@@ -44,6 +45,7 @@
     FailingCall(SystemCall.READ, SHORT),
     FailingCall(SystemCall.READ, errno.EAGAIN, MAX_SPURIOUS),
     FailingCall(SystemCall.READ, errno.EINTR, MAX_SPURIOUS),
+    FailingCall(SystemCall.READ, errno.ENOMEM, MAX_SPURIOUS),
     FailingCall(SystemCall.SETSOCKOPT, errno.ENOBUFS),
     FailingCall(SystemCall.SHUTDOWN, errno.ENOBUFS),
     FailingCall(SystemCall.SOCKET, errno.EMFILE),
@@ -52,6 +54,7 @@
     FailingCall(SystemCall.WRITE, SHORT),
     FailingCall(SystemCall.WRITE, errno.EAGAIN, MAX_SPURIOUS),
     FailingCall(SystemCall.WRITE, errno.EINTR, MAX_SPURIOUS),
+    FailingCall(SystemCall.WRITE, errno.ENOBUFS, MAX_SPURIOUS),
 )
 
 
