A connection long after a shortage of descriptors does not count as waiting

Callers could see: a first request given up at once, long after accepting had failed. Cause: since when connections may wait was forgotten only when accept found the backlog empty; if the last one came with the limit of a turn, that was asked no more until the next connection, which then counted from the shortage. Evidence: test_a_connection_long_after_a_shortage_does_not_count_as_waiting failed before, waiting_since was still set. Change: after a shortage accept goes on until the backlog is empty. An error while a client is evicted no longer keeps the new one's place counted.

--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -79,7 +79,8 @@
     def _accepted(self, connection: socket.socket) -> None:
         admission = self.sessions.admit()
         if admission.evicted is not None:
-            self.context.connections[admission.evicted].close(ClientCloseReason.EVICTED)
+            evicted = self.context.connections[admission.evicted]
+            run_contained("evict a client", evicted.close, ClientCloseReason.EVICTED)
         waiting_since = self._acceptor.waiting_since or self._system.now()
         task = self._loop.create_task(
             self._open_connection(connection, admission.admitted, waiting_since)
--- a/ironrail/net/listener.py
+++ b/ironrail/net/listener.py
@@ -70,8 +70,15 @@
                 return False
             self._is_paused = False
             run_contained("handle an accepted connection", self._on_accepted, connection)
+        if self.waiting_since is not None and not self._is_closing:
+            # Even if no other connection follows: the next one has not waited.
+            self._loop.call_soon(self._accept_rest)
         return True
 
+    def _accept_rest(self) -> None:
+        if not self._is_paused and not self._is_closing:
+            self._accept_some()
+
     def _pause(self, error: OSError) -> None:
         """Pause accepting: the socket stays readable, which would make the event loop spin."""
         if self.waiting_since is None:  # logged once per shortage
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -72,3 +72,20 @@
     client.close()
     taken[0].close()
     acceptor.close()
+
+
+@scenario
+async def test_a_connection_long_after_a_shortage_does_not_count_as_waiting() -> None:
+    """Guards against a first request that is given up at once, as if it had come during the shortage."""
+    near, far = socket.socketpair()
+    queue = Queue(OSError(errno.EMFILE, "none left"), near)
+    taken: list[socket.socket] = []
+    acceptor = listener.Acceptor(System(queue), (LOCAL, 0), taken.append, 1)  # type: ignore[arg-type]
+    client = await connect(acceptor.address)
+    await until(lambda: len(taken) == 2)  # the scripted one, and that of this client
+    await asyncio.sleep(0.05)
+    assert acceptor.waiting_since is None
+    client.close()
+    for connection in (*taken, far):
+        connection.close()
+    acceptor.close()
