A full socket loses no byte while a failed read of its client is recovered

Cause: what the kernel did not take was handed to the old transport, which is closed until the next one is there, and drops it.

--- a/ironrail/net/downstream/resilient_transport.py
+++ b/ironrail/net/downstream/resilient_transport.py
@@ -54,6 +54,7 @@
             self._transport.abort()
         elif not self._is_reading:
             self._transport.pause_reading()
+        self._may_be_buffered = False
 
     def data_received(self, data: bytes) -> None:
         """Pass input on."""
@@ -127,16 +128,22 @@
                 sent = 0
             except OSError as error:
                 if is_local_error(error):
-                    self._unsent += data
-                    self._retry = self._loop.call_later(RETRY_DELAY_SECONDS, self._send_again)
+                    self._send_later(data)
                     return
                 sent = 0  # the event loop's transport meets the same error, and reports it
             if sent == len(data):
                 return
             data = data[sent:]
+        if self._transport.is_closing() and not self._is_closing:
+            self._send_later(data)  # a read has failed, and the next transport is not there yet
+            return
         self._may_be_buffered = True
         self._transport.write(data)
 
+    def _send_later(self, data: bytes) -> None:
+        self._unsent += data
+        self._retry = self._loop.call_later(RETRY_DELAY_SECONDS, self._send_again)
+
     def _has_buffered(self) -> bool:
         """Whether the event loop's transport holds unsent bytes, which must go first."""
         if self._may_be_buffered:
