--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,13 @@
-"""Clients send many writes at once, each with a value of under 64 KiB."""
+"""A bad client sends long values with a deadline that is no number; others write long values."""
 
 from __future__ import annotations
 
+import array
 import asyncio
+import fcntl
 import random
-import signal
 import sys
+import termios
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -15,6 +17,7 @@
     BROKEN,
     HELD,
     Agent,
+    Answer,
     Cache,
     CannotRunError,
     Client,
@@ -24,7 +27,6 @@
     Router,
     http_answer,
     miss_line,
-    read_command,
     run_case,
     settings,
     trouble,
@@ -32,16 +34,20 @@
 )
 
 SEED = 1
-MEMORY_MB = 192  # the most that a router has on days that are scored
-SOCKETS = 1024
-CLIENTS = 80
-COMMANDS_AT_ONCE = 48
-VALUE_BYTES = 60 * 1024  # values hold at most 64 KiB
-WAIT_MS = 2900  # prize-entry is given up after 3 s
-BURST_AT = 5.0
-END_AT = 15.0
+MEMORY_MB = 96  # half of 192 MB, the most on days that are scored
+SOCKETS = 512
+BAD_COMMANDS = 36
+BAD_BYTES = 1024 * 1024  # values of up to 4 MiB occur
+BAD_FROM = 5.0
+BAD_PAUSE_SECONDS = 0.1  # between two of them, each on a connection of its own
+OWED_WITHIN = 3.0  # an error or a close, to a bad client
+CLIENTS = 6
+VALUE_BYTES = 96 * 1024
+FIRST_PIECE_BYTES = 40 * 1024  # the rest follows 20 ms later
+WAIT_MS = 1800  # of a prize-entry, which is given up after 3 s
+LATE_SECONDS = 0.5  # after its time a request only earns nothing; later, or never, it is lost
+END_AT = 30.0
 ORIGIN_SECONDS = 0.075, 0.144  # site file: origin_time 0.093 to 0.18 of the shortest aim
-LOOK_SECONDS = 0.02  # how often the platform looks at the memory
 
 draws = random.Random(SEED)
 
@@ -54,66 +60,73 @@
 async def from_origin(_: Origin, command: Command, __: asyncio.StreamWriter) -> bytes:
     """Answer like the origin."""
     await asyncio.sleep(draws.uniform(*ORIGIN_SECONDS))
-    return http_answer(b"answer-" + command.request.encode())
-
-
-async def guard_memory(record: Record, router: Router, peak: list[float]) -> None:
-    """Kill the router once it is over its limit, as the platform does."""
-    while not router.has_ended():
-        used = router.anonymous_mb()
-        peak[0] = max(peak[0], used)
-        if used > MEMORY_MB:
-            record.add("platform", "kills the router", memory_mb=round(used, 1), limit=MEMORY_MB)
-            router.signal(signal.SIGKILL)
-            return
-        await asyncio.sleep(LOOK_SECONDS)
+    return http_answer(f"receipt-{command.request}".encode())
+
+
+def unsent_bytes(client: Client) -> int:
+    """Return the bytes that the router's machine has not taken yet."""
+    count = array.array("i", [0])
+    descriptor = client.writer.get_extra_info("socket").fileno()
+    fcntl.ioctl(descriptor, termios.TIOCOUTQ, count)
+    return count[0] + client.writer.transport.get_write_buffer_size()
+
+
+async def send_bad(record: Record, name: str, router: Router) -> float:
+    """Send whole commands whose deadline is no number; return when it has left."""
+    await asyncio.sleep(BAD_FROM - record.now())
+    value = b"b" * BAD_BYTES
+    for number in range(BAD_COMMANDS):
+        client = Client(record, name)
+        await client.connect(router.port)
+        head = (
+            f"ms bad:{number} {BAD_BYTES} O{name}x{number:02d} Pc=prize-entry,t=puzzelkrant,d=soon"
+        )
+        client.write(head.encode() + b"\r\n" + value + b"\r\n")
+        try:
+            answer = await asyncio.wait_for(client.answer(), OWED_WITHIN)
+        except TimeoutError:
+            answer = Answer("none", b"", record.now())
+        record.add(name, answer.kind, request=f"{name}x{number:02d}", text=answer.value.decode())
+        client.close()
+        if answer.kind == "none":  # it gives up
+            break
+        await asyncio.sleep(BAD_PAUSE_SECONDS)
+    return record.now()
 
 
-async def use(record: Record, name: str, router: Router, kinds: dict[str, int]) -> None:
-    """Read one key after another, as usual clients do."""
-    client: Client | None = None
-    number = 0
+async def use(record: Record, name: str, router: Router, found: list[str]) -> int:
+    """Write values without delay, one after another; return how many were served."""
+    served = number = 0
     while record.now() < END_AT:
         number += 1
-        if client is None:
-            client = Client(record, name)
-            try:
-                await client.connect(router.port)
-            except OSError:
-                return  # the router is gone
-        request = f"{name}x{number:04d}"
-        client.write(read_command(f"grid:{number % 50}", request, 1400))
-        answer = await client.answer()
-        record.add(name, answer.kind, request=request)
-        kinds[answer.kind] = kinds.get(answer.kind, 0) + 1
-        if answer.kind in ("lost", "cut"):
-            client = None
+        client = Client(record, name)
+        await client.connect(router.port)
+        request = f"{name}x{number:03d}"
+        value = b"v" * VALUE_BYTES
+        data = write_command(f"entry:{name}:{number}", request, value, WAIT_MS, "prize-entry")
+        client.write(data[:FIRST_PIECE_BYTES])
+        await asyncio.sleep(0.02)
+        client.write(data[FIRST_PIECE_BYTES:])
+        while unsent_bytes(client):  # the router's machine has not taken the last byte yet
+            await asyncio.sleep(0.005)
+        sent_at = record.now()
+        record.add(name, "sent, and taken by the router's machine", request=request)
+        try:
+            answer = await asyncio.wait_for(client.answer(), WAIT_MS / 1000 + LATE_SECONDS)
+        except TimeoutError:
+            answer = Answer("none", b"", record.now())
+        seconds = answer.at - sent_at
+        record.add(name, answer.kind, request=request, seconds=round(seconds, 3))
+        served += answer.kind == "served"
+        if answer.kind in ("none", "lost", "cut"):
+            found.append(f"{request}: {answer.kind}, {seconds:.2f} s after its last byte")
+        client.close()
         await asyncio.sleep(draws.uniform(0.1, 0.3))
-
-
-async def write_many(record: Record, name: str, router: Router, kinds: dict[str, int]) -> None:
-    """Send many writes at once, and read all answers."""
-    await asyncio.sleep(BURST_AT + draws.uniform(0.0, 0.5) - record.now())
-    client = Client(record, name)
-    await client.connect(router.port)
-    value = b"v" * VALUE_BYTES
-    for number in range(COMMANDS_AT_ONCE):
-        request = f"{name}x{number:02d}"
-        client.write(
-            write_command(f"entry:{name}:{number}", request, value, WAIT_MS, "prize-entry")
-        )
-    record.add(name, "sends many writes at once", count=COMMANDS_AT_ONCE, size=VALUE_BYTES)
-    for number in range(COMMANDS_AT_ONCE):
-        answer = await client.answer()
-        record.add(name, answer.kind, request=f"{name}x{number:02d}")
-        kinds[answer.kind] = kinds.get(answer.kind, 0) + 1
-        if answer.kind in ("lost", "cut"):
-            break
-    client.close()
+    return served
 
 
 async def case(record: Record) -> int:
-    """Play the load, and look whether the router outlives it."""
+    """Play the load, and look for writes without a final answer in time."""
     agent = Agent(record)
     await agent.start()
     for number, kind in enumerate(("fast-6", "mid-7", "slow-6")):
@@ -124,25 +137,26 @@
     await origin.start()
     agent.list_server("origin", origin.port, "origin", "hall-b")
     router = Router(record, "router", agent, memory_mb=MEMORY_MB, sockets=SOCKETS)
-    kinds: dict[str, int] = {}
-    peak = [0.0]
     try:
         router.start(settings())
         await router.wait_ready()
-        guard = asyncio.create_task(guard_memory(record, router, peak))
-        users = [use(record, f"c{number:02d}", router, kinds) for number in range(6)]
-        if trouble():
-            users += [write_many(record, f"w{n:02d}", router, kinds) for n in range(CLIENTS)]
-        await asyncio.gather(*users)
-        crashed = router.has_ended()
-        guard.cancel()
+        found: list[str] = []
+        bad = [send_bad(record, "bad", router)] if trouble() else []
+        users = [use(record, f"c{number:02d}", router, found) for number in range(CLIENTS)]
+        results = await asyncio.gather(*users, *bad)
+        record.add("router", "memory", mb=round(router.anonymous_mb(), 1))
     finally:
         router.end()
-    if not kinds.get("served"):
+    served = sum(int(count) for count in results[:CLIENTS])
+    if not served:
         raise CannotRunError("nothing was served")
-    record.add("check", "memory", peak_mb=round(peak[0], 1), limit_mb=MEMORY_MB, crashed=crashed)
-    sys.stdout.write(f"peak {peak[0]:.0f} MB of {MEMORY_MB}, answers {kinds}\n")
-    return BROKEN if crashed else HELD
+    for line in found:
+        record.add("check", "no final answer", text=line)
+    lines = f"{served} served, {len(found)} without an answer"
+    if bad:
+        lines += f"; the bad client had left at {results[-1]:.1f} s"
+    sys.stdout.write(lines + "\n")
+    return BROKEN if found else HELD
 
 
 run_case(FOLDER, case)
