Run-time check: resources held by an owner that has ended are counted

Metrics and log could not tell memory that is never released from memory that is waited for without end.

Gauges value_memory_reserved and value_memory_waiting.

--- a/ironrail/connections/downstream/memory_budget.py
+++ b/ironrail/connections/downstream/memory_budget.py
@@ -23,6 +23,21 @@
         """Number of owners that wait for memory."""
         return len(self._waiting)
 
+    @property
+    def owners(self) -> list[Hashable]:
+        """The owners of reservations."""
+        return list(self._reserved)
+
+    @property
+    def waiters(self) -> list[Hashable]:
+        """The owners that wait for memory, the one that has waited longest first."""
+        return list(self._waiting)
+
+    @property
+    def reserved_bytes(self) -> int:
+        """Bytes that are reserved by all owners together."""
+        return self.total_bytes - self.free_bytes
+
     def reserve(self, owner: Hashable, size: int) -> bool:
         """Reserve memory, and return whether it was free and no other owner is waiting.
 
--- a/ironrail/diagnostics/invariants.py
+++ b/ironrail/diagnostics/invariants.py
@@ -2,8 +2,9 @@
 
 The checks run where bytes leave the router, and use what was written and received, without relying
 on the policy or the connection pools. A step that would violate an invariant is prevented, counted
-and logged. All counters are 0 in a correct router, whatever fails around it. A step that is late
-only because the process was held up is prevented, but is not a violation.
+and logged; a resource that is held for too long is only counted and logged. All counters are 0 in a
+correct router, whatever fails around it. A step that is late only because the process was held up
+is prevented, but is not a violation.
 """
 
 from __future__ import annotations
@@ -118,10 +119,18 @@
             self._report(now, Violation.CLOSED_WITH_PENDING_REQUESTS, pending[0])
         return not pending
 
-    def _report(self, now: float, violation: Violation, request: str, server: str = "") -> None:
+    def held_after_end(self, now: float, resource: str) -> None:
+        """Count a resource that is still held by an owner that has ended."""
+        self._report(now, Violation.HELD_AFTER_END, "", resource=resource)
+
+    def _report(
+        self, now: float, violation: Violation, request: str, server: str = "", resource: str = ""
+    ) -> None:
         self.violations.add(violation)
         if self._sampler.admits(now):
             fields = {"violation": violation.value, "request": request, "server": server}
+            if resource:
+                fields["resource"] = resource
             log.error("invariant_violated", extra=fields)
 
 
--- a/ironrail/diagnostics/reasons.py
+++ b/ironrail/diagnostics/reasons.py
@@ -108,6 +108,7 @@
     CLOSED_WITH_PENDING_REQUESTS = (
         "closed_owing"  # a client's connection with an unanswered request
     )
+    HELD_AFTER_END = "held_after_end"  # a resource whose owner has ended; found, not prevented
 
 
 class ListCallResult(StrEnum):
--- a/ironrail/net/dispatch/dispatcher.py
+++ b/ironrail/net/dispatch/dispatcher.py
@@ -128,6 +128,8 @@
             "inflight": len(self.requests.by_id),
             "hosts_listed": counts.listed,
             "hosts_down": counts.unavailable,
+            "value_memory_reserved": self.memory_budget.reserved_bytes,
+            "value_memory_waiting": self.memory_budget.waiting_count,
         }
 
     def metrics(self) -> bytes:
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -40,6 +40,11 @@
         self.is_parse_scheduled = False
         """Whether buffered input will be parsed in the next iteration of the event loop."""
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether no more commands are received."""
+        return self._connection.session.is_ending
+
     # Commands
 
     def feed(self, data: bytes) -> None:
--- a/ironrail/net/downstream/response_slots.py
+++ b/ironrail/net/downstream/response_slots.py
@@ -76,6 +76,11 @@
         """Earliest arrival time of the command; None after it has been parsed."""
         return self._connection.arrived_at
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the response is complete, or its client has disconnected."""
+        return self.response is not None or self._connection.transport.is_closing()
+
     def has_disconnected(self, waited: bool) -> bool:
         """Whether the client has disconnected; `waited`: time has passed since the read."""
         return self._connection.has_left(waited)
--- a/ironrail/net/lifecycle/assembly.py
+++ b/ironrail/net/lifecycle/assembly.py
@@ -17,6 +17,7 @@
 from ironrail.net.discovery.watcher import EndpointWatcher
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.downstream.client_listener import ClientListener
+from ironrail.net.lifecycle.graceful_shutdown import GracefulShutdown, shutdown_schedule
 from ironrail.net.system import System
 from ironrail.net.upstream.pool_factory import PoolFactory
 from ironrail.operator_file import OperatorSettings
@@ -102,3 +103,15 @@
         max_lingering=descriptors.lingering,
         accepts_per_turn=descriptors.accepts_per_turn,
     )
+
+
+def make_graceful_shutdown(
+    config: Config, listener: ClientListener, system: System, requested_at: float | None
+) -> GracefulShutdown:
+    """Return the shutdown, whose phases count from `requested_at`, or from now if it is None."""
+    return GracefulShutdown(
+        listener,
+        shutdown_schedule(config.settings),
+        system.now,
+        started_at=system.now() if requested_at is None else requested_at,
+    )
--- a/ironrail/net/lifecycle/node.py
+++ b/ironrail/net/lifecycle/node.py
@@ -18,11 +18,12 @@
     make_access_log,
     make_client_listener,
     make_dispatcher,
+    make_graceful_shutdown,
     make_watcher,
 )
-from ironrail.net.lifecycle.graceful_shutdown import GracefulShutdown, shutdown_schedule
 from ironrail.net.lifecycle.handover import Handover
 from ironrail.net.lifecycle.reload import ConfigReloader, read_current_config
+from ironrail.net.lifecycle.resource_monitor import ResourceMonitor
 from ironrail.net.system import REAL, Address, System
 from ironrail.net.upstream.connection import LinkObserver
 from ironrail.net.upstream.pool_factory import PoolFactory
@@ -102,6 +103,7 @@
         self._client_listener = make_client_listener(
             config, self._dispatcher, self._can_serve, system
         )
+        self._resource_monitor = ResourceMonitor(self._dispatcher, self._client_listener, system)
         self.admin_pages = AdminPages(
             self._dispatcher, self._client_listener, lambda: self._is_listening
         )
@@ -232,13 +234,8 @@
             await self._access_log.stop()
 
     async def _shut_down_gracefully(self) -> None:
-        now = self._system.now
-        requested_at = self._shutdown_requested_at
-        shutdown = GracefulShutdown(
-            self._client_listener,
-            shutdown_schedule(self._config.settings),
-            now,
-            started_at=now() if requested_at is None else requested_at,
+        shutdown = make_graceful_shutdown(
+            self._config, self._client_listener, self._system, self._shutdown_requested_at
         )
         await shutdown.run(lambda: self._system.is_served(self._config.listen_address))
 
--- a/ironrail/net/upstream/connection.py
+++ b/ironrail/net/upstream/connection.py
@@ -84,6 +84,11 @@
     server: str = ""
     status: AttemptStatus | None = None  # the outcome
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the attempt has its outcome."""
+        return not self.is_open
+
     def finish(self, status: AttemptStatus, body: bytes) -> None:
         """Report the outcome; later ones are ignored."""
         on_ended = self.on_ended
