The memory of a long value is released with its response, whatever the response is

Cause: the memory reserved for a long value goes from the connection to the response slot, and the slot gives it back in response_completed. A response to a bad command, and the rejection late in a shutdown, were set past that call; written slots leave the queue, so nothing could release them later. Excluded: memory still in use (held_after_end names value_memory of ended owners), a queue that is stuck behind a client that left (nothing to grant: free bytes stay under what is wanted), reading that is not resumed after a grant.

Change: a slot's response is set by complete() alone. The class: a session that ends with a partial long value (timed out, evicted, closed at shutdown) kept its memory until its connection closed, 1 to 10 s later; every end of a session now drops the partial command and its memory.

Tests of net, diagnostics, connections, incidents pass.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -199,6 +199,7 @@
             diagnostics.client_closes.add(reason)
             self.close_reason = reason
         self.session.end()
+        self._pipeline.discard_partial_command()
         self._half_closed = HalfClosedConnection(self.transport, peer_closed=peer_closed)
         self._context.sessions.remove(self.session)
         self._context.start_linger(self)
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -110,23 +110,32 @@
         """Answer a command at once or dispatch it, and return whether it is valid."""
         match item:
             case Command() if self._context.rejects_all:
-                slot.response = meta_codec.write_busy(None)
+                slot.complete(meta_codec.write_busy(None))
             case Command():
                 slot.request_id = self._context.dispatcher.accept(item, slot.complete, slot)
                 return slot.request_id is not None
             case Noop():
                 can_serve = self._context.can_serve()
-                slot.response = meta_codec.READY if can_serve else meta_codec.NOT_READY
+                slot.complete(meta_codec.READY if can_serve else meta_codec.NOT_READY)
             case BadCommand():
-                slot.response = item.response
+                slot.complete(item.response)
                 return False
         return True
 
     def reject_partial_command(self) -> None:
         """Send an error for a command that timed out incomplete, after earlier responses."""
         self._connection.session.reject_partial_command()
-        self._slots.append(ResponseSlot(self._connection, self, meta_codec.COMMAND_TIMEOUT))
-        self.flush()
+        self.discard_partial_command()
+        slot = ResponseSlot(self._connection, self)
+        self._slots.append(slot)
+        slot.complete(meta_codec.COMMAND_TIMEOUT)
+        self._connection.update_reading()
+
+    def discard_partial_command(self) -> None:
+        """Drop the input that is not parsed yet, and its memory, as the session has ended."""
+        self._parser = CommandParser()
+        self._context.dispatcher.memory_budget.release(self)
+        self._context.grant_memory()
 
     def unanswered_requests(self) -> list[str]:
         """Ids of the requests that were dispatched and have no response."""
@@ -145,8 +154,7 @@
             dispatcher.memory_budget.release(slot)
             if slot.request_id is not None and slot.response is None:
                 dispatcher.on_client_disconnected(slot.request_id)
-        dispatcher.memory_budget.release(self)
-        self._context.grant_memory()
+        self.discard_partial_command()
 
     # Responses
 
@@ -155,7 +163,7 @@
         return slot is self._slots[0] and not self._is_parsing
 
     def response_completed(self, slot: ResponseSlot) -> None:
-        """Write a complete response if it is next, and release the memory of its command."""
+        """Release the memory of a command, and write its complete response if it is next."""
         if self.is_next(slot):
             self.flush()
         if slot.holds_memory:
--- a/ironrail/net/downstream/response_slots.py
+++ b/ironrail/net/downstream/response_slots.py
@@ -33,7 +33,7 @@
         """Whether all responses before this one are written."""
 
     def response_completed(self, slot: ResponseSlot) -> None:
-        """Write a complete response once it is next."""
+        """Release what the command holds, and write its response once it is next."""
 
 
 class ResponseSlot:
@@ -45,27 +45,27 @@
         "_connection",
         "_pause_server",
         "_queue",
+        "_response",
         "holds_memory",
         "request_id",
-        "response",
     )
 
-    def __init__(
-        self,
-        connection: SlotConnection,
-        queue: SlotQueue,
-        response: bytes | None = None,
-    ) -> None:
-        """Wait for the response, unless it is already known."""
+    def __init__(self, connection: SlotConnection, queue: SlotQueue) -> None:
+        """Wait for the response."""
         self._connection = connection
         self._queue = queue
+        self._response: bytes | None = None
         self.request_id: str | None = None
-        self.response = response
         self.holds_memory = False
         self._pause_server: Callable[[bool], None] | None = None
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
 
+    @property
+    def response(self) -> bytes | None:
+        """The complete response, or the end of one in chunks; None until `complete` is called."""
+        return self._response
+
     @property
     def client_region(self) -> ClientRegion | None:
         """Region of the client, where latency is measured by region."""
@@ -79,7 +79,7 @@
     @property
     def has_ended(self) -> bool:
         """Whether the response is complete, or its client has disconnected."""
-        return self.response is not None or self._connection.transport.is_closing()
+        return self._response is not None or self._connection.transport.is_closing()
 
     def has_disconnected(self, waited: bool) -> bool:
         """Whether the client has disconnected; `waited`: time has passed since the read."""
@@ -87,7 +87,7 @@
 
     def complete(self, response: bytes) -> None:
         """Set the complete response."""
-        self.response = response
+        self._response = response
         self._queue.response_completed(self)
 
     # A long value in chunks
