A long write waits for memory no longer than its deadline or its client stays

Cause: a connection whose value waits for memory is not read, so neither its end nor a deadline is seen. At the grant the value is taken from the socket and counts as arrived just then: read_delay 0.1 ms, waited False, and the socket is not looked at before the attempt is written. Excluded: a leak (no held_after_end), a retry by the router (one begin for each try), a check that looked and did not see (it was never asked).

Change: a wait ends with SERVER_ERROR busy 0.05 s before the deadline, after 2.2 s at the latest, at the end of a shutdown and when the client has left; the value is skipped as it arrives, so commands behind it are served. A bad command does not wait. Input that waited for memory counts as arrived when the wait began, so that its deadline includes it and the socket is looked at before an attempt. A client that stops in a value that waits is answered within the 3 s it is owed.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -31,6 +31,8 @@
     """A long value is being received."""
     AWAITING_MEMORY = "awaiting_memory"
     """A long value follows, which is not read until memory is reserved for it."""
+    SKIPPED_VALUE = "skipped_value"
+    """A long value is being received whose command has been rejected for lack of memory."""
 
 
 _ENDING = SessionState.ENDING
@@ -38,6 +40,7 @@
 _PARTIAL = CommandProgress.PARTIAL
 _LONG_VALUE = CommandProgress.LONG_VALUE
 _AWAITING_MEMORY = CommandProgress.AWAITING_MEMORY
+_SKIPPED_VALUE = CommandProgress.SKIPPED_VALUE
 
 
 @dataclass(slots=True, eq=False)
@@ -86,6 +89,16 @@
         """Whether the command that is being received has a long value."""
         return self.progress is _LONG_VALUE or self.progress is _AWAITING_MEMORY
 
+    @property
+    def awaits_memory(self) -> bool:
+        """Whether a long value is not read until memory is reserved for it."""
+        return self.progress is _AWAITING_MEMORY
+
+    @property
+    def is_skipping_value(self) -> bool:
+        """Whether a long value is being received whose command has been rejected."""
+        return self.progress is _SKIPPED_VALUE
+
     @property
     def accepts_commands(self) -> bool:
         """Whether one more command may be parsed now."""
@@ -99,9 +112,7 @@
         whose responses are not read.
         """
         return (
-            self.accepts_commands
-            and self.responses_unread_since is None
-            and self.progress is not _AWAITING_MEMORY
+            self.accepts_commands and self.responses_unread_since is None and not self.awaits_memory
         )
 
     def end(self) -> None:
@@ -123,13 +134,22 @@
         self.progress = _LONG_VALUE if is_memory_reserved else _AWAITING_MEMORY
         self.wait_started_at = now
 
-    def memory_granted(self, now: float) -> None:
-        """Record that a long value that waited for memory may be read."""
+    def memory_granted(self, wait_started_at: float) -> None:
+        """Record that a long value that waited for memory may be read.
+
+        Args:
+            wait_started_at: Since when the router has waited for more of the value.
+        """
         self.progress = _LONG_VALUE
+        self.wait_started_at = wait_started_at
+
+    def long_value_rejected(self, now: float) -> None:
+        """Record that the command of a long value was rejected before the value was received."""
+        self.progress = _SKIPPED_VALUE
         self.wait_started_at = now
 
     def long_value_received(self) -> None:
-        """Record that a long value is complete."""
+        """Record that a long value is complete, or skipped to its end."""
         self.progress = _PARTIAL
 
     def update_progress(self, has_partial_command: bool) -> None:
--- a/ironrail/net/dispatch/dispatcher.py
+++ b/ironrail/net/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
     Respond,
     ResponseStream,
     client_timeout,
+    time_left_for,
 )
 from ironrail.net.dispatch.open_attempts import OpenAttempts
 from ironrail.net.dispatch.policy_driver import PolicyDriver
@@ -23,6 +24,7 @@
 from ironrail.net.dispatch.response_tracker import CompletionObserver, ResponseTracker
 from ironrail.net.dispatch.value_streamer import ValueStreamer
 from ironrail.net.lifecycle.loop_monitor import LoopMonitor
+from ironrail.net.protocol import meta_codec
 from ironrail.net.protocol.meta_codec import Command, read_numeric_field
 from ironrail.net.system import REAL, Address, System
 from ironrail.net.upstream.connection_pool import ConnectionPool
@@ -159,6 +161,17 @@
         self._start(request_id, command, respond, stream, timeout)
         return request_id
 
+    def reject_unread(self, command: Command, respond: Respond, waited_seconds: float) -> None:
+        """Reject a write whose value was not read, as there was no memory for it in time."""
+        timeout = client_timeout(command)
+        request_id = command.request_id.decode()
+        error = self._validator.check(command, request_id, timeout, self._now())
+        if error is not None:
+            respond(error.value)
+            return
+        self.requests.count_unread(command, waited_seconds)
+        respond(meta_codec.write_busy(None))
+
     def on_client_disconnected(self, request_id: str) -> None:
         """End a request whose client has disconnected."""
         self.termination.on_client_disconnected(request_id)
@@ -214,10 +227,7 @@
 
 def _time_left(stream: ResponseStream | None, seconds: float) -> float:
     """Return how many of the client's `seconds` remain for dispatch."""
-    client_region = stream.client_region if stream is not None else None
-    if client_region is not None:
-        seconds = client_region.time_left(seconds)
-    return max(0.0, seconds)
+    return time_left_for(stream.client_region if stream is not None else None, seconds)
 
 
 def _received_event(request_id: str, command: Command, time_left: float) -> RequestReceived:
--- a/ironrail/net/dispatch/in_flight_request.py
+++ b/ironrail/net/dispatch/in_flight_request.py
@@ -87,3 +87,10 @@
 def client_timeout(command: Command) -> float:
     """Return the seconds for which the client waits for the response."""
     return float(command.fields["d"]) / MILLISECONDS_PER_SECOND
+
+
+def time_left_for(client_region: ClientRegion | None, seconds: float) -> float:
+    """Return how many of the client's `seconds` remain after the network latency to it."""
+    if client_region is not None:
+        seconds = client_region.time_left(seconds)
+    return max(0.0, seconds)
--- a/ironrail/net/dispatch/response_tracker.py
+++ b/ironrail/net/dispatch/response_tracker.py
@@ -7,6 +7,7 @@
 from ironrail.access_log.record import RequestOutcome
 from ironrail.admin.metrics import RequestMetrics
 from ironrail.diagnostics.daemon import DaemonDiagnostics
+from ironrail.diagnostics.reasons import RejectionReason
 from ironrail.net.dispatch.in_flight_request import InFlightRequest
 from ironrail.net.dispatch.open_attempts import OpenAttempts
 from ironrail.net.dispatch.request_summary import rejection_reason, summarize, written_attempts
@@ -102,6 +103,14 @@
         value_bytes = 0 if request.command.is_write else request.value_bytes
         self._report_end(request, outcome, value_bytes)
 
+    def count_unread(self, command: Command, waited_seconds: float) -> None:
+        """Count a write that is rejected before its value was read, for lack of memory."""
+        outcome = RequestOutcome.REJECTED
+        self._counts[outcome][command.fields["c"]] += 1
+        self._diagnostics.rejections.add(RejectionReason.NO_MEMORY)
+        if self._on_completed is not None:
+            self._on_completed(command, waited_seconds, outcome, 0)
+
     def remove_disconnected(self, request_id: str) -> InFlightRequest | None:
         """Stop tracking a request whose client has disconnected; None if it was complete."""
         request = self.by_id.pop(request_id, None)
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -8,11 +8,11 @@
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
-from ironrail.diagnostics.hold_up import SETTLING_SECONDS
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
 from ironrail.net.downstream.half_closed import HalfClosedConnection
+from ironrail.net.downstream.input_arrival import InputArrival
 from ironrail.net.downstream.resilient_transport import ResilientTransport
 from ironrail.net.downstream.session_context import SessionContext
 
@@ -23,6 +23,7 @@
     transport: asyncio.Transport
     session: ClientSession
     client_region: ClientRegion | None
+    _pipeline: CommandPipeline
 
     def __init__(self, context: SessionContext[ClientConnection], waiting_since: float) -> None:
         """Wait for `connection_made`.
@@ -33,11 +34,7 @@
                 seconds on the monotonic clock.
         """
         self._context = context
-        self._waiting_since = waiting_since
-        self._earliest_arrival = self._earliest_first_arrival
-        self.arrived_at: float | None = None
-        """Earliest arrival time of the data that is being parsed; None at other times."""
-        self._pipeline = CommandPipeline(context, self)
+        self._arrival = InputArrival(context.dispatcher.monitor, waiting_since)
         self._half_closed: HalfClosedConnection | None = None
         self._finish_reason = ClientCloseReason.BAD_COMMANDS
         self.close_reason: ClientCloseReason | None = None
@@ -49,8 +46,9 @@
         """Begin the client's session."""
         self._resilient_transport = cast(ResilientTransport, transport)
         self.transport = self._resilient_transport
-        self._opened_at = self._context.system.now()
+        self._arrival.opened(self._context.system.now())
         self.session = self._context.add(self)
+        self._pipeline = CommandPipeline(self._context, self)
         self.client_region = self._context.client_region_of(self.transport)
 
     def data_received(self, data: bytes) -> None:
@@ -59,25 +57,12 @@
             if self._half_closed is not None:
                 self._half_closed.discard(len(data))
             return
-        self._context.sessions.record_data(self._context.system.now(), self.session)
-        self.arrived_at = self._earliest_arrival()
         unread_since = self._resilient_transport.unread_since
-        if unread_since is not None:
-            self.arrived_at = min(self.arrived_at, unread_since)
-        self._earliest_arrival = self._context.dispatcher.monitor.earliest_arrival
+        memory_awaited_since = self._arrival.begin(unread_since, self._has_socket_input)
+        received_at = memory_awaited_since or self._context.system.now()
+        self._context.sessions.record_data(received_at, self.session)
         self._pipeline.feed(data)
-        self.arrived_at = None
-
-    def _earliest_first_arrival(self) -> float:
-        """Return the earliest arrival time of the first bytes.
-
-        They may have arrived before the connection was accepted.
-        """
-        earliest = self._context.dispatcher.monitor.earliest_event()
-        has_waited = self._opened_at - self._waiting_since > SETTLING_SECONDS
-        if has_waited and earliest - self._opened_at < SETTLING_SECONDS:
-            return min(earliest, self._waiting_since)
-        return earliest
+        self._arrival.end()
 
     def pause_writing(self) -> None:
         """Record that the client has stopped reading responses."""
@@ -119,6 +104,11 @@
 
     # State
 
+    @property
+    def arrived_at(self) -> float | None:
+        """Earliest arrival time of the input that is being parsed; None at other times."""
+        return self._arrival.arrived_at
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection is closing or half closed."""
@@ -141,8 +131,9 @@
 
     def has_unread_input(self) -> bool:
         """Whether received input is not parsed yet."""
-        if self._pipeline.is_parse_scheduled:
-            return True
+        return self._pipeline.is_parse_scheduled or self._has_socket_input()
+
+    def _has_socket_input(self) -> bool:
         return self._context.system.unread_check(self.transport)()
 
     def can_close_cleanly(self) -> bool:
@@ -158,6 +149,8 @@
 
     def update_reading(self) -> None:
         """Pause or resume reading, as the session's state requires."""
+        if self.session.awaits_memory:
+            self._arrival.memory_awaited(self._context.system.now())
         should_read = self.session.should_read
         if should_read is self.session.is_reading or self.is_closing:
             return
@@ -165,6 +158,7 @@
         if should_read:
             self.transport.resume_reading()
         else:
+            self._arrival.reading_paused()
             self.transport.pause_reading()
 
     def perform(self, action: NextAction) -> None:
@@ -205,7 +199,8 @@
         self._context.start_linger(self)
 
     def check_timeouts(self, now: float) -> None:
-        """Apply the session's timeout if it has expired."""
+        """End the session of a client that has disconnected, or whose timeout has expired."""
+        self._end_if_departed()
         if self.is_closing:
             return
         match timeout_action(self.session, now):
@@ -218,3 +213,13 @@
             # Applies even if the client has not read the last of its responses.
             case TimeoutAction.CLOSE if not self.has_unread_input():
                 self.close(ClientCloseReason.IDLE)
+
+    def _end_if_departed(self) -> None:
+        """Find the disconnect of a client whose value waits for memory, and thus is not read.
+
+        Other pauses in reading end by the deadlines of the requests that are in flight.
+        """
+        if not self.session.awaits_memory or self.is_closing:
+            return
+        if self._context.system.has_hung_up(self.transport) and not self.eof_received():
+            self.transport.abort()
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -138,6 +138,7 @@
     def reject_all(self) -> None:
         """Answer all requests in flight now, and reject all later ones."""
         self.context.rejects_all = True
+        self.context.refuse_memory()
         self._dispatcher.expire_all()
 
     async def wait_closed(self) -> None:
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -7,8 +7,10 @@
 from typing import Any, Protocol
 
 from ironrail.connections.downstream.session_manager import NextAction
+from ironrail.connections.downstream.session_timeouts import resumed_wait_start
 from ironrail.net.downstream.response_slots import ResponseSlot, SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
+from ironrail.net.downstream.value_reservation import ValueReservation
 from ironrail.net.protocol import meta_codec
 from ironrail.net.protocol.meta_codec import BadCommand, Command, CommandParser, Noop
 
@@ -36,15 +38,11 @@
         self._connection = connection
         self._parser = CommandParser()
         self._slots: deque[ResponseSlot] = deque()
+        self._reservation = ValueReservation(context, connection, self)
         self._is_parsing = False
         self.is_parse_scheduled = False
         """Whether buffered input will be parsed in the next iteration of the event loop."""
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether no more commands are received."""
-        return self._connection.session.is_ending
-
     # Commands
 
     def feed(self, data: bytes) -> None:
@@ -59,47 +57,74 @@
         the others.
         """
         self.is_parse_scheduled = False
-        session = self._connection.session
-        if session.is_ending:
+        if self._connection.session.is_ending:
             return
         self._is_parsing = True
+        self._parse_available()
+        self._is_parsing = False
+        self.flush()
+
+    def _parse_available(self) -> None:
+        session = self._connection.session
         session.has_unparsed_input = False
         while not session.is_ending:
             if not session.accepts_commands:
                 session.has_unparsed_input = True
                 break
             item = self._parser.next_command()
-            if item is None:
-                self._reserve_value_memory()
+            if session.is_skipping_value and not self._parser.is_skipping_value:
+                session.long_value_received()
+            if item is not None:
+                self._handle(item)
+            elif self._parser.long_value_bytes and not self._reservation.admit(self._parser):
+                self._reject_unread_value()
+            else:
                 break
-            self._handle(item)
-        self._is_parsing = False
-        self.flush()
 
-    def _reserve_value_memory(self) -> None:
-        """Reserve memory for a whole long value, or wait for it, before the value is read."""
-        session = self._connection.session
-        size = self._parser.long_value_bytes
-        if not size or session.has_long_value:
-            return
-        memory = self._context.dispatcher.memory_budget
-        is_reserved = memory.reserve(self, size)
-        if not is_reserved:
-            memory.wait(self, size)
-        session.long_value_started(self._context.system.now(), is_reserved)
+    # Memory for long values
 
     def memory_granted(self) -> None:
         """Resume reading a long value that waited for memory."""
-        self._connection.session.memory_granted(self._context.system.now())
+        session = self._connection.session
+        session.memory_granted(resumed_wait_start(session, self._context.system.now()))
         self._connection.update_reading()
 
+    def memory_refused(self) -> None:
+        """Reject a long value that waited for memory, and skip it."""
+        self._is_parsing = True
+        self._reject_unread_value()
+        self._parse_available()
+        self._is_parsing = False
+        self.flush()
+
+    def _reject_unread_value(self) -> None:
+        """Respond to a write whose value was not read, and skip the value as it arrives."""
+        session = self._connection.session
+        command = self._parser.command_without_value()
+        self._parser.skip_value()
+        now = self._context.system.now()
+        session.long_value_rejected(now)
+        slot = ResponseSlot(self._connection, self)
+        self._slots.append(slot)
+        if isinstance(command, BadCommand):
+            slot.complete(command.response)
+        elif self._context.rejects_all:
+            slot.complete(meta_codec.write_busy(None))
+        else:
+            waited_seconds = self._reservation.waited_seconds(now)
+            self._context.dispatcher.reject_unread(command, slot.complete, waited_seconds)
+        is_valid = not isinstance(command, BadCommand)
+        self._context.sessions.record_command(now, session, is_valid)
+
+    # Handling
+
     def _handle(self, item: Command | Noop | BadCommand) -> None:
         slot = ResponseSlot(self._connection, self)
         self._slots.append(slot)
         session = self._connection.session
         if session.has_long_value:
             session.long_value_received()
-            self._context.dispatcher.memory_budget.transfer(self, slot)
+            self._reservation.hand_over(slot)
             slot.holds_memory = True
         is_valid = self._respond_or_dispatch(item, slot)
         self._context.sessions.record_command(self._context.system.now(), session, is_valid)
@@ -123,7 +148,15 @@
         return True
 
     def reject_partial_command(self) -> None:
-        """Send an error for a command that timed out incomplete, after earlier responses."""
+        """Send an error for a command that timed out incomplete, after earlier responses.
+
+        A skipped value is only given up, as its command has its response.
+        """
+        if self._connection.session.is_skipping_value:
+            self._connection.session.end()
+            self.discard_partial_command()
+            self.flush()
+            return
         self._connection.session.reject_partial_command()
         self.discard_partial_command()
         slot = ResponseSlot(self._connection, self)
@@ -134,8 +167,7 @@
     def discard_partial_command(self) -> None:
         """Drop the input that is not parsed yet, and its memory, as the session has ended."""
         self._parser = CommandParser()
-        self._context.dispatcher.memory_budget.release(self)
-        self._context.grant_memory()
+        self._reservation.release()
 
     def unanswered_requests(self) -> list[str]:
         """Ids of the requests that were dispatched and have no response."""
--- a/ironrail/net/downstream/response_slots.py
+++ b/ironrail/net/downstream/response_slots.py
@@ -20,7 +20,10 @@
     transport: asyncio.Transport
     session: ClientSession
     client_region: ClientRegion | None
-    arrived_at: float | None
+
+    @property
+    def arrived_at(self) -> float | None:
+        """Earliest arrival time of the input that is being parsed; None at other times."""
 
     def has_left(self, waited: bool) -> bool:
         """Whether the client has disconnected, as far as the operating system knows."""
--- a/ironrail/net/downstream/session_context.py
+++ b/ironrail/net/downstream/session_context.py
@@ -45,6 +45,9 @@
     def memory_granted(self) -> None:
         """Resume reading the long value."""
 
+    def refuse(self) -> None:
+        """Stop waiting, and reject the command."""
+
 
 Connection = TypeVar("Connection", bound=OpenConnection)
 
@@ -118,6 +121,11 @@
         while (waiter := self.dispatcher.memory_budget.grant_next_waiter()) is not None:
             cast(MemoryWaiter, waiter).memory_granted()
 
+    def refuse_memory(self) -> None:
+        """Reject the commands whose long values wait for memory."""
+        for waiter in self.dispatcher.memory_budget.waiters:
+            cast(MemoryWaiter, waiter).refuse()
+
     def evict_idle(self) -> None:
         """Close idle connections beyond the number to retain, unless that would lose data."""
         while (session := self.sessions.next_idle_to_evict()) is not None:
--- a/ironrail/net/protocol/commands.py
+++ b/ironrail/net/protocol/commands.py
@@ -67,10 +67,13 @@
 
     COMMAND_LINE = "command_line"
     VALUE = "value"
+    SKIPPED_VALUE = "skipped_value"
+    """A value that is dropped as it arrives."""
 
 
 _COMMAND_LINE = CommandState.COMMAND_LINE
 _VALUE = CommandState.VALUE
+_SKIPPED_VALUE = CommandState.SKIPPED_VALUE
 
 
 class CommandParser:
@@ -86,7 +89,12 @@
     @property
     def has_partial_command(self) -> bool:
         """Whether a command was received in part."""
-        return self._state is _VALUE or len(self._buffer) > 0
+        return self._state is not _COMMAND_LINE or len(self._buffer) > 0
+
+    @property
+    def is_skipping_value(self) -> bool:
+        """Whether a part of a skipped value is still expected."""
+        return self._state is _SKIPPED_VALUE
 
     @property
     def long_value_bytes(self) -> int:
@@ -99,12 +107,24 @@
         """Add received bytes."""
         self._buffer.append(data)
 
+    def command_without_value(self) -> Command | BadCommand:
+        """Return the write whose value is expected, with an empty value."""
+        assert self._state is _VALUE, "a write has begun"
+        return _validated(self._write_line, b"")
+
+    def skip_value(self) -> None:
+        """Drop the expected value as it arrives; its command is not returned."""
+        assert self._state is _VALUE, "a write has begun"
+        self._state = _SKIPPED_VALUE
+
     def next_command(self) -> Command | Noop | BadCommand | None:
         """Remove and return the next complete command; None if there is none.
 
         After a fatal `BadCommand` the parser must not be used any more.
         """
         try:
+            if self._state is _SKIPPED_VALUE and not self._drop_value():
+                return None
             if self._state is _VALUE:
                 return self._take_value()
             return self._take_command_line()
@@ -132,6 +152,14 @@
                 return _bad_command("bad command line", is_fatal=True)
         return BadCommand(UNKNOWN_COMMAND)
 
+    def _drop_value(self) -> bool:
+        """Drop what has arrived of a skipped value, and return whether that was the rest."""
+        self._value_bytes -= self._buffer.drop_available(self._value_bytes)
+        if self._value_bytes or self._buffer.take_block(0) is None:
+            return False
+        self._state = _COMMAND_LINE
+        return True
+
     def _take_value(self) -> Command | BadCommand | None:
         value = self._buffer.take_block(self._value_bytes)
         if value is None:
--- a/ironrail/net/protocol/framing.py
+++ b/ironrail/net/protocol/framing.py
@@ -51,6 +51,12 @@
         del self._data[:max_bytes]
         return data
 
+    def drop_available(self, max_bytes: int) -> int:
+        """Remove the received bytes, `max_bytes` at most, and return their number."""
+        dropped = min(max_bytes, len(self._data))
+        del self._data[:dropped]
+        return dropped
+
     def take_block(self, size: int) -> bytes | None:
         """Remove and return a data block without its line end; None if it is incomplete.
 
