A command that is parsed late looks at its client's socket before its attempt

Excluded: an end that the system does not know of yet (the test waits until the socket shows it).

Change: InputArrival tells whether the input being parsed was read as soon as it came; has_left asks the system for all other commands.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -121,11 +121,12 @@
         paused.
 
         Args:
-            waited: Whether time has passed since the command was read.
+            waited: Whether time has passed since the command was read. If not, the socket is still
+                looked at for a command that was read late.
         """
         if self.is_closing:
             return True
-        if not waited and self.session.is_reading:
+        if not waited and self.session.is_reading and self._arrival.is_current:
             return False
         return self._context.system.has_hung_up(self.transport)
 
--- a/ironrail/net/downstream/input_arrival.py
+++ b/ironrail/net/downstream/input_arrival.py
@@ -13,6 +13,8 @@
 
     Attributes:
         arrived_at: Earliest arrival time of the input that is being parsed; None at other times.
+        is_current: Whether the input that is being parsed was read as soon as it arrived, apart
+            from hold-ups of the process.
     """
 
     def __init__(self, monitor: LoopMonitor, waiting_since: float) -> None:
@@ -23,6 +25,7 @@
             waiting_since: Since when the connection may have waited to be accepted and set up.
         """
         self.arrived_at: float | None = None
+        self.is_current = False
         self._monitor = monitor
         self._waiting_since = waiting_since
         self._opened_at = waiting_since
@@ -63,6 +66,7 @@
         if memory_awaited_since is not None:
             arrived_at = min(arrived_at, memory_awaited_since)
         self.arrived_at = arrived_at
+        self.is_current = not self._was_paused
         if self._was_paused and not has_more():
             self._was_paused = False
             self._memory_awaited_since = None
@@ -71,6 +75,7 @@
     def end(self) -> None:
         """Record that the input is parsed as far as possible now."""
         self.arrived_at = None
+        self.is_current = False
 
     def _earliest_arrival(self) -> float:
         if not self._is_first:
--- a/tests/net/downstream/test_client_departure.py
+++ b/tests/net/downstream/test_client_departure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 from ironrail.connections.downstream import client_session
@@ -45,3 +46,28 @@
         client.writer.transport.abort()
     await until(connection.has_left, False)
     assert not connection.session.is_reading
+
+
+# Commands beyond the pipelining limit were sent after their client had left, when earlier ones were answered.
+@scenario
+async def test_commands_that_are_parsed_after_their_client_left_are_not_sent() -> None:
+    world = await World().start()
+    client = await world.client()
+    most = client_session.MAX_PIPELINED_COMMANDS
+    client.send(b"".join(b"mg k v O%d " % n + P + b"\r\n" for n in range(most + 8)))
+    connection: ClientConnection = world.node._client_listener.open_connections()[0]
+    await until(lambda: not connection.session.is_reading)
+    first = await world.cache.next()
+    client.close()
+    await until(connection.has_left, False)
+    first.reply_value(b"v")
+    sent = {first.flag}
+    while world.node._client_listener.open_connections():
+        while not world.cache.messages.empty():
+            message = world.cache.messages.get_nowait()
+            sent.add(message.flag)
+            message.reply_value(b"v")
+        await asyncio.sleep(0.002)
+    await asyncio.sleep(0.1)
+    sent |= {world.cache.messages.get_nowait().flag for _ in range(world.cache.messages.qsize())}
+    assert not sent & {b"O%d" % n for n in range(most, most + 8)}
