Memory that a long read gives back goes to the long writes that wait for it

Cause: who releases memory has to offer it to the queue, and ValueStreamer.release did not. Excluded: memory that is not released (held_after_end counts nothing, the bytes are free).

Change: release_memory() releases and grants in one step, and is the only way in the daemon to release.

Result: test_the_memory_of_a_long_read_goes_to_a_write_that_waits failed before (the write did not reach the origin within the 10 s of a test) and passes; tests of long values and of memory pass.

--- a/ironrail/net/dispatch/value_streamer.py
+++ b/ironrail/net/dispatch/value_streamer.py
@@ -7,6 +7,7 @@
 from ironrail.access_log.record import RequestOutcome
 from ironrail.connections.downstream.memory_budget import MemoryBudget
 from ironrail.net.dispatch.in_flight_request import InFlightRequest, ResponseStream
+from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.dispatch.open_attempts import OpenAttempts, id_of
 from ironrail.net.dispatch.response_tracker import ResponseTracker
 from ironrail.net.protocol import meta_codec
@@ -82,7 +83,7 @@
     def release(self, attempt: Attempt) -> None:
         """Release the memory of an attempt that has ended."""
         if attempt.holds_stream_memory:
-            self.memory_budget.release(attempt)
+            release_memory(self.memory_budget, attempt)
 
 
 def _free_stream(request: InFlightRequest | None) -> ResponseStream | None:
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -8,6 +8,7 @@
 
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import resumed_wait_start
+from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.downstream.response_slots import ResponseSlot, SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
 from ironrail.net.downstream.value_reservation import ValueReservation
@@ -183,7 +184,7 @@
         slots = self._slots
         self._slots = deque()
         for slot in slots:
-            dispatcher.memory_budget.release(slot)
+            release_memory(dispatcher.memory_budget, slot)
             if slot.request_id is not None and slot.response is None:
                 dispatcher.on_client_disconnected(slot.request_id)
         self.discard_partial_command()
@@ -199,8 +200,7 @@
         if self.is_next(slot):
             self.flush()
         if slot.holds_memory:
-            self._context.dispatcher.memory_budget.release(slot)
-            self._context.grant_memory()
+            release_memory(self._context.dispatcher.memory_budget, slot)
 
     def update_flow_control(self) -> None:
         """Pause or resume the server whose response is being streamed."""
--- a/ironrail/net/downstream/session_context.py
+++ b/ironrail/net/downstream/session_context.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Generic, Protocol, TypeVar, cast
+from typing import Generic, Protocol, TypeVar
 
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.lingering_close import LingeringCloseRegistry
@@ -12,6 +12,7 @@
 from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.dispatch.in_flight_request import ClientRegion
+from ironrail.net.dispatch.memory_grants import grant_memory, refuse_memory
 from ironrail.net.system import System
 
 
@@ -39,16 +40,6 @@
         """Half-close the connection after pending writes."""
 
 
-class MemoryWaiter(Protocol):
-    """A connection whose long value waits for memory."""
-
-    def memory_granted(self) -> None:
-        """Resume reading the long value."""
-
-    def refuse(self) -> None:
-        """Stop waiting, and reject the command."""
-
-
 Connection = TypeVar("Connection", bound=OpenConnection)
 
 
@@ -118,13 +109,11 @@
 
     def grant_memory(self) -> None:
         """Resume the connections whose long values fit into the memory budget now."""
-        while (waiter := self.dispatcher.memory_budget.grant_next_waiter()) is not None:
-            cast(MemoryWaiter, waiter).memory_granted()
+        grant_memory(self.dispatcher.memory_budget)
 
     def refuse_memory(self) -> None:
         """Reject the commands whose long values wait for memory."""
-        for waiter in self.dispatcher.memory_budget.waiters:
-            cast(MemoryWaiter, waiter).refuse()
+        refuse_memory(self.dispatcher.memory_budget)
 
     def evict_idle(self) -> None:
         """Close idle connections beyond the number to retain, unless that would lose data."""
--- a/ironrail/net/downstream/value_reservation.py
+++ b/ironrail/net/downstream/value_reservation.py
@@ -8,6 +8,7 @@
 
 from ironrail.connections.downstream.session_timeouts import COMMAND_TIMEOUT_SECONDS
 from ironrail.net.dispatch.in_flight_request import client_timeout, time_left_for
+from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.downstream.response_slots import SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
 from ironrail.net.protocol.meta_codec import BadCommand, CommandParser
@@ -107,8 +108,7 @@
     def release(self) -> None:
         """Release the memory, or leave the queue for it."""
         self._cancel_timer()
-        self._context.dispatcher.memory_budget.release(self)
-        self._context.grant_memory()
+        release_memory(self._context.dispatcher.memory_budget, self)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/tests/net/downstream/test_memory_wait.py
+++ b/tests/net/downstream/test_memory_wait.py
@@ -9,6 +9,7 @@
 
 from ironrail.connections.downstream import session_timeouts
 from ironrail.connections.downstream.memory_budget import MemoryBudget
+from ironrail.net.dispatch.value_streamer import STREAM_BUFFER_BYTES
 from ironrail.net.protocol import meta_codec
 from tests.net.downstream.test_value_memory import LONG, world_with_memory, write
 from tests.peers import Client, World, scenario, until
@@ -144,3 +145,22 @@
     world.node._client_listener.reject_all()
     assert await client.line() == BUSY
     assert not budget.waiting_count
+
+
+# A long write went on waiting although a long read had given all its memory back.
+@scenario
+async def test_the_memory_of_a_long_read_goes_to_a_write_that_waits() -> None:
+    world, _ = await world_with_memory(STREAM_BUFFER_BYTES)
+    reader, writer = await world.client(), await world.client()
+    reader.get("1")
+    read = await world.cache.next()
+    read.reply(b"VA %d O1 h1\r\n" % len(LONG) + LONG[:100_000])
+    await reader.line()
+    data = write(b"2", value=bytes(96 * 1024))
+    writer.send(data[:40_000])
+    await until(lambda: world.node._dispatcher.memory_budget.waiting_count)
+    writer.send(data[40_000:])
+    read.reply(LONG[100_000:] + b"\r\n")
+    await reader.reader.readexactly(len(LONG) + 2)
+    (await world.origin.next()).respond(b"receipt")
+    assert await writer.line() == b"HD O2 creceipt\r\n"
