A long value of a server that left the list is given up when no more of it comes

Cause: a streamed value has no deadline but the check for a stalled reply, which runs on the pools of listed servers; a removed server's pool was no longer reached by anything. Excluded: a client that does not read (the test's reads all the time).

Change: PoolRegistry keeps the pools of removed servers until their last connection is closed, and has them checked like the others.

--- a/ironrail/net/dispatch/dispatcher.py
+++ b/ironrail/net/dispatch/dispatcher.py
@@ -7,7 +7,6 @@
 
 from ironrail.connections.downstream.memory_budget import MemoryBudget
 from ironrail.diagnostics.daemon import DaemonDiagnostics
-from ironrail.net.containment import run_contained
 from ironrail.net.dispatch.action_executor import ActionExecutor
 from ironrail.net.dispatch.attempt_dispatcher import AttemptDispatcher
 from ironrail.net.dispatch.in_flight_request import (
@@ -215,8 +214,7 @@
     def _expire_idle_connections(self) -> None:
         # First, so that no exception below ends the checks.
         self._loop.call_later(IDLE_CHECK_INTERVAL_SECONDS, self._expire_idle_connections)
-        for pool in list(self.pools.values()):
-            run_contained("expire idle connections", pool.expire)
+        self._pool_registry.expire()
 
 
 def _read_delay(stream: ResponseStream | None, now: float) -> float:
--- a/ironrail/net/upstream/pool_registry.py
+++ b/ironrail/net/upstream/pool_registry.py
@@ -9,6 +9,7 @@
     SocketDemand,
     share_sockets,
 )
+from ironrail.net.containment import run_contained
 from ironrail.net.system import Address
 from ironrail.net.upstream.connection_pool import ConnectionPool
 from ironrail.policy.endpoints import Endpoint, EndpointListKind, EndpointState
@@ -21,12 +22,17 @@
     Args:
         make_pool: Makes the pool of a server.
         max_connections: Limit on the connections to all servers together.
+
+    Attributes:
+        by_name: The pools of the servers in the endpoint list.
+        removed: The pools of other servers whose last replies are awaited.
     """
 
     def __init__(
         self, make_pool: Callable[[Endpoint, Address], ConnectionPool], max_connections: int
     ) -> None:
         self.by_name: dict[str, ConnectionPool] = {}
+        self.removed: list[ConnectionPool] = []
         self._make_pool = make_pool
         self._max_connections = max_connections
         self._started_at: dict[str, float] = {}
@@ -39,13 +45,21 @@
             removed |= self.by_name.keys() - listed
         # sorted, so that the order does not depend on hashes
         for name in sorted(removed & self.by_name.keys()):
-            self.by_name.pop(name).stop()
+            pool = self.by_name.pop(name)
+            pool.stop()
+            self.removed.append(pool)
             self._started_at.pop(name)
         for endpoint in update.endpoints:
             if endpoint.name in listed:
                 self._update_pool(endpoint, addresses[endpoint.name])
         self._share_sockets()
 
+    def expire(self) -> None:
+        """End the connections whose timeouts have expired, also those to removed servers."""
+        for pool in [*self.by_name.values(), *self.removed]:
+            run_contained("expire idle connections", pool.expire)
+        self.removed = [pool for pool in self.removed if len(pool.manager.state)]
+
     def _update_pool(self, endpoint: Endpoint, address: Address) -> None:
         name = endpoint.name
         pool = self.by_name.get(name)
--- a/tests/net/downstream/test_long_values.py
+++ b/tests/net/downstream/test_long_values.py
@@ -204,3 +204,22 @@
     world.node._client_listener.context.grant_memory()  # the leaver, who is found to be gone
     put = await world.origin.next()
     assert put.value == LONG
+
+
+# A client waited without end for a value whose silent server had been removed from the endpoint list.
+@scenario
+async def test_a_long_value_of_a_removed_server_is_given_up_when_no_more_of_it_comes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(pool_manager, "STREAM_TIMEOUT_SECONDS", 0.3)
+    world = await World().start()
+    client, got = await asked(world)
+    got.reply(HEAD + LONG[:100_000])
+    await client.line()
+    await world.tell(world.cache.row("c", state="terminated"))
+    assert "c" not in world.node._dispatcher.pools
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+        await client.reader.readexactly(len(LONG))
+    budget = world.node._dispatcher.memory_budget
+    assert budget.reserved_bytes == 0 and not world.node._dispatcher.attempts
+    await until(lambda: not world.node._dispatcher._pool_registry.removed)
