A client that goes on sending after a wait for memory is not taken for silent

Cause: since all that a client had sent during a wait for memory counted as received when the wait began, until its socket was once seen empty. Where reading takes longer than 0.5 s after the grant, a client that sends without a rest would get CLIENT_ERROR. Found by reading the change again, not seen in service.

Change: input that waited leaves at least 0.5 s for the next byte, counted from its read. A client that stopped in its value is answered in time as before.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -7,7 +7,11 @@
 
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_manager import NextAction
-from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
+from ironrail.connections.downstream.session_timeouts import (
+    TimeoutAction,
+    resumed_wait_start,
+    timeout_action,
+)
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
@@ -58,9 +62,10 @@
                 self._half_closed.discard(len(data))
             return
         unread_since = self._resilient_transport.unread_since
-        memory_awaited_since = self._arrival.begin(unread_since, self._has_socket_input)
-        received_at = memory_awaited_since or self._context.system.now()
-        self._context.sessions.record_data(received_at, self.session)
+        waited_for_memory = self._arrival.begin(unread_since, self._has_socket_input)
+        now = self._context.system.now()
+        heard_at = resumed_wait_start(self.session, now) if waited_for_memory else now
+        self._context.sessions.record_data(heard_at, self.session)
         self._pipeline.feed(data)
         self._arrival.end()
 
--- a/ironrail/net/downstream/input_arrival.py
+++ b/ironrail/net/downstream/input_arrival.py
@@ -49,7 +49,7 @@
         if self._memory_awaited_since is None:
             self._memory_awaited_since = now if self.arrived_at is None else self.arrived_at
 
-    def begin(self, unread_since: float | None, has_more: Callable[[], bool]) -> float | None:
+    def begin(self, unread_since: float | None, has_more: Callable[[], bool]) -> bool:
         """Record that input was read.
 
         Args:
@@ -57,7 +57,7 @@
             has_more: Returns whether more input can be read now.
 
         Returns:
-            Since when the input may have waited for memory, or None.
+            Whether the input may have waited for memory.
         """
         arrived_at = self._earliest_arrival()
         memory_awaited_since = self._memory_awaited_since
@@ -70,7 +70,7 @@
         if self._was_paused and not has_more():
             self._was_paused = False
             self._memory_awaited_since = None
-        return memory_awaited_since
+        return memory_awaited_since is not None
 
     def end(self) -> None:
         """Record that the input is parsed as far as possible now."""
--- a/tests/net/downstream/test_memory_wait.py
+++ b/tests/net/downstream/test_memory_wait.py
@@ -10,6 +10,7 @@
 from ironrail.connections.downstream import session_timeouts
 from ironrail.connections.downstream.memory_budget import MemoryBudget
 from ironrail.net.dispatch.value_streamer import STREAM_BUFFER_BYTES
+from ironrail.net.downstream.client_connection import ClientConnection
 from ironrail.net.protocol import meta_codec
 from tests.net.downstream.test_value_memory import LONG, world_with_memory, write
 from tests.peers import Client, World, scenario, until
@@ -164,3 +165,23 @@
     await reader.reader.readexactly(len(LONG) + 2)
     (await world.origin.next()).respond(b"receipt")
     assert await writer.line() == b"HD O2 creceipt\r\n"
+
+
+# A client that goes on sending was taken for silent, as all that it had sent counted as old.
+@scenario
+async def test_a_client_that_goes_on_after_a_wait_for_memory_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(ClientConnection, "_has_socket_input", lambda _: True)  # it sends without a rest
+    world, budget = await without_memory()
+    client = await world.client()
+    data = write(b"1", b"c=once,t=x,d=5000")
+    client.send(data[:300_000])
+    await until(lambda: budget.waiting_count)
+    await asyncio.sleep(session_timeouts.COMMAND_TIMEOUT_SECONDS - 0.2)
+    free(world, budget)
+    for start in range(300_000, len(data), 100_000):
+        await asyncio.sleep(session_timeouts.RESUMED_VALUE_TIMEOUT_SECONDS - 0.2)
+        client.send(data[start : start + 100_000])
+    (await world.origin.next()).respond(b"receipt")
+    assert await client.line() == b"HD O1 creceipt\r\n"
