The kit's broken router ends_after_the_kill patches the schedule where it is used now

Cause: since node.py no longer has shutdown_schedule, which moved to assembly.py with the code that uses it.

Change: the same replacement at its new place; the check is as strict.

Result: the test fails before and passes.

--- a/tests/mutants/soak/ends_after_the_kill.py
+++ b/tests/mutants/soak/ends_after_the_kill.py
@@ -4,7 +4,7 @@
 
 from ironrail.connections.downstream.session_manager import ClientSessionManager
 from ironrail.net.downstream.client_listener import ClientListener
-from ironrail.net.lifecycle import node
+from ironrail.net.lifecycle import assembly
 from ironrail.net.lifecycle.graceful_shutdown import ShutdownSchedule
 from ironrail.policy.settings import Settings
 from tests.mutants import replace_function, replace_method
@@ -25,6 +25,6 @@
         self.is_draining = True
         return list(self)
 
-    replace_function(node, "shutdown_schedule", fixed)
+    replace_function(assembly, "shutdown_schedule", fixed)
     replace_method(ClientListener, "start_draining", start_draining)
     replace_method(ClientSessionManager, "sessions_to_close", sessions_to_close)
