Review: cases 6 to 10 in their final order, without one that review/1 shows

The earlier case review/1 shows the late second answers of the origin, so that case is dropped. Change: 6 the stalled long value, 7 the entry ahead of a long value, 8 memory, 9 the length that is too small, 10 the slow reader.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,9 @@
-"""Clients send many commands at once, and some of the values are long."""
+"""A cache server dies within a long value; ahead of the read, its client has sent a write."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import contextlib
 import socket
 import sys
 from pathlib import Path
@@ -12,138 +12,114 @@
 
 import harness2 as kit
 
-CLIENTS = 20
-AT_ONCE = 48  # commands of one client; with TROUBLE=0 it sends one after the other
-REST_SECONDS = 0.8  # of a client between two such groups
-KEYS = 300
-SIZES = (200, 3_000, 200_000)  # of the values; up to 4 MiB occur
-CACHE_SECONDS = (0.001, 0.01, 0.03)  # that a cache takes for a command
-MILLISECONDS = 850  # for which the clients wait
-PLAY_SECONDS = 30.0
-MAX_HELD_BACK_SECONDS = 2.0  # for which the rest of a value may be held back
-MIN_SERVED = 100  # for a verdict
-
-
-class Reader:
-    """One client: it sends a group of commands, and reads all answers at full speed."""
-
-    def __init__(self, play: Play, number: int) -> None:
-        self._play = play
+CLIENTS = 9
+VALUE_BYTES = 100_000  # up to 4 MiB occur
+PIECE_BYTES = 10_000
+PIECE_SECONDS = 0.1  # between two pieces of a value
+WRITE_SECONDS = 0.8  # that the origin takes for a write
+DEATH_SECONDS = 0.5  # from the commands to the death of one cache server
+ANSWER_SECONDS = 4.0  # from the commands, in which all answers are due
+
+
+class LongCache(kit.Cache):
+    """A cache server that keeps all keys, and sends its values in pieces."""
+
+    in_progress = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the commands of one connection in order."""
+        while line := await reader.readline():
+            words = line.decode().split()
+            request = next(word[1:] for word in words[2:] if word[0] == "O")
+            value = kit.value_of(words[1], request, VALUE_BYTES)
+            self.record.add("value_begun", cache=self.name, request=request)
+            writer.write(f"VA {len(value)} O{request}\r\n".encode())
+            self.in_progress += 1
+            for first in range(0, len(value), PIECE_BYTES):
+                if writer.is_closing():
+                    return
+                writer.write(value[first : first + PIECE_BYTES])
+                await asyncio.sleep(PIECE_SECONDS)
+            self.in_progress -= 1
+            writer.write(b"\r\n")
+
+
+class Client:
+    """A client that sends a write and a read at once on one connection."""
+
+    def __init__(self, stage: kit.Stage, router: kit.Router, number: int) -> None:
+        self.write = kit.Client.new_id()
+        self.received = b""
+        self.end = "open"
+        self._read = kit.Client.new_id()
+        self._stage = stage
+        self._router = router
         self._number = number
-        self._loop = asyncio.get_running_loop()
-        self._socket = socket.socket()
-        self._received = bytearray()
 
     async def run(self) -> None:
-        """Send and read until the end; connect anew when the router has closed."""
-        while self._loop.time() < self._play.ends_at:
-            self._socket = socket.socket()
-            self._socket.setblocking(False)
-            self._received.clear()
-            await self._loop.sock_connect(self._socket, (kit.HOST, self._play.router.port))
-            is_open = True
-            while is_open and self._loop.time() < self._play.ends_at:
-                is_open = await self._send_group()
-                await asyncio.sleep(REST_SECONDS)
-            self._socket.close()
-
-    async def _send_group(self) -> bool:
-        """Play one group; return whether the connection can be used again."""
-        draws = self._play.draws
-        group = [(f"page:{draws.randrange(KEYS)}", kit.Client.new_id()) for _ in range(AT_ONCE)]
-        step = AT_ONCE if kit.trouble() else 1
-        for first in range(0, AT_ONCE, step):
-            part = group[first : first + step]
-            self._play.record.add("sent", client=self._number, requests=[one for _, one in part])
-            commands = [
-                kit.Client.command(key, one, "grid-read", MILLISECONDS) for key, one in part
-            ]
-            await self._loop.sock_sendall(self._socket, b"".join(commands))
-            while part:
-                if not await self._receive():
-                    self._report_end([one for _, one in part])
-                    return False
-                while part and self._take_answer(*part[0]):
-                    part = part[1:]
-        return True
-
-    async def _receive(self) -> bool:
-        """Read more; return False at the end of the connection."""
-        begun_at = self._loop.time()
-        try:
-            data = await self._loop.sock_recv(self._socket, 262_144)
-        except OSError:
-            data = b""
-        waited = self._loop.time() - begun_at
-        if self._received.startswith(b"VA ") and waited > MAX_HELD_BACK_SECONDS:
-            self._play.breaks.append(
-                f"client {self._number}: the rest of a value was held back for {waited:.2f} s"
-            )
-        self._received += data
-        return bool(data)
-
-    def _take_answer(self, key: str, request: str) -> bool:
-        """Take the next answer if it is whole."""
-        end = self._received.find(b"\r\n")
-        if end < 0:
-            return False
-        words = bytes(self._received[:end]).split()
-        end += 2
-        if words[0] == b"VA":
-            size = int(words[1])
-            if len(self._received) < end + size + 2:
-                return False
-            if self._received[end : end + size] != kit.value_of(key, request, size):
-                self._play.breaks.append(f"request {request} got a value that is not its own")
-            end += size + 2
-            self._play.served += 1
-        self._play.record.add("answered", request=request, kind=words[0].decode())
-        del self._received[:end]
-        return True
-
-    def _report_end(self, requests: list[str]) -> None:
-        """Count the requests that the router has sent on, and that got no whole answer."""
-        taken = [one for one in requests if one in self._play.forwarded]
-        self._play.record.add("ended", client=self._number, requests=requests, forwarded=taken)
-        if taken:
-            self._play.breaks.append(
-                f"client {self._number}: the connection ended with {len(taken)} requests that were"
-                f" sent on to caches and not answered, {len(self._received)} bytes into a value"
-            )
-
-
-class Play:
-    """The clients, and what they have seen."""
-
-    def __init__(self, stage: kit.Stage) -> None:
-        self.record = stage.record
-        self.draws = random.Random(7)
-        self.forwarded: set[str] = set()
-        self.breaks: list[str] = []
-        self.served = 0
-        self.ends_at = 0.0
-        self.router = stage.new_router()
-        for cache in stage.caches:
-            cache.kept = {f"page:{n}": SIZES[n % len(SIZES)] for n in range(KEYS)}
-            cache.seconds = lambda: self.draws.choice(CACHE_SECONDS)
-            cache.on_command = self.forwarded.add
-
-    async def run(self, stage: kit.Stage) -> list[str]:
-        """Play all clients; return the breaks."""
-        known = stage.agent.document()
-        await self.router.start(stage.agent.port, kit.make_settings(), known=known)
-        self.ends_at = asyncio.get_running_loop().time() + PLAY_SECONDS
-        await asyncio.gather(*(Reader(self, number).run() for number in range(CLIENTS)))
-        self.record.add("counted", served=self.served, events=self.router.log_events())
-        print(f"{self.served} requests were served")
-        if self.served < MIN_SERVED:
-            raise RuntimeError(f"only {self.served} requests were served")
-        return self.breaks
+        """Send both, and read until the write is answered or the connection has ended."""
+        loop = asyncio.get_running_loop()
+        plain = socket.socket()
+        plain.setblocking(False)
+        await loop.sock_connect(plain, (kit.HOST, self._router.port))
+        read = kit.Client.command(f"page:{self._number}", self._read, "grid-read", 1500)
+        entry = (f"entry:{self._number}", self.write, "prize-entry", 3000, b"entry")
+        self._stage.record.add("sent", read=self._read, write=self.write)
+        await loop.sock_sendall(plain, kit.Client.command(*entry) + read)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANSWER_SECONDS):
+                while not self.is_write_answered():
+                    try:
+                        data = await loop.sock_recv(plain, 262_144)
+                    except OSError as error:
+                        self.end = str(error)
+                        break
+                    if not data:
+                        self.end = "end of file"
+                        break
+                    self.received += data
+        plain.close()
+        self._stage.record.add(
+            "received", write=self.write, answered=self.is_write_answered(), end=self.end
+        )
+
+    def is_write_answered(self) -> bool:
+        """Whether the answer of the write, which is the first one, is whole."""
+        return b"\r\n" in self.received
 
 
 async def play(stage: kit.Stage) -> list[str]:
-    """Play the case."""
-    return await Play(stage).run(stage)
-
-
-kit.run_case(Path(__file__).resolve().parent, play)
+    """Play one round; return the writes that ran and were never answered."""
+    ran: set[str] = set()
+
+    async def answer(connection: kit.OriginConnection, call: kit.OriginCall) -> None:
+        ran.add(call.request)
+        connection.respond(stage.origin.body_of(call))
+
+    stage.origin.answer = answer
+    stage.origin.seconds = WRITE_SECONDS
+    caches = [cache for cache in stage.caches if isinstance(cache, LongCache)]
+    router = stage.new_router()
+    await router.start(stage.agent.port, kit.make_settings(), known=stage.agent.document())
+    clients = [Client(stage, router, number) for number in range(CLIENTS)]
+    runs = [asyncio.create_task(client.run()) for client in clients]
+    await asyncio.sleep(DEATH_SECONDS)
+    if kit.trouble():
+        victim = max(caches, key=lambda cache: cache.in_progress)
+        stage.record.add("cache_dies", cache=victim.name, values_in_progress=victim.in_progress)
+        if not victim.in_progress:
+            raise RuntimeError("no value was in progress")
+        victim.die()
+    await asyncio.gather(*runs)
+    stage.record.add("ran", writes=sorted(ran), events=router.log_events())
+    if not ran:
+        raise RuntimeError("no write ran")
+    return [
+        f"write {client.write} ran and was never answered: {client.end} after"
+        f" {len(client.received)} bytes"
+        for client in clients
+        if client.write in ran and not client.is_write_answered()
+    ]
+
+
+kit.run_case(Path(__file__).resolve().parent, play, LongCache)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,9 @@
-"""A cache server dies within a long value; behind the read, its client has sent a write."""
+"""The origin spoils some answers: the length that it tells is less than that of its value."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
+import random
 import sys
 from pathlib import Path
 
@@ -12,115 +11,62 @@
 
 import harness2 as kit
 
-CLIENTS = 9
-VALUE_BYTES = 1_000_000  # up to 4 MiB occur
-PIECE_BYTES = 50_000
-PIECE_SECONDS = 0.05  # between two pieces of a value
-DEATH_SECONDS = 0.5  # from the commands to the death of one cache server
-ANSWER_SECONDS = 4.0  # from the commands, in which all answers are due
-
-
-class LongCache(kit.Cache):
-    """A cache server that keeps all keys, and sends its values in pieces."""
-
-    in_progress = 0
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer the commands of one connection in order."""
-        while line := await reader.readline():
-            words = line.decode().split()
-            request = next(word[1:] for word in words[2:] if word[0] == "O")
-            value = kit.value_of(words[1], request, VALUE_BYTES)
-            self.record.add("value_begun", cache=self.name, request=request)
-            writer.write(f"VA {len(value)} O{request}\r\n".encode())
-            self.in_progress += 1
-            for first in range(0, len(value), PIECE_BYTES):
-                if writer.is_closing():
-                    return
-                writer.write(value[first : first + PIECE_BYTES])
-                await asyncio.sleep(PIECE_SECONDS)
-            self.in_progress -= 1
-            writer.write(b"\r\n")
-
-
-class Client:
-    """A client that sends a read and a write at once on one connection."""
-
-    def __init__(self, stage: kit.Stage, router: kit.Router, number: int) -> None:
-        self.write = kit.Client.new_id()
-        self.received = b""
-        self.end = "open"
-        self._read = kit.Client.new_id()
-        self._stage = stage
-        self._router = router
-        self._number = number
-
-    async def run(self) -> None:
-        """Send both, and read until both answers are whole or the connection has ended."""
-        loop = asyncio.get_running_loop()
-        plain = socket.socket()
-        plain.setblocking(False)
-        await loop.sock_connect(plain, (kit.HOST, self._router.port))
-        read = kit.Client.command(f"page:{self._number}", self._read, "grid-read", 1500)
-        entry = (f"entry:{self._number}", self.write, "prize-entry", 3000, b"entry")
-        self._stage.record.add("sent", read=self._read, write=self.write)
-        await loop.sock_sendall(plain, read + kit.Client.command(*entry))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ANSWER_SECONDS):
-                while not self.is_write_answered():
-                    try:
-                        data = await loop.sock_recv(plain, 262_144)
-                    except OSError as error:
-                        self.end = str(error)
-                        break
-                    if not data:
-                        self.end = "end of file"
-                        break
-                    self.received += data
-        plain.close()
-        self._stage.record.add(
-            "received", write=self.write, answered=self.is_write_answered(), end=self.end
-        )
-
-    def is_write_answered(self) -> bool:
-        """Whether any answer follows the whole value, or comes in its place."""
-        head, _, rest = self.received.partition(b"\r\n")
-        if head.startswith(b"VA "):
-            rest = rest[int(head.split()[1]) + 2 :]
-        return rest.endswith(b"\r\n")
+SPOILT_SHARE = 0.05  # of the origin's answers
+MISSING_BYTES = 20  # by which the length is too small
+CLIENTS = 6
+PLAY_SECONDS = 15.0
+MIN_SERVED = 100  # for a verdict
 
 
 async def play(stage: kit.Stage) -> list[str]:
-    """Play one round; return the writes that ran and were never answered."""
-    ran: set[str] = set()
+    """Play readers; return the values that were not made for their requests."""
+    draws = random.Random(9)
+    breaks: list[str] = []
+    served = 0
+    record = stage.record
+    origin = stage.origin
 
     async def answer(connection: kit.OriginConnection, call: kit.OriginCall) -> None:
-        ran.add(call.request)
-        connection.respond(stage.origin.body_of(call))
-
-    stage.origin.answer = answer
-    caches = [cache for cache in stage.caches if isinstance(cache, LongCache)]
+        value = origin.body_of(call)
+        if not kit.trouble() or draws.random() >= SPOILT_SHARE:
+            connection.respond(value)
+            return
+        record.add("spoilt_answer", request=call.request)
+        told = len(value) - MISSING_BYTES
+        connection.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % told + value)
+        connection.is_waiting = False
+
+    origin.answer = answer
     router = stage.new_router()
     await router.start(stage.agent.port, kit.make_settings(), known=stage.agent.document())
-    clients = [Client(stage, router, number) for number in range(CLIENTS)]
-    runs = [asyncio.create_task(client.run()) for client in clients]
-    await asyncio.sleep(DEATH_SECONDS)
-    if kit.trouble():
-        victim = max(caches, key=lambda cache: cache.in_progress)
-        stage.record.add("cache_dies", cache=victim.name, values_in_progress=victim.in_progress)
-        if not victim.in_progress:
-            raise RuntimeError("no value was in progress")
-        victim.die()
-    await asyncio.gather(*runs)
-    stage.record.add("ran", writes=sorted(ran), events=router.log_events())
-    if not ran:
-        raise RuntimeError("no write ran")
-    return [
-        f"write {client.write} ran and was never answered: {client.end} after"
-        f" {len(client.received)} bytes of a value"
-        for client in clients
-        if client.write in ran and not client.is_write_answered()
-    ]
-
-
-kit.run_case(Path(__file__).resolve().parent, play, LongCache)
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + PLAY_SECONDS
+
+    async def read(number: int) -> None:
+        nonlocal served
+        client = kit.Client(record)
+        await client.connect(router.port)
+        count = 0
+        while loop.time() < ends_at:
+            count += 1
+            key, request = f"page:{number}-{count}", client.new_id()
+            record.add("sent", request=request, key=key)
+            client.writer.write(client.command(key, request, "grid-read", 850))
+            kind, named, value = await client.read_answer()
+            record.add("answered", request=request, kind=kind, named=named, bytes=len(value))
+            if kind != "VA":
+                continue
+            served += 1
+            made = kit.value_of(key, request, origin.value_bytes)
+            if value != made:
+                breaks.append(f"request {request} got {len(value)} bytes of the {len(made)} made")
+        client.close()
+
+    await asyncio.gather(*(read(number) for number in range(CLIENTS)))
+    record.add("counted", served=served, events=router.log_events())
+    if served < MIN_SERVED:
+        raise RuntimeError(f"only {served} requests were served")
+    return breaks
+
+
+kit.run_case(Path(__file__).resolve().parent, play)
