A long value goes on when its pause answers an earlier command of its client

Cause: clients that send 48 reads at once got a part of a value of 200,000 bytes, nothing for 5 s, and the end of their connection. Connection.set_paused told the pool before it paused the transport; the pool's cancelled attempts can answer an earlier command of the client, whose long value is next then and resumes the transport inside the pause. The outer call paused it for good. Change: the transport is paused or resumed before the pool is told, so that the last call decides.

--- a/ironrail/net/upstream/connection.py
+++ b/ironrail/net/upstream/connection.py
@@ -155,15 +155,19 @@
         return max(1, int(seconds * MILLISECONDS_PER_SECOND))
 
     def set_paused(self, is_paused: bool) -> None:
-        """Pause reading a long value while its client is slow, or resume it."""
+        """Pause reading a long value while its client is slow, or resume it.
+
+        The pool is told last: it may answer an earlier command of the same client, upon which the
+        client calls this again.
+        """
         if self._is_paused is is_paused or self.transport.is_closing():
             return
         self._is_paused = is_paused
-        self.pool.on_client_paused(self.upstream, is_paused)
         if is_paused:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
+        self.pool.on_client_paused(self.upstream, is_paused)
 
     def report_read(
         self, replies: list[AttemptReply], is_partial: bool, fault: Fault | None = None
