A command that ends while its client's requests are cancelled raises nothing

A client that leaves has its long value abandoned, which cancels the attempt behind it on the same server connection; where that one belongs to a later command of the same client, its answer was looked for in a queue that was empty by then. Change: a slot that is no longer queued is never the next one. Result: the new test in test_client_departure.py failed before (one internal error, IndexError), and passes.

--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -192,8 +192,11 @@
     # Responses
 
     def is_next(self, slot: ResponseSlot) -> bool:
-        """Whether all responses before this one are written."""
-        return slot is self._slots[0] and not self._is_parsing
+        """Whether all responses before this one are written.
+
+        False for a slot that is no longer queued, as its client has left.
+        """
+        return bool(self._slots) and slot is self._slots[0] and not self._is_parsing
 
     def response_completed(self, slot: ResponseSlot) -> None:
         """Release the memory of a command, and write its complete response if it is next."""
--- a/tests/net/downstream/test_client_departure.py
+++ b/tests/net/downstream/test_client_departure.py
@@ -71,3 +71,21 @@
     await asyncio.sleep(0.1)
     sent |= {world.cache.messages.get_nowait().flag for _ in range(world.cache.messages.qsize())}
     assert not sent & {b"O%d" % n for n in range(most, most + 8)}
+
+
+# A command that ended because another one of the same client was cancelled raised IndexError in its pipeline.
+@scenario
+async def test_a_client_leaves_while_a_command_waits_behind_its_long_value() -> None:
+    world = await World(max_attempts=1).start()
+    dispatcher = world.node._dispatcher
+    dispatcher.pools["c"].manager.state.max_connections = 1
+    client = await world.client()
+    client.get("1")
+    first = await world.cache.next()
+    client.get("2")  # on the same server connection
+    await world.cache.next()
+    first.reply(b"VA 200000 O1 h1\r\n" + bytes(1000))
+    await client.line()
+    client.close()
+    await until(lambda: not dispatcher.requests.by_id and not dispatcher.attempts)
+    assert not dispatcher.diagnostics.internal_errors.total()
