A long value that breaks off leaves the answers ahead of it

Cause: a cache server that died in the middle of a long value ended its client's connection, and with it the answers owed ahead of the value. ValueStreamer.end aborted the client's transport although nothing of the value was written; an abort also discards earlier answers that are written and unsent. Change: a value of which nothing was written is answered with an error in its place. Else the requests behind it are cancelled, and the connection is half-closed after pending writes.

--- a/ironrail/net/dispatch/in_flight_request.py
+++ b/ironrail/net/dispatch/in_flight_request.py
@@ -54,8 +54,11 @@
     def finish(self) -> None:
         """Finish a complete value."""
 
+    def break_off(self) -> None:
+        """End a value that will never be complete, such that the client notices."""
+
     def abort(self) -> None:
-        """Abort a value that will never be complete, so that the client notices."""
+        """Abort the connection of a client that has left."""
 
 
 @dataclass(slots=True, eq=False)
--- a/ironrail/net/dispatch/value_streamer.py
+++ b/ironrail/net/dispatch/value_streamer.py
@@ -78,7 +78,7 @@
             request.stream.finish()
         else:
             self._requests.complete(request, RequestOutcome.FAILED)
-            request.stream.abort()
+            request.stream.break_off()
 
     def release(self, attempt: Attempt) -> None:
         """Release the memory of an attempt that has ended."""
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -204,6 +204,14 @@
         self._context.sessions.remove(self.session)
         self._context.start_linger(self)
 
+    def end_after_broken_value(self) -> None:
+        """Cancel the requests behind a value that broke off, and close after pending writes.
+
+        The responses ahead of it and what was written of it may still be unsent.
+        """
+        self._cancel_requests()
+        self.close(ClientCloseReason.BROKEN_VALUE)
+
     def check_timeouts(self, now: float) -> None:
         """End the session of a client that has disconnected, or whose timeout has expired."""
         self._end_if_departed()
--- a/ironrail/net/downstream/response_slots.py
+++ b/ironrail/net/downstream/response_slots.py
@@ -28,6 +28,9 @@
     def has_left(self, waited: bool) -> bool:
         """Whether the client has disconnected, as far as the operating system knows."""
 
+    def end_after_broken_value(self) -> None:
+        """Cancel the requests behind a value that broke off, and close after pending writes."""
+
 
 class SlotQueue(Protocol):
     """The interface of a queue to its slots."""
@@ -46,6 +49,7 @@
         "_buffered",
         "_buffered_bytes",
         "_connection",
+        "_has_begun",
         "_pause_server",
         "_queue",
         "_response",
@@ -63,6 +67,7 @@
         self._pause_server: Callable[[bool], None] | None = None
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
+        self._has_begun = False  # a part of the response was written
 
     @property
     def response(self) -> bytes | None:
@@ -103,6 +108,7 @@
     def write(self, data: bytes) -> None:
         """Write a chunk, or buffer it if earlier responses are not yet written."""
         if self._queue.is_next(self):
+            self._has_begun = True
             self._connection.transport.write(data)
         else:
             self._buffered.append(data)
@@ -116,8 +122,21 @@
         self._pause_server = None
         self.complete(meta_codec.LINE_END)
 
+    def break_off(self) -> None:
+        """End a long value that will never be complete.
+
+        The client must not mistake a partial value for a whole one. If nothing of it was written,
+        an error takes its place, and the other commands of the client get their responses.
+        """
+        self._pause_server = None
+        if self._has_begun:
+            self._connection.end_after_broken_value()
+        else:
+            self.take_buffered()
+            self.complete(meta_codec.FAILED)
+
     def abort(self) -> None:
-        """Abort the connection: the client must not mistake a partial value for a whole one."""
+        """Abort the connection of a client that has left."""
         self._pause_server = None
         self._connection.transport.abort()
 
@@ -127,8 +146,9 @@
         return self._pause_server is not None or bool(self._buffered)
 
     def take_buffered(self) -> list[bytes]:
-        """Remove and return the chunks that waited for earlier responses."""
+        """Remove and return the chunks that waited for earlier responses, to be written now."""
         chunks = self._buffered
+        self._has_begun = self._has_begun or bool(chunks)
         self._buffered = []
         self._buffered_bytes = 0
         return chunks
--- a/tests/net/dispatch/test_disconnected_clients.py
+++ b/tests/net/dispatch/test_disconnected_clients.py
@@ -42,6 +42,9 @@
     def finish(self) -> None:
         raise AssertionError
 
+    def break_off(self) -> None:
+        raise AssertionError
+
     def abort(self) -> None:
         self.cuts += 1
 
--- a/tests/net/dispatch/test_stream_pauses.py
+++ b/tests/net/dispatch/test_stream_pauses.py
@@ -34,9 +34,12 @@
     def finish(self) -> None:
         self.is_finished = True
 
-    def abort(self) -> None:
+    def break_off(self) -> None:
         raise AssertionError("the value was broken off")
 
+    def abort(self) -> None:
+        raise AssertionError("the client has not left")
+
 
 # A value stalled for 5 s, and was broken off: a pause answered an earlier command, which resumed it at once.
 @scenario
