Values of pipelined writes share one memory budget, whatever their size

Cause: 64 clients with 200 writes of 60,000 bytes took the router to some 295 MiB of its 192. Only values over 64 KiB reserved memory, and a connection holds up to 64 commands. Change: each value over 4 KiB reserves memory at its header, and waits for it as long values did (until its deadline or 2.2 s, then busy); also where the whole value came in one read. An attempt that ended keeps no value. The time for a command of up to 64 KiB is as before.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -27,18 +27,18 @@
 
     NONE = "none"
     PARTIAL = "partial"
-    LONG_VALUE = "long_value"
-    """A long value is being received."""
+    RESERVED_VALUE = "reserved_value"
+    """A value is being received for which memory is reserved."""
     AWAITING_MEMORY = "awaiting_memory"
-    """A long value follows, which is not read until memory is reserved for it."""
+    """A value follows, which is not read until memory is reserved for it."""
     SKIPPED_VALUE = "skipped_value"
-    """A long value is being received whose command has been rejected for lack of memory."""
+    """A value is being received whose command has been rejected for lack of memory."""
 
 
 _ENDING = SessionState.ENDING
 _NONE = CommandProgress.NONE
 _PARTIAL = CommandProgress.PARTIAL
-_LONG_VALUE = CommandProgress.LONG_VALUE
+_RESERVED_VALUE = CommandProgress.RESERVED_VALUE
 _AWAITING_MEMORY = CommandProgress.AWAITING_MEMORY
 _SKIPPED_VALUE = CommandProgress.SKIPPED_VALUE
 
@@ -63,6 +63,8 @@
     """When the client stopped reading responses; None while it reads them."""
     is_reading: bool = True
     """Whether the transport is set to read."""
+    is_value_long: bool = False
+    """Whether the value that is being received or skipped may take longer than other commands."""
 
     @property
     def is_ending(self) -> bool:
@@ -85,18 +87,18 @@
         return self.progress is not _NONE
 
     @property
-    def has_long_value(self) -> bool:
-        """Whether the command that is being received has a long value."""
-        return self.progress is _LONG_VALUE or self.progress is _AWAITING_MEMORY
+    def has_reserved_value(self) -> bool:
+        """Whether memory is reserved, or awaited, for the value that is being received."""
+        return self.progress is _RESERVED_VALUE or self.progress is _AWAITING_MEMORY
 
     @property
     def awaits_memory(self) -> bool:
-        """Whether a long value is not read until memory is reserved for it."""
+        """Whether a value is not read until memory is reserved for it."""
         return self.progress is _AWAITING_MEMORY
 
     @property
     def is_skipping_value(self) -> bool:
-        """Whether a long value is being received whose command has been rejected."""
+        """Whether a value is being received whose command has been rejected."""
         return self.progress is _SKIPPED_VALUE
 
     @property
@@ -129,27 +131,29 @@
         if self.state is SessionState.MIGRATING:
             self.state = SessionState.OPEN
 
-    def long_value_started(self, now: float, is_memory_reserved: bool) -> None:
-        """Record that the header of a long value was received, in time."""
-        self.progress = _LONG_VALUE if is_memory_reserved else _AWAITING_MEMORY
-        self.wait_started_at = now
+    def value_started(self, now: float, is_long: bool, is_memory_reserved: bool) -> None:
+        """Record that the header of a value was received, in time."""
+        self.progress = _RESERVED_VALUE if is_memory_reserved else _AWAITING_MEMORY
+        self.is_value_long = is_long
+        if is_long:
+            self.wait_started_at = now
 
     def memory_granted(self, wait_started_at: float) -> None:
-        """Record that a long value that waited for memory may be read.
+        """Record that a value that waited for memory may be read.
 
         Args:
             wait_started_at: Since when the router has waited for more of the value.
         """
-        self.progress = _LONG_VALUE
+        self.progress = _RESERVED_VALUE
         self.wait_started_at = wait_started_at
 
-    def long_value_rejected(self, now: float) -> None:
-        """Record that the command of a long value was rejected before the value was received."""
+    def value_rejected(self, now: float) -> None:
+        """Record that the command of a value was rejected before the value was received."""
         self.progress = _SKIPPED_VALUE
         self.wait_started_at = now
 
-    def long_value_received(self) -> None:
-        """Record that a long value is complete, or skipped to its end."""
+    def value_received(self) -> None:
+        """Record that a value is complete, or skipped to its end."""
         self.progress = _PARTIAL
 
     def update_progress(self, has_partial_command: bool) -> None:
--- a/ironrail/connections/downstream/memory_budget.py
+++ b/ironrail/connections/downstream/memory_budget.py
@@ -1,4 +1,4 @@
-"""A limit on the memory for long values, granted in order of request."""
+"""A limit on the memory for values, granted in order of request."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class MemoryBudget:
-    """The memory for all long values of one router. Sizes are bytes.
+    """The memory for the values of one router. Sizes are bytes.
 
     Owners decide whether a reservation that does not fit waits or fails. The current owner of a
     reservation releases it.
--- a/ironrail/connections/downstream/session_timeouts.py
+++ b/ironrail/connections/downstream/session_timeouts.py
@@ -13,7 +13,7 @@
 """To receive a complete long value; other clients wait for the memory that it occupies."""
 
 RESUMED_VALUE_TIMEOUT_SECONDS = 0.5
-"""At least this time is left for the next byte of a long value that waited for memory."""
+"""At least this time is left for the next byte of a value that waited for memory."""
 
 IDLE_TIMEOUT_SECONDS = 30.0
 """Between two commands; a client that is idle for longer has most likely disconnected."""
@@ -65,15 +65,15 @@
     if session.has_unparsed_input or not session.should_read:
         return False  # the delay is the router's own
     waited_seconds = now - session.wait_started_at
-    is_long = session.has_long_value or session.is_skipping_value
-    if is_long and waited_seconds < LONG_VALUE_TIMEOUT_SECONDS:
+    has_value = session.has_reserved_value or session.is_skipping_value
+    if has_value and session.is_value_long and waited_seconds < LONG_VALUE_TIMEOUT_SECONDS:
         # A long value may take longer, as long as bytes arrive.
         waited_seconds = now - max(session.wait_started_at, session.last_received_at)
     return waited_seconds >= COMMAND_TIMEOUT_SECONDS
 
 
 def resumed_wait_start(session: ClientSession, now: float) -> float:
-    """Return since when a client is silent whose long value is read on after a wait for memory.
+    """Return since when a client is silent whose value is read on after a wait for memory.
 
     The wait for memory counts, so that a client that stopped before it gets its error in time; one
     that goes on sending is heard in the time that is left at least.
--- a/ironrail/net/dispatch/memory_grants.py
+++ b/ironrail/net/dispatch/memory_grants.py
@@ -1,4 +1,4 @@
-"""Grants memory for long values to those who wait for it."""
+"""Grants memory for values to those who wait for it."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 
 class MemoryWaiter(Protocol):
-    """Waits for memory for one long value."""
+    """Waits for memory for one value."""
 
     def memory_granted(self) -> None:
-        """Resume reading the long value."""
+        """Resume reading the value."""
 
     def refuse(self) -> None:
         """Stop waiting, and reject the command."""
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -74,24 +74,26 @@
                 break
             item = self._parser.next_command()
             if session.is_skipping_value and not self._parser.is_skipping_value:
-                session.long_value_received()
+                session.value_received()
             if item is not None:
                 self._handle(item)
-            elif self._parser.long_value_bytes and not self._reservation.admit(self._parser):
-                self._reject_unread_value()
-            else:
+            elif not self._parser.bytes_to_reserve or session.awaits_memory:
                 break
+            elif not self._reservation.admit(self._parser):
+                self._reject_unread_value()
 
-    # Memory for long values
+    # Memory for values
 
     def memory_granted(self) -> None:
-        """Resume reading a long value that waited for memory."""
+        """Take a value that waited for memory, of which a part may have been read."""
         session = self._connection.session
+        self._parser.admit_value()
         session.memory_granted(resumed_wait_start(session, self._context.system.now()))
+        self._schedule_parse()
         self._connection.update_reading()
 
     def memory_refused(self) -> None:
-        """Reject a long value that waited for memory, and skip it."""
+        """Reject a value that waited for memory, and skip it."""
         self._is_parsing = True
         self._reject_unread_value()
         self._parse_available()
@@ -104,7 +106,7 @@
         command = self._parser.command_without_value()
         self._parser.skip_value()
         now = self._context.system.now()
-        session.long_value_rejected(now)
+        session.value_rejected(now)
         slot = ResponseSlot(self._connection, self)
         self._slots.append(slot)
         if isinstance(command, BadCommand):
@@ -123,8 +125,8 @@
         slot = ResponseSlot(self._connection, self)
         self._slots.append(slot)
         session = self._connection.session
-        if session.has_long_value:
-            session.long_value_received()
+        if session.has_reserved_value:
+            session.value_received()
             self._reservation.hand_over(slot)
             slot.holds_memory = True
         is_valid = self._respond_or_dispatch(item, slot)
@@ -221,12 +223,16 @@
         )
         if action is NextAction.PARSE:
             session.has_unparsed_input = False
-            self.is_parse_scheduled = True
-            asyncio.get_running_loop().call_soon(self._parse)
+            self._schedule_parse()
         elif action is not NextAction.NOTHING:
             self._connection.perform(action)
         self._connection.update_reading()
 
+    def _schedule_parse(self) -> None:
+        if not self.is_parse_scheduled:
+            self.is_parse_scheduled = True
+            asyncio.get_running_loop().call_soon(self._parse)
+
     def _write_ready(self) -> int:
         """Write the responses that are next, and return how many of them are complete."""
         ready: list[bytes] = []
--- a/ironrail/net/downstream/session_context.py
+++ b/ironrail/net/downstream/session_context.py
@@ -108,11 +108,11 @@
             oldest.transport.abort()
 
     def grant_memory(self) -> None:
-        """Resume the connections whose long values fit into the memory budget now."""
+        """Resume the connections whose values fit into the memory budget now."""
         grant_memory(self.dispatcher.memory_budget)
 
     def refuse_memory(self) -> None:
-        """Reject the commands whose long values wait for memory."""
+        """Reject the commands whose values wait for memory."""
         refuse_memory(self.dispatcher.memory_budget)
 
     def evict_idle(self) -> None:
--- a/ironrail/net/downstream/value_reservation.py
+++ b/ironrail/net/downstream/value_reservation.py
@@ -1,4 +1,4 @@
-"""The memory for the long value that one connection is receiving."""
+"""The memory for the value that one connection is receiving."""
 
 from __future__ import annotations
 
@@ -11,7 +11,11 @@
 from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.downstream.response_slots import SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
-from ironrail.net.protocol.meta_codec import BadCommand, CommandParser
+from ironrail.net.protocol.meta_codec import (
+    MAX_BUFFERED_VALUE_BYTES,
+    BadCommand,
+    CommandParser,
+)
 
 MAX_WAIT_SECONDS = COMMAND_TIMEOUT_SECONDS
 """For memory; a client that has stopped in the middle of its value is owed its error by then."""
@@ -24,14 +28,14 @@
     """Receives the end of a wait for memory."""
 
     def memory_granted(self) -> None:
-        """Continue to read the long value."""
+        """Continue to read the value."""
 
     def memory_refused(self) -> None:
         """Reject the command, as there was no memory in time."""
 
 
 class ValueReservation:
-    """Reserves memory for one long value at a time, or waits for it until its deadline."""
+    """Reserves memory for one value at a time, or waits for it until its deadline."""
 
     def __init__(
         self,
@@ -52,22 +56,22 @@
         return self._connection.session.is_ending
 
     def admit(self, parser: CommandParser) -> bool:
-        """Reserve memory for the long value that the parser expects, or wait for it.
+        """Reserve memory for the value that the parser expects, or wait for it.
 
         Returns:
             False if there is no memory, and no time to wait for it.
         """
         session = self._connection.session
-        if session.has_long_value:
-            return True  # it is reserved or waited for already
         now = self._context.system.now()
         arrived_at = self._connection.arrived_at
         self._value_started_at = now if arrived_at is None else arrived_at
-        size = parser.long_value_bytes
+        size = parser.bytes_to_reserve
         is_reserved = self._context.dispatcher.memory_budget.reserve(self, size)
-        if not is_reserved and not self._wait(size, self._time_left(parser, now)):
+        if is_reserved:
+            parser.admit_value()
+        elif not self._wait(size, self._time_left(parser, now)):
             return False
-        session.long_value_started(now, is_reserved)
+        session.value_started(now, size > MAX_BUFFERED_VALUE_BYTES, is_reserved)
         return True
 
     def waited_seconds(self, now: float) -> float:
--- a/ironrail/net/protocol/commands.py
+++ b/ironrail/net/protocol/commands.py
@@ -8,8 +8,8 @@
 from ironrail.net.protocol.errors import CommandError, FramingError, ProtocolError
 from ironrail.net.protocol.fields import is_printable, parse_fields
 from ironrail.net.protocol.framing import (
-    MAX_BUFFERED_VALUE_BYTES,
     MAX_LINE_BYTES,
+    MAX_UNRESERVED_VALUE_BYTES,
     ReceiveBuffer,
     parse_value_length,
 )
@@ -85,6 +85,7 @@
         self._state = _COMMAND_LINE
         self._write_line: list[bytes] = []  # words of the `ms` line whose value is expected
         self._value_bytes = 0
+        self._is_value_admitted = False
 
     @property
     def has_partial_command(self) -> bool:
@@ -97,12 +98,16 @@
         return self._state is _SKIPPED_VALUE
 
     @property
-    def long_value_bytes(self) -> int:
-        """Size in bytes of the expected value if it is a long one, otherwise 0."""
-        if self._state is _VALUE and self._value_bytes > MAX_BUFFERED_VALUE_BYTES:
+    def bytes_to_reserve(self) -> int:
+        """Size of the expected value if it is only taken after `admit_value`, otherwise 0."""
+        if self._state is _VALUE and not self._is_value_admitted:
             return self._value_bytes
         return 0
 
+    def admit_value(self) -> None:
+        """Take the expected value, for which memory is reserved, once it is complete."""
+        self._is_value_admitted = True
+
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
         self._buffer.append(data)
@@ -120,7 +125,8 @@
     def next_command(self) -> Command | Noop | BadCommand | None:
         """Remove and return the next complete command; None if there is none.
 
-        After a fatal `BadCommand` the parser must not be used any more.
+        A write with `bytes_to_reserve` is not returned before `admit_value`. After a fatal
+        `BadCommand` the parser must not be used any more.
         """
         try:
             if self._state is _SKIPPED_VALUE and not self._drop_value():
@@ -143,6 +149,7 @@
                 self._value_bytes = parse_value_length(length)
                 self._write_line = words
                 self._state = _VALUE
+                self._is_value_admitted = self._value_bytes <= MAX_UNRESERVED_VALUE_BYTES
                 return self._take_value()
             case [b"mn"]:
                 return Noop()
@@ -161,6 +168,8 @@
         return True
 
     def _take_value(self) -> Command | BadCommand | None:
+        if not self._is_value_admitted:
+            return None
         value = self._buffer.take_block(self._value_bytes)
         if value is None:
             return None
--- a/ironrail/net/protocol/framing.py
+++ b/ironrail/net/protocol/framing.py
@@ -11,6 +11,9 @@
 MAX_BUFFERED_VALUE_BYTES = 64 * 1024
 """Longer values are streamed in chunks instead of being buffered whole."""
 
+MAX_UNRESERVED_VALUE_BYTES = 4096
+"""Longer values of writes are taken only after memory is reserved for them."""
+
 MAX_LINE_BYTES = 4096
 
 MAX_LENGTH_DIGITS = 7
@@ -68,7 +71,7 @@
             return None
         if self._data[size:end] != LINE_END:
             raise FramingError("bad data chunk")
-        block = bytes(self._data[:size])
+        block = bytes(memoryview(self._data)[:size])  # a slice would be one more copy
         del self._data[:end]
         return block
 
--- a/ironrail/net/upstream/connection.py
+++ b/ironrail/net/upstream/connection.py
@@ -12,7 +12,7 @@
 from ironrail.connections.upstream.connection import UpstreamConnection
 from ironrail.connections.upstream.connection_fault import Fault
 from ironrail.connections.upstream.reply_handler import AttemptReply
-from ironrail.net.protocol.meta_codec import MAX_BUFFERED_VALUE_BYTES, Command
+from ironrail.net.protocol.meta_codec import Command
 from ironrail.net.system import Address, System
 from ironrail.policy.events import AttemptStatus
 
@@ -97,7 +97,7 @@
             self.timer.cancel()
         if on_ended is not None:
             on_ended(self, status, body)
-        if self.command.value and len(self.command.value) > MAX_BUFFERED_VALUE_BYTES:
+        if self.command.value:
             # An abandoned attempt is kept until its reply arrives, but its value is not needed.
             self.command = replace(self.command, value=b"")
 
--- a/tests/connections/downstream/test_session_manager.py
+++ b/tests/connections/downstream/test_session_manager.py
@@ -266,7 +266,8 @@
 def test_a_long_value_has_a_longer_timeout_while_bytes_arrive() -> None:
     sessions = ClientSessionManager(max_sessions=8, max_retained_sessions=2)
     session = open_session(sessions)
-    session.progress = CommandProgress.LONG_VALUE
+    session.progress = CommandProgress.RESERVED_VALUE
+    session.is_value_long = True
     for second in range(int(LONG_VALUE_TIMEOUT_SECONDS) - 1):
         sessions.record_data(float(second), session)
         assert timeout_action(session, second + COMMAND_TIMEOUT_SECONDS / 2) is TimeoutAction.KEEP
--- a/tests/net/downstream/test_value_memory.py
+++ b/tests/net/downstream/test_value_memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from ironrail.connections.downstream import session_timeouts
@@ -98,3 +100,28 @@
     guard = world.node._dispatcher.diagnostics.invariants
     await until(lambda: guard.violations[Violation.HELD_AFTER_END])
     client.close()
+
+
+# The router passed its memory limit: values of up to 64 KiB of pipelined writes were in no budget.
+@scenario
+async def test_pipelined_writes_together_hold_no_more_memory_than_there_is() -> None:
+    world, budget = await world_with_memory(300_000)
+    clients = [await world.client() for _ in range(4)]
+    for number, client in enumerate(clients):
+        for count in range(10):
+            client.put(f"{number}-{count}", LONG[:60_000])
+    requests = world.node._dispatcher.requests
+    await until(lambda: len(requests.by_id) >= 5)
+    await asyncio.sleep(0.1)
+    assert len(requests.by_id) == 5 and budget.free_bytes == 0
+    answered = asyncio.create_task(respond_to_all(world))
+    for number, client in enumerate(clients):
+        for count in range(10):
+            assert await client.line() == b"HD O%d-%d cr\r\n" % (number, count)
+    answered.cancel()
+    assert budget.reserved_bytes == 0
+
+
+async def respond_to_all(world: World) -> None:
+    while True:
+        (await world.origin.next()).respond(b"r")
--- a/tests/net/protocol/test_commands.py
+++ b/tests/net/protocol/test_commands.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from ironrail.net.protocol.commands import UNKNOWN_COMMAND, BadCommand, Command, CommandParser, Noop
-from ironrail.net.protocol.framing import MAX_BUFFERED_VALUE_BYTES
+from ironrail.net.protocol.framing import MAX_UNRESERVED_VALUE_BYTES
 
 FIELDS = b"Pc=read,t=x,d=5000"
 READ = b"mg key v O1 " + FIELDS + b"\r\n"
@@ -62,13 +62,16 @@
     assert parse(line) == [BadCommand(b"CLIENT_ERROR " + reason + b"\r\n", is_fatal)]
 
 
-def test_only_a_long_value_is_announced_before_it_is_complete() -> None:
-    for size in (MAX_BUFFERED_VALUE_BYTES, MAX_BUFFERED_VALUE_BYTES + 1):
+def test_only_a_value_that_needs_memory_waits_to_be_admitted() -> None:
+    for size in (MAX_UNRESERVED_VALUE_BYTES, MAX_UNRESERVED_VALUE_BYTES + 1):
         parser = CommandParser()
         assert not parser.has_partial_command
         parser.feed(b"ms key %d O1 " % size + FIELDS + b"\r\n")
         assert parser.next_command() is None and parser.has_partial_command
-        assert parser.long_value_bytes == (size if size > MAX_BUFFERED_VALUE_BYTES else 0)
+        assert parser.bytes_to_reserve == (size if size > MAX_UNRESERVED_VALUE_BYTES else 0)
         parser.feed(b"x" * size + b"\r\n")
+        if parser.bytes_to_reserve:
+            assert parser.next_command() is None
+            parser.admit_value()
         assert isinstance(parser.next_command(), Command)
-        assert parser.long_value_bytes == 0 and not parser.has_partial_command
+        assert parser.bytes_to_reserve == 0 and not parser.has_partial_command
