A response of the origin that goes on behind its length fails its attempt

Cause: where the origin told a length that is too small, clients were served the value without its end. OriginConnection._match took the told length for the end of the answer, and only then looked at the rest. Change: bytes behind the told length are an error of the attempt, unless they begin with a status line (a second answer). Bytes that are unread when the answer is complete are read first, for 10 ms at most.

--- a/ironrail/net/upstream/origin_connection.py
+++ b/ironrail/net/upstream/origin_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from http import HTTPStatus
 from urllib.parse import quote_from_bytes
@@ -22,6 +23,10 @@
 
 SAFE_PATH_CHARACTERS = "/:@!$&'()*+,;=-._~"  # all other bytes of a key are percent-encoded
 MAX_RECEIPT_BYTES = 1024
+REST_TIMEOUT_SECONDS = 0.01
+"""In which bytes are read that are unread when a response is complete by its length."""
+
+STATUS_LINE_START = b"HTTP/1."
 OVERLOADED_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
 
 
@@ -34,6 +39,7 @@
         self._response: h11.Response | None = None
         self._body = bytearray()
         self._is_streaming = False
+        self._is_complete = False  # up to its length; its outcome is not reported yet
         self._is_last_response = False
 
     def encode(self, attempt: Attempt) -> list[bytes]:
@@ -56,15 +62,34 @@
         try:
             self._check_expected()
             self._http.receive_data(data)
-            if self._read_response():
-                replies = [self._match()]
-            elif self.transport.is_closing():  # the long value has been abandoned
+            self._is_complete = self._is_complete or self._read_response()
+            if self.transport.is_closing():  # the long value has been abandoned
                 return
+            if self._is_complete and (self._surplus() or self.is_quiet()):
+                replies = [self._match()]
+            elif self._is_complete:
+                self._await_rest()
         except h11.RemoteProtocolError as e:
             fault = e
         is_partial = len(self.in_flight) > len(replies) and self._has_begun()
         self.report_read(replies, is_partial, fault)
-        if replies and fault is None and self._is_last_response:
+        if replies and fault is None:
+            self._close_after_last_response()
+
+    def _await_rest(self) -> None:
+        """Read what follows a complete response before it is reported, but not for long."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(REST_TIMEOUT_SECONDS, self._report_complete)
+
+    def _report_complete(self) -> None:
+        """Report a response that is complete by its length, if that was not done before."""
+        if self._is_complete and self.in_flight:
+            with contextlib.suppress(h11.RemoteProtocolError):
+                self.report_read([self._match()], False)
+                self._close_after_last_response()
+
+    def _close_after_last_response(self) -> None:
+        if self._is_last_response:
             self.transport.close()
 
     def eof_received(self) -> None:
@@ -72,9 +97,14 @@
         if self.in_flight and self._response is not None:
             with contextlib.suppress(h11.RemoteProtocolError):
                 self._http.receive_data(b"")
-                if self._read_response():
+                if self._is_complete or self._read_response():
                     self.report_read([self._match()], False)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report a response that was complete, and the end of the connection."""
+        self._report_complete()
+        super().connection_lost(exc)
+
     def _check_expected(self) -> None:
         if not self.in_flight:
             raise h11.RemoteProtocolError("response without a request")
@@ -118,8 +148,26 @@
             self._is_streaming = True
             self.pool.on_stream_started(self.upstream, length)
 
+    def _surplus(self) -> bytes:
+        """Bytes that were received behind the response."""
+        surplus, _ = self._http.trailing_data
+        return surplus
+
+    def _check_length(self) -> None:
+        """Check that the response does not go on behind the length that its header states.
+
+        The rest of a value can't be told from noise; a second response can, by its status line.
+
+        Raises:
+            h11.RemoteProtocolError: Other bytes follow than a second response.
+        """
+        surplus = self._surplus()
+        if surplus and not surplus.startswith(STATUS_LINE_START):
+            raise h11.RemoteProtocolError("the response is longer than its length")
+
     def _match(self) -> AttemptReply:
         """Return the outcome of the request; as a response has no id, its form is checked."""
+        self._check_length()
         response = self._response
         body = bytes(self._body)
         if response is None:
@@ -131,14 +179,14 @@
         self._response = None
         self._body = bytearray()
         self._is_streaming = False
+        self._is_complete = False
         self._prepare_next()
         return AttemptReply(status, body)
 
     def _prepare_next(self) -> None:
         """Prepare for the next request, unless the origin closes or has sent surplus bytes."""
         http = self._http
-        surplus, _ = http.trailing_data
-        if not surplus and http.our_state is h11.DONE and http.their_state is h11.DONE:
+        if not self._surplus() and http.our_state is h11.DONE and http.their_state is h11.DONE:
             http.start_next_cycle()
         else:
             self.pool.retire(self.upstream)
