A client at full speed is read as fast as it is parsed, in turns with others

Cause: one connection that sent small or unsound commands at full speed took the router to 455 MiB of 192 within 8 s, and other clients waited up to 0.9 s. A connection with unparsed input was read on, 64 commands were handled for each read, and the event loop reads a full socket up to 32 times in one turn. Change: a connection with unparsed input is not read. Reads are of 16 KiB.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -58,7 +58,7 @@
     """Commands whose responses are not written yet."""
     consecutive_bad_commands: int = 0
     has_unparsed_input: bool = False
-    """Whether parsing stopped at the limit on pipelined commands."""
+    """Whether input was read that may hold a whole command, and is not parsed yet."""
     responses_unread_since: float | None = None
     """When the client stopped reading responses; None while it reads them."""
     is_reading: bool = True
@@ -110,12 +110,12 @@
     def should_read(self) -> bool:
         """Whether to read from the client.
 
-        Limits the memory used by clients that send and never read, and the CPU used for commands
-        whose responses are not read.
+        Limits the memory used by clients that send faster than their commands are parsed, or that
+        never read, and the CPU used for commands whose responses are not read.
         """
-        return (
-            self.accepts_commands and self.responses_unread_since is None and not self.awaits_memory
-        )
+        if self.has_unparsed_input or self.awaits_memory:
+            return False
+        return self.accepts_commands and self.responses_unread_since is None
 
     def end(self) -> None:
         """Accept no more commands."""
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -38,7 +38,7 @@
                 seconds on the monotonic clock.
         """
         self._context = context
-        self._arrival = InputArrival(context.dispatcher.monitor, waiting_since)
+        self.arrival = InputArrival(context.dispatcher.monitor, waiting_since)
         self._half_closed: HalfClosedConnection | None = None
         self._finish_reason = ClientCloseReason.BAD_COMMANDS
         self.close_reason: ClientCloseReason | None = None
@@ -50,7 +50,7 @@
         """Begin the client's session."""
         self._resilient_transport = cast(ResilientTransport, transport)
         self.transport = self._resilient_transport
-        self._arrival.opened(self._context.system.now())
+        self.arrival.opened(self._context.system.now())
         self.session = self._context.add(self)
         self._pipeline = CommandPipeline(self._context, self)
         self.client_region = self._context.client_region_of(self.transport)
@@ -62,12 +62,12 @@
                 self._half_closed.discard(len(data))
             return
         unread_since = self._resilient_transport.unread_since
-        waited_for_memory = self._arrival.begin(unread_since, self._has_socket_input)
+        waited_for_memory = self.arrival.begin(unread_since, self._has_socket_input)
         now = self._context.system.now()
         heard_at = resumed_wait_start(self.session, now) if waited_for_memory else now
         self._context.sessions.record_data(heard_at, self.session)
         self._pipeline.feed(data)
-        self._arrival.end()
+        self.arrival.end()
 
     def pause_writing(self) -> None:
         """Record that the client has stopped reading responses."""
@@ -112,7 +112,7 @@
     @property
     def arrived_at(self) -> float | None:
         """Earliest arrival time of the input that is being parsed; None at other times."""
-        return self._arrival.arrived_at
+        return self.arrival.arrived_at
 
     @property
     def is_closing(self) -> bool:
@@ -131,7 +131,7 @@
         """
         if self.is_closing:
             return True
-        if not waited and self.session.is_reading and self._arrival.is_current:
+        if not waited and self.session.is_reading and self.arrival.is_current:
             return False
         return self._context.system.has_hung_up(self.transport)
 
@@ -156,7 +156,7 @@
     def update_reading(self) -> None:
         """Pause or resume reading, as the session's state requires."""
         if self.session.awaits_memory:
-            self._arrival.memory_awaited(self._context.system.now())
+            self.arrival.memory_awaited(self._context.system.now())
         should_read = self.session.should_read
         if should_read is self.session.is_reading or self.is_closing:
             return
@@ -164,7 +164,7 @@
         if should_read:
             self.transport.resume_reading()
         else:
-            self._arrival.reading_paused()
+            self.arrival.reading_paused()
             self.transport.pause_reading()
 
     def perform(self, action: NextAction) -> None:
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -91,7 +91,7 @@
     async def _open_connection(
         self, connection: socket.socket, admitted: bool, waiting_since: float
     ) -> None:
-        def make_protocol() -> asyncio.Protocol:
+        def make_protocol() -> asyncio.BaseProtocol:
             if admitted:
                 client = ClientConnection(self.context, waiting_since)
                 return ResilientTransport(connection, client)
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from typing import Any, Protocol
 
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import resumed_wait_start
 from ironrail.net.dispatch.memory_grants import release_memory
+from ironrail.net.downstream.input_arrival import InputArrival
+from ironrail.net.downstream.parse_queue import COMMANDS_AT_ONCE, COMMANDS_PER_SLICE
 from ironrail.net.downstream.response_slots import ResponseSlot, SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
 from ironrail.net.downstream.value_reservation import ValueReservation
@@ -19,6 +20,8 @@
 class PipelineConnection(SlotConnection, Protocol):
     """The interface of a connection to its pipeline."""
 
+    arrival: InputArrival
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection is closing or half closed."""
@@ -42,46 +45,69 @@
         self._reservation = ValueReservation(context, connection, self)
         self._is_parsing = False
         self.is_parse_scheduled = False
-        """Whether buffered input will be parsed in the next iteration of the event loop."""
+        """Whether buffered input waits for its turn to be parsed."""
+        self._scheduled_at = 0.0
+        self._turn_awaited_since: float | None = None  # None: it waits for earlier responses
 
     # Commands
 
     def feed(self, data: bytes) -> None:
         """Buffer received bytes, and handle the commands that are complete now."""
         self._parser.feed(data)
-        self._parse()
-
-    def _parse(self) -> None:
-        """Handle complete commands up to the limit of the session.
+        if not self.is_parse_scheduled:
+            self._parse(COMMANDS_AT_ONCE)
 
-        The rest waits for the next iteration of the event loop, so that one client does not delay
-        the others.
-        """
+    def parse_slice(self) -> None:
+        """Handle some of the buffered commands, as the turn of this connection has come."""
         self.is_parse_scheduled = False
         if self._connection.session.is_ending:
             return
+        since = self._turn_awaited_since
+        self._connection.arrival.resume(self._scheduled_at if since is None else since)
+        self._parse(COMMANDS_PER_SLICE)
+        self._connection.arrival.end()
+
+    def _parse(self, max_commands: int) -> None:
+        """Handle complete commands up to a number and to the limit of the session.
+
+        The rest waits for its turn, so that one client does not delay the others.
+        """
         self._is_parsing = True
-        self._parse_available()
+        self._parse_available(max_commands)
         self._is_parsing = False
         self.flush()
 
-    def _parse_available(self) -> None:
+    def _parse_available(self, max_commands: int) -> None:
         session = self._connection.session
         session.has_unparsed_input = False
+        handled = 0
         while not session.is_ending:
             if not session.accepts_commands:
-                session.has_unparsed_input = True
+                self._stop_parsing(None)
+                break
+            if handled == max_commands:
+                self._stop_parsing(self._connection.arrived_at)
                 break
             item = self._parser.next_command()
             if session.is_skipping_value and not self._parser.is_skipping_value:
                 session.value_received()
             if item is not None:
+                handled += 1
                 self._handle(item)
             elif not self._parser.bytes_to_reserve or session.awaits_memory:
                 break
             elif not self._reservation.admit(self._parser):
                 self._reject_unread_value()
 
+    def _stop_parsing(self, arrived_at: float | None) -> None:
+        """Leave the rest of the input for later.
+
+        Args:
+            arrived_at: When the input may have arrived, if it only waits for its turn.
+        """
+        self._connection.session.has_unparsed_input = self._parser.has_input
+        self._turn_awaited_since = arrived_at
+
     # Memory for values
 
     def memory_granted(self) -> None:
@@ -89,14 +115,16 @@
         session = self._connection.session
         self._parser.admit_value()
         session.memory_granted(resumed_wait_start(session, self._context.system.now()))
-        self._schedule_parse()
+        self._stop_parsing(None)
+        if session.has_unparsed_input:
+            self._schedule_parse()
         self._connection.update_reading()
 
     def memory_refused(self) -> None:
         """Reject a value that waited for memory, and skip it."""
         self._is_parsing = True
         self._reject_unread_value()
-        self._parse_available()
+        self._parse_available(COMMANDS_PER_SLICE)
         self._is_parsing = False
         self.flush()
 
@@ -222,7 +250,6 @@
             session, written, self._parser.has_partial_command, self._connection.is_closing
         )
         if action is NextAction.PARSE:
-            session.has_unparsed_input = False
             self._schedule_parse()
         elif action is not NextAction.NOTHING:
             self._connection.perform(action)
@@ -231,7 +258,8 @@
     def _schedule_parse(self) -> None:
         if not self.is_parse_scheduled:
             self.is_parse_scheduled = True
-            asyncio.get_running_loop().call_soon(self._parse)
+            self._scheduled_at = self._context.system.now()
+            self._context.parse_queue.add(self)
 
     def _write_ready(self) -> int:
         """Write the responses that are next, and return how many of them are complete."""
--- a/ironrail/net/downstream/input_arrival.py
+++ b/ironrail/net/downstream/input_arrival.py
@@ -72,6 +72,14 @@
             self._memory_awaited_since = None
         return memory_awaited_since is not None
 
+    def resume(self, since: float) -> None:
+        """Record that input is parsed that was read before.
+
+        Args:
+            since: When its turn could have come; before, it waited for earlier commands.
+        """
+        self.arrived_at = since
+
     def end(self) -> None:
         """Record that the input is parsed as far as possible now."""
         self.arrived_at = None
--- a/ironrail/net/downstream/resilient_transport.py
+++ b/ironrail/net/downstream/resilient_transport.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 from typing import Any, cast
 
@@ -15,8 +17,14 @@
 
 RETRY_DELAY_SECONDS = 0.005
 
+READ_BYTES = 16 * 1024
+"""Read at a time: what is read and not yet parsed of each connection is held in memory."""
 
-class ResilientTransport(asyncio.Transport, asyncio.Protocol):
+READ_BUFFER = memoryview(bytearray(READ_BYTES))
+"""Shared by all connections: its content is copied before the next read."""
+
+
+class ResilientTransport(asyncio.Transport, asyncio.BufferedProtocol):
     """Stands between the event loop's transport of a client and its protocol.
 
     Attributes:
@@ -56,6 +64,14 @@
             self._transport.pause_reading()
         self._may_be_buffered = False
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop stores what it reads."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass input on."""
+        self.data_received(bytes(READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Pass input on."""
         self._protocol.data_received(data)
@@ -78,6 +94,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Open the connection again if only a read has failed; else pass its end on."""
+        if isinstance(exc, RuntimeError):
+            # uvloop takes a read that fails with ENOBUFS for a failure of `get_buffer`
+            exc = OSError(errno.ENOBUFS, os.strerror(errno.ENOBUFS))
         if self._may_reopen(exc):
             try:
                 self._socket = self._socket.dup()
--- a/ironrail/net/downstream/session_context.py
+++ b/ironrail/net/downstream/session_context.py
@@ -13,6 +13,7 @@
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.dispatch.memory_grants import grant_memory, refuse_memory
+from ironrail.net.downstream.parse_queue import ParseQueue
 from ironrail.net.system import System
 
 
@@ -72,6 +73,7 @@
         """Returns the region of a client; None where latency is not measured by region."""
         self.rejects_all = False
         """Whether all new requests are rejected, as the shutdown's response deadline has passed."""
+        self.parse_queue = ParseQueue()
         self._is_ready = is_ready
         self._all_closed = asyncio.Event()
         self._all_closed.set()
--- a/ironrail/net/protocol/commands.py
+++ b/ironrail/net/protocol/commands.py
@@ -92,6 +92,11 @@
         """Whether a command was received in part."""
         return self._state is not _COMMAND_LINE or len(self._buffer) > 0
 
+    @property
+    def has_input(self) -> bool:
+        """Whether received bytes are not parsed yet."""
+        return len(self._buffer) > 0
+
     @property
     def is_skipping_value(self) -> bool:
         """Whether a part of a skipped value is still expected."""
