A head of many short words is not kept word by word

Cause: of a write whose value is awaited, all words of the line were kept, up to some 2,000 objects; as a bad command, such a line took half a millisecond, and others waited up to 1.6 s for a client that sent them. Change: a line is split up to one word more than any valid command has. Result: the new test in test_commands.py failed before (16,550 bytes for each head) and passes.

--- a/ironrail/net/protocol/commands.py
+++ b/ironrail/net/protocol/commands.py
@@ -30,6 +30,9 @@
 
 REQUIRED_FIELDS = ("c", "d")
 
+MAX_COMMAND_WORDS = 6
+"""One more than any valid command has; the rest of a line with more is not split."""
+
 
 @dataclass(slots=True, frozen=True)
 class Command:
@@ -146,7 +149,7 @@
         line = self._buffer.take_line()
         if line is None:
             return None
-        words = line.split(b" ")
+        words = line.split(b" ", MAX_COMMAND_WORDS)
         match words:
             case [b"mg", _, *_]:
                 return _validated(words, None)
--- a/tests/net/protocol/test_commands.py
+++ b/tests/net/protocol/test_commands.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ironrail.net.protocol.commands import UNKNOWN_COMMAND, BadCommand, Command, CommandParser, Noop
-from ironrail.net.protocol.framing import MAX_UNRESERVED_VALUE_BYTES
+from ironrail.net.protocol.framing import MAX_LINE_BYTES, MAX_UNRESERVED_VALUE_BYTES
 
 FIELDS = b"Pc=read,t=x,d=5000"
 READ = b"mg key v O1 " + FIELDS + b"\r\n"
@@ -75,3 +77,17 @@
             parser.admit_value()
         assert isinstance(parser.next_command(), Command)
         assert parser.bytes_to_reserve == 0 and not parser.has_partial_command
+
+
+# Each client that stopped behind a head of many short words held 16 KB of them, or more for longer ones.
+def test_a_head_of_many_words_takes_little_memory_while_its_value_is_awaited() -> None:
+    tracemalloc.start()
+    parsers = [CommandParser() for _ in range(100)]
+    for parser in parsers:
+        parser.feed(b"ms key 100 " + b"a " * 2000 + b"b\r\nxx")
+        assert parser.next_command() is None
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes / len(parsers) < 2 * MAX_LINE_BYTES
+    parsers[0].feed(b"x" * 98 + b"\r\n")
+    assert parsers[0].next_command() == BadCommand(b"CLIENT_ERROR bad flags\r\n")
