Responses of a connection have a module of their own

Need: command_pipeline.py had grown to 279 lines, with parsing and responses in one class. Change: ResponseQueue has the slots, their order, and their end; CommandPipeline parses and dispatches.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -80,7 +80,7 @@
     def _set_responses_unread(self, is_unread: bool) -> None:
         self.session.set_responses_unread(self._context.system.now(), is_unread)
         self.update_reading()
-        self._pipeline.update_flow_control()
+        self._pipeline.responses.update_flow_control()
 
     def eof_received(self) -> bool:
         """Cancel the client's requests, and keep the connection open while data is unsent."""
@@ -100,7 +100,7 @@
     def _report_loss(self, error: Exception | None) -> None:
         loss = ClientLoss.CLOSED if error is None else ClientLoss.SOCKET_ERROR
         self._context.dispatcher.diagnostics.client_lost(
-            self._context.system.now(), loss, error, self._pipeline.unanswered_requests()
+            self._context.system.now(), loss, error, self._pipeline.responses.unanswered_requests()
         )
 
     def _cancel_requests(self) -> None:
@@ -193,7 +193,7 @@
             return
         if reason is not None:
             diagnostics = self._context.dispatcher.diagnostics
-            unanswered = self._pipeline.unanswered_requests()
+            unanswered = self._pipeline.responses.unanswered_requests()
             if not diagnostics.invariants.may_close(self._context.system.now(), unanswered):
                 return
             diagnostics.client_closes.add(reason)
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -1,15 +1,14 @@
-"""The pipelined commands of one connection: parsing, dispatch, and responses in order."""
+"""The pipelined commands of one connection: parsing and dispatch."""
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Any, Protocol
 
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import resumed_wait_start
-from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.downstream.input_arrival import InputArrival
 from ironrail.net.downstream.parse_queue import COMMANDS_AT_ONCE, COMMANDS_PER_SLICE
+from ironrail.net.downstream.response_queue import ResponseQueue
 from ironrail.net.downstream.response_slots import ResponseSlot, SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
 from ironrail.net.downstream.value_reservation import ValueReservation
@@ -34,16 +33,15 @@
 
 
 class CommandPipeline:
-    """The commands of one connection whose responses are not yet written."""
+    """Parses and dispatches the commands of one connection; `responses` has their responses."""
 
     def __init__(self, context: SessionContext[Any], connection: PipelineConnection) -> None:
         """Start without commands."""
         self._context = context
         self._connection = connection
         self._parser = CommandParser()
-        self._slots: deque[ResponseSlot] = deque()
+        self.responses = ResponseQueue(context, connection, self.flush)
         self._reservation = ValueReservation(context, connection, self)
-        self._is_parsing = False
         self.is_parse_scheduled = False
         """Whether buffered input waits for its turn to be parsed."""
         self._scheduled_at = 0.0
@@ -72,9 +70,9 @@
 
         The rest waits for its turn, so that one client does not delay the others.
         """
-        self._is_parsing = True
+        self.responses.is_held = True
         self._parse_available(max_commands)
-        self._is_parsing = False
+        self.responses.is_held = False
         self.flush()
 
     def _parse_available(self, max_commands: int) -> None:
@@ -122,10 +120,10 @@
 
     def memory_refused(self) -> None:
         """Reject a value that waited for memory, and skip it."""
-        self._is_parsing = True
+        self.responses.is_held = True
         self._reject_unread_value()
         self._parse_available(COMMANDS_PER_SLICE)
-        self._is_parsing = False
+        self.responses.is_held = False
         self.flush()
 
     def _reject_unread_value(self) -> None:
@@ -135,8 +133,7 @@
         self._parser.skip_value()
         now = self._context.system.now()
         session.value_rejected(now)
-        slot = ResponseSlot(self._connection, self)
-        self._slots.append(slot)
+        slot = self.responses.add()
         if isinstance(command, BadCommand):
             slot.complete(command.response)
         elif self._context.rejects_all:
@@ -150,8 +147,7 @@
     # Handling
 
     def _handle(self, item: Command | Noop | BadCommand) -> None:
-        slot = ResponseSlot(self._connection, self)
-        self._slots.append(slot)
+        slot = self.responses.add()
         session = self._connection.session
         if session.has_reserved_value:
             session.value_received()
@@ -190,8 +186,7 @@
             return
         self._connection.session.reject_partial_command()
         self.discard_partial_command()
-        slot = ResponseSlot(self._connection, self)
-        self._slots.append(slot)
+        slot = self.responses.add()
         slot.complete(meta_codec.COMMAND_TIMEOUT)
         self._connection.update_reading()
 
@@ -200,51 +195,16 @@
         self._parser = CommandParser()
         self._reservation.release()
 
-    def unanswered_requests(self) -> list[str]:
-        """Ids of the requests that were dispatched and have no response."""
-        return [
-            slot.request_id
-            for slot in self._slots
-            if slot.request_id is not None and slot.response is None
-        ]
-
     def cancel_requests(self) -> None:
         """Cancel all requests, whose ids the client may reuse on another connection."""
-        dispatcher = self._context.dispatcher
-        slots = self._slots
-        self._slots = deque()
-        for slot in slots:
-            release_memory(dispatcher.memory_budget, slot)
-            if slot.request_id is not None and slot.response is None:
-                dispatcher.on_client_disconnected(slot.request_id)
+        self.responses.cancel_requests()
         self.discard_partial_command()
 
     # Responses
 
-    def is_next(self, slot: ResponseSlot) -> bool:
-        """Whether all responses before this one are written.
-
-        False for a slot that is no longer queued, as its client has left.
-        """
-        return bool(self._slots) and slot is self._slots[0] and not self._is_parsing
-
-    def response_completed(self, slot: ResponseSlot) -> None:
-        """Release the memory of a command, and write its complete response if it is next."""
-        if self.is_next(slot):
-            self.flush()
-        if slot.holds_memory:
-            release_memory(self._context.dispatcher.memory_budget, slot)
-
-    def update_flow_control(self) -> None:
-        """Pause or resume the server whose response is being streamed."""
-        if self._slots:
-            self._slots[0].update_flow_control()
-
     def flush(self) -> None:
         """Write the responses that are next, and take the action that is due then."""
-        written = self._write_ready()
-        if self._slots and self._slots[0].is_streaming:
-            self._slots[0].update_flow_control()
+        written = self.responses.write_ready()
         session = self._connection.session
         action = self._context.sessions.record_progress(
             session, written, self._parser.has_partial_command, self._connection.is_closing
@@ -260,20 +220,3 @@
             self.is_parse_scheduled = True
             self._scheduled_at = self._context.system.now()
             self._context.parse_queue.add(self)
-
-    def _write_ready(self) -> int:
-        """Write the responses that are next, and return how many of them are complete."""
-        ready: list[bytes] = []
-        written = 0
-        while self._slots:
-            slot = self._slots[0]
-            if slot.is_streaming:
-                ready += slot.take_buffered()
-            if slot.response is None:
-                break
-            ready.append(slot.response)
-            self._slots.popleft()
-            written += 1
-        if ready:
-            self._connection.transport.write(b"".join(ready))
-        return written
