Unread responses and pipelined requests are bounded for all clients together

Cause: responses of up to 64 KiB that wait for earlier ones, or that their client does not read, were in no budget, nor were pipelined requests in flight: 450 clients with 64 small writes each held 64 to 78 MiB. Change: a response over 4 KiB that can't be written at once reserves memory, up to half of the budget; if there is none, a read is rejected (no_memory). The unsent bytes of each connection count as well. From a number of requests in flight on (a quarter of the budget, 8 KiB each) a connection gets no second one until its first is answered.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -61,6 +61,7 @@
     """Whether input was read that may hold a whole command, and is not parsed yet."""
     responses_unread_since: float | None = None
     """When the client stopped reading responses; None while it reads them."""
+    max_pipelined_commands: int = MAX_PIPELINED_COMMANDS
     is_reading: bool = True
     """Whether the transport is set to read."""
     is_value_long: bool = False
@@ -104,7 +105,7 @@
     @property
     def accepts_commands(self) -> bool:
         """Whether one more command may be parsed now."""
-        return self.state is not _ENDING and self.pending_responses < MAX_PIPELINED_COMMANDS
+        return self.state is not _ENDING and self.pending_responses < self.max_pipelined_commands
 
     @property
     def should_read(self) -> bool:
--- a/ironrail/connections/downstream/memory_budget.py
+++ b/ironrail/connections/downstream/memory_budget.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Hashable
 
+MAX_RESPONSE_FRACTION = 0.5
+"""Of the budget, for responses that clients have not read; the rest is left for other values."""
+
 
 class MemoryBudget:
     """The memory for the values of one router. Sizes are bytes.
 
     Owners decide whether a reservation that does not fit waits or fails. The current owner of a
-    reservation releases it.
+    reservation releases it. Responses that their client has not read are counted apart.
     """
 
     def __init__(self, total_bytes: int) -> None:
@@ -17,6 +20,8 @@
         self.free_bytes = total_bytes
         self._reserved: dict[Hashable, int] = {}
         self._waiting: dict[Hashable, int] = {}  # the owner that has waited longest is first
+        self._responses: dict[Hashable, int] = {}
+        self.response_bytes = 0
 
     @property
     def waiting_count(self) -> int:
@@ -26,7 +31,7 @@
     @property
     def owners(self) -> list[Hashable]:
         """The owners of reservations."""
-        return list(self._reserved)
+        return [*self._reserved, *self._responses]
 
     @property
     def waiters(self) -> list[Hashable]:
@@ -80,6 +85,25 @@
         self._grant(owner, size)
         return owner
 
+    def reserve_response(self, owner: Hashable, size: int) -> bool:
+        """Add to what an owner holds for unread responses, and return whether it fits.
+
+        It need not wait behind those who wait for memory, because it can't.
+        """
+        is_too_much = self.response_bytes + size > self.total_bytes * MAX_RESPONSE_FRACTION
+        if self.response_bytes and (is_too_much or size > self.free_bytes):
+            return False
+        self.set_response(owner, self._responses.get(owner, 0) + size)
+        return True
+
+    def set_response(self, owner: Hashable, size: int) -> None:
+        """Record how much an owner holds for unread responses; it may exceed the budget."""
+        growth = size - self._responses.pop(owner, 0)
+        if size:
+            self._responses[owner] = size
+        self.response_bytes += growth
+        self.free_bytes -= growth
+
     def _fits(self, size: int) -> bool:
         return size <= self.free_bytes or not self._reserved
 
--- a/ironrail/diagnostics/reasons.py
+++ b/ironrail/diagnostics/reasons.py
@@ -20,7 +20,7 @@
     NO_ATTEMPT = "not_sent"  # shed, over its tenant's rate limit, or no server was usable
     DEADLINE_EXCEEDED = "time_up"  # its deadline passed
     ATTEMPT_FAILED = "attempt_failed"  # attempts failed, or the origin had no capacity
-    NO_MEMORY = "no_memory"  # a long write found none in time
+    NO_MEMORY = "no_memory"  # a write found none in time, or a slow client's response none
     SHUTDOWN = "shutdown"  # the router exits
 
 
--- a/ironrail/net/dispatch/attempt_dispatcher.py
+++ b/ironrail/net/dispatch/attempt_dispatcher.py
@@ -149,6 +149,14 @@
             written_attempts(request, attempt.number) if request is not None else (),
         )
 
+    def _respond(self, request: InFlightRequest, body: bytes) -> None:
+        """Respond with a value or a receipt, unless the client is slow and there is no memory."""
+        if request.stream is None or request.stream.reserve(len(body)):
+            self._requests.serve(request, body)
+        else:
+            request.lacks_memory = True
+            self._requests.reject(request, None)
+
     def _on_outcome(self, attempt: Attempt, status: AttemptStatus, body: bytes) -> None:
         """Respond with the value of a successful attempt, and report its outcome to the policy."""
         self._attempts.remove(attempt)
@@ -162,7 +170,7 @@
             self._streamer.end(request, status is AttemptStatus.OK)
             request = None
         elif request is not None and _is_response(request, status):
-            self._requests.serve(request, body)
+            self._respond(request, body)
             request = None
         event = AttemptEnded(attempt.request_id, attempt.number, status, request is None, latency)
         self._driver.submit(event)
--- a/ironrail/net/dispatch/in_flight_request.py
+++ b/ironrail/net/dispatch/in_flight_request.py
@@ -45,6 +45,13 @@
                 connection may be in the socket unread.
         """
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for a complete response of `size` bytes, if the client is slow.
+
+        Returns:
+            Whether there was enough.
+        """
+
     def start(self, head: bytes, set_paused: Callable[[bool], None]) -> None:
         """Write the header; `set_paused(True)` is called while the client reads too slowly."""
 
@@ -78,6 +85,7 @@
     value_bytes: int = 0  # size of the value that the client receives
     client_region: ClientRegion | None = None
     read_delay: float = 0.0  # seconds for which its last byte may have been unread
+    lacks_memory: bool = False  # to keep its response until the client reads it
 
     def report_end(self, now: float, outcome: RequestOutcome) -> None:
         """Report the outcome to the client's region, if there is one."""
--- a/ironrail/net/dispatch/request_summary.py
+++ b/ironrail/net/dispatch/request_summary.py
@@ -23,6 +23,8 @@
     """Return why a request was rejected or failed, from its state at its end."""
     if has_expired_all:
         return RejectionReason.SHUTDOWN
+    if request.lacks_memory:
+        return RejectionReason.NO_MEMORY
     if now >= request.deadline:
         return RejectionReason.DEADLINE_EXCEEDED
     if request.attempts:
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -79,6 +79,7 @@
 
     def _set_responses_unread(self, is_unread: bool) -> None:
         self.session.set_responses_unread(self._context.system.now(), is_unread)
+        self._pipeline.responses.update_memory()
         self.update_reading()
         self._pipeline.responses.update_flow_control()
 
@@ -96,6 +97,7 @@
             self._report_loss(exc)
         self._context.remove(self)
         self._cancel_requests()
+        self._pipeline.responses.end()
 
     def _report_loss(self, error: Exception | None) -> None:
         loss = ClientLoss.CLOSED if error is None else ClientLoss.SOCKET_ERROR
@@ -214,6 +216,7 @@
 
     def check_timeouts(self, now: float) -> None:
         """End the session of a client that has disconnected, or whose timeout has expired."""
+        self._pipeline.responses.update_memory()
         self._end_if_departed()
         if self.is_closing:
             return
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -36,6 +36,7 @@
         system: System = REAL,
         *,
         max_lingering: int,
+        max_pipelined_requests: int,
         accepts_per_turn: int = MAX_ACCEPTS_PER_TURN,
     ) -> None:
         """Prepare to listen.
@@ -46,10 +47,11 @@
             sessions: Decides on admission and eviction.
             system: Provides the clock and the sockets.
             max_lingering: Limit on half-closed connections, which are not yet closed.
+            max_pipelined_requests: Requests in flight at which each connection gets no second one.
             accepts_per_turn: Limit on the accepts in one iteration of the event loop.
         """
         self.context = SessionContext[ClientConnection](
-            dispatcher, is_ready, sessions, system, max_lingering
+            dispatcher, is_ready, sessions, system, max_lingering, max_pipelined_requests
         )
         self.sessions = sessions
         self._dispatcher = dispatcher
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -80,6 +80,7 @@
         session.has_unparsed_input = False
         handled = 0
         while not session.is_ending:
+            session.max_pipelined_commands = self._context.max_pipelined_commands()
             if not session.accepts_commands:
                 self._stop_parsing(None)
                 break
--- a/ironrail/net/downstream/response_queue.py
+++ b/ironrail/net/downstream/response_queue.py
@@ -9,6 +9,7 @@
 from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.downstream.response_slots import ResponseSlot, SlotConnection
 from ironrail.net.downstream.session_context import SessionContext
+from ironrail.net.protocol.framing import MAX_BUFFERED_VALUE_BYTES, MAX_UNRESERVED_VALUE_BYTES
 
 
 class ResponseQueue:
@@ -16,6 +17,7 @@
 
     Attributes:
         is_held: Whether no response is written now, as more commands are being parsed.
+        has_ended: Whether the connection has ended, and no memory is held for it.
     """
 
     def __init__(
@@ -30,6 +32,8 @@
         self._on_ready = on_ready
         self._slots: deque[ResponseSlot] = deque()
         self.is_held = False
+        self.has_ended = False
+        self._reserved_bytes = 0
 
     def add(self) -> ResponseSlot:
         """Add the slot for the response to one more command."""
@@ -51,6 +55,48 @@
         if slot.holds_memory:
             release_memory(self._context.dispatcher.memory_budget, slot)
 
+    def reserve(self, slot: ResponseSlot, size: int) -> bool:
+        """Reserve memory for a complete response, unless it can be written at once.
+
+        Args:
+            slot: The slot of its command.
+            size: Its size in bytes.
+
+        Returns:
+            Whether there was enough.
+        """
+        if size <= MAX_UNRESERVED_VALUE_BYTES:
+            return True
+        has_unsent = self._connection.transport.get_write_buffer_size() > 0
+        if self.is_next(slot) and not has_unsent and size <= MAX_BUFFERED_VALUE_BYTES:
+            return True
+        if not self._context.dispatcher.memory_budget.reserve_response(self, size):
+            return False
+        self._reserved_bytes += size
+        return True
+
+    def update_memory(self) -> None:
+        """Adjust the reservation to the responses that are complete and not sent yet."""
+        unsent_bytes = self._connection.transport.get_write_buffer_size()
+        if not unsent_bytes and not self._reserved_bytes:
+            return
+        if self._slots and self._slots[0].is_streaming:
+            unsent_bytes = 0  # the stream has its own reservation
+        complete = [slot.response for slot in self._slots if slot.response is not None]
+        self._set_reserved(unsent_bytes + sum(map(len, complete)))
+
+    def _set_reserved(self, size: int) -> None:
+        if size == self._reserved_bytes:
+            return
+        self._reserved_bytes = size
+        self._context.dispatcher.memory_budget.set_response(self, size)
+        self._context.grant_memory()
+
+    def end(self) -> None:
+        """Release the memory, as the connection has ended."""
+        self.has_ended = True
+        self._set_reserved(0)
+
     def update_flow_control(self) -> None:
         """Pause or resume the server whose response is being streamed."""
         if self._slots:
@@ -71,6 +117,7 @@
             written += 1
         if ready:
             self._connection.transport.write(b"".join(ready))
+        self.update_memory()
         if self._slots and self._slots[0].is_streaming:
             self._slots[0].update_flow_control()
         return written
--- a/ironrail/net/downstream/response_slots.py
+++ b/ironrail/net/downstream/response_slots.py
@@ -38,6 +38,9 @@
     def is_next(self, slot: ResponseSlot) -> bool:
         """Whether all responses before this one are written."""
 
+    def reserve(self, slot: ResponseSlot, size: int) -> bool:
+        """Reserve memory for a complete response, and return whether there was enough."""
+
     def response_completed(self, slot: ResponseSlot) -> None:
         """Release what the command holds, and write its response once it is next."""
 
@@ -93,6 +96,10 @@
         """Whether the client has disconnected; `waited`: time has passed since the read."""
         return self._connection.has_left(waited)
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for the complete response, and return whether there was enough."""
+        return self._queue.reserve(self, size)
+
     def complete(self, response: bytes) -> None:
         """Set the complete response."""
         self._response = response
--- a/ironrail/net/downstream/session_context.py
+++ b/ironrail/net/downstream/session_context.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
-from ironrail.connections.downstream.client_session import ClientSession
+from ironrail.connections.downstream.client_session import MAX_PIPELINED_COMMANDS, ClientSession
 from ironrail.connections.downstream.lingering_close import LingeringCloseRegistry
 from ironrail.connections.downstream.session_manager import ClientSessionManager
 from ironrail.diagnostics.reasons import ClientCloseReason
@@ -54,6 +54,7 @@
         sessions: ClientSessionManager,
         system: System,
         max_lingering: int,
+        max_pipelined_requests: int,
     ) -> None:
         """Start without connections.
 
@@ -63,6 +64,7 @@
             sessions: Decides on admission and eviction.
             system: Provides the clock and the sockets.
             max_lingering: Limit on half-closed connections, which are not yet closed.
+            max_pipelined_requests: Requests in flight at which each connection gets no second one.
         """
         self.dispatcher = dispatcher
         self.sessions = sessions
@@ -75,9 +77,16 @@
         """Whether all new requests are rejected, as the shutdown's response deadline has passed."""
         self.parse_queue = ParseQueue()
         self._is_ready = is_ready
+        self._max_pipelined_requests = max_pipelined_requests
         self._all_closed = asyncio.Event()
         self._all_closed.set()
 
+    def max_pipelined_commands(self) -> int:
+        """Commands of one connection that may be in flight now; bounds their memory together."""
+        if len(self.dispatcher.requests.by_id) < self._max_pipelined_requests:
+            return MAX_PIPELINED_COMMANDS
+        return 1
+
     def can_serve(self) -> bool:
         """Whether clients may send requests."""
         return self._is_ready() and not self.sessions.is_draining
--- a/ironrail/net/lifecycle/assembly.py
+++ b/ironrail/net/lifecycle/assembly.py
@@ -30,6 +30,10 @@
 BASE_MEMORY_BYTES = 36 * 1024**2
 # Enough for one value of the largest size.
 MIN_VALUE_MEMORY_BYTES = 5 * 1024**2
+# Memory of one request in flight, without its value.
+REQUEST_MEMORY_BYTES = 8 * 1024
+# Fraction of the memory budget that pipelined requests use besides it.
+PIPELINED_FRACTION = 0.25
 
 
 def make_access_log(
@@ -51,6 +55,11 @@
     return MemoryBudget(max(MIN_VALUE_MEMORY_BYTES, available))
 
 
+def max_pipelined_requests(memory_budget_bytes: int) -> int:
+    """Return the number of requests in flight at which no connection gets a second one."""
+    return int(memory_budget_bytes * PIPELINED_FRACTION / REQUEST_MEMORY_BYTES)
+
+
 def make_watcher(
     config: Config, reader: EndpointListReader, call_results: ReasonCounter
 ) -> EndpointWatcher:
@@ -101,6 +110,7 @@
         ClientSessionManager(descriptors.clients, descriptors.retained_clients),
         system,
         max_lingering=descriptors.lingering,
+        max_pipelined_requests=max_pipelined_requests(dispatcher.memory_budget.total_bytes),
         accepts_per_turn=descriptors.accepts_per_turn,
     )
 
--- a/tests/net/dispatch/test_disconnected_clients.py
+++ b/tests/net/dispatch/test_disconnected_clients.py
@@ -33,6 +33,9 @@
     def has_disconnected(self, waited: bool) -> bool:
         return self.gone and (waited or not self.just_read)
 
+    def reserve(self, size: int) -> bool:
+        return True
+
     def start(self, head: bytes, set_paused: Callable[[bool], None]) -> None:
         raise AssertionError
 
--- a/tests/net/dispatch/test_stream_pauses.py
+++ b/tests/net/dispatch/test_stream_pauses.py
@@ -25,6 +25,9 @@
     def has_disconnected(self, waited: bool) -> bool:
         return False
 
+    def reserve(self, size: int) -> bool:
+        return True
+
     def start(self, head: bytes, set_paused: Callable[[bool], None]) -> None:
         self.set_paused = set_paused
 
