Bodies that the origin sends without a length take memory from the budget

Cause: a body without a length is kept until its end, up to 4 MiB on each of 32 connections, in no budget; and 1xx answers ahead of an answer were parsed without end, thousands of one read at once. Change: beyond 64 KiB such a body reserves 256 KiB at a time; without memory its attempt is given up. More than 16 informational responses ahead of one are an error of the attempt. The wire form of the origin's requests has a module of its own.

--- a/ironrail/connections/downstream/memory_budget.py
+++ b/ironrail/connections/downstream/memory_budget.py
@@ -54,6 +54,16 @@
         self._grant(owner, size)
         return True
 
+    def grow(self, owner: Hashable, size: int) -> bool:
+        """Add to an owner's reservation, or begin it, and return whether the memory was free."""
+        if owner not in self._reserved:
+            return self.reserve(owner, size)
+        if self._waiting or size > self.free_bytes:
+            return False
+        self._reserved[owner] += size
+        self.free_bytes -= size
+        return True
+
     def wait(self, owner: Hashable, size: int) -> None:
         """Queue an owner for memory, which `grant_next_waiter` reserves for it."""
         self._waiting[owner] = size
--- a/ironrail/net/dispatch/attempt_dispatcher.py
+++ b/ironrail/net/dispatch/attempt_dispatcher.py
@@ -107,6 +107,7 @@
         )
         attempt.on_stream_started = self._streamer.begin
         attempt.on_stream_data = self._streamer.forward
+        attempt.reserve_buffer = self._streamer.buffer
         attempt.is_still_wanted = self._is_still_wanted
         attempt.may_write = self._may_write
         # A write must not be affected by the faults of other attempts on its connection.
--- a/ironrail/net/dispatch/value_streamer.py
+++ b/ironrail/net/dispatch/value_streamer.py
@@ -62,6 +62,20 @@
         )
         self._submit(StreamingStarted(attempt.request_id, attempt.number))
 
+    def buffer(self, attempt: Attempt, size: int) -> bool:
+        """Reserve memory for a part of a value that is kept until it is complete.
+
+        Without memory the attempt is abandoned.
+
+        Returns:
+            Whether there was memory.
+        """
+        if attempt.is_open and self.memory_budget.grow(attempt, size):
+            attempt.holds_stream_memory = True
+            return True
+        self._attempts.abandon(id_of(attempt), AttemptStatus.CANCELLED)
+        return False
+
     def forward(self, attempt: Attempt, data: bytes) -> None:
         """Forward a chunk of a value."""
         request = self._requests.by_id.get(attempt.request_id)
--- a/ironrail/net/upstream/connection.py
+++ b/ironrail/net/upstream/connection.py
@@ -74,6 +74,9 @@
     on_ended: Callable[[Attempt, AttemptStatus, bytes], None] | None
     on_stream_started: Callable[[Attempt, int, Connection], None] | None = None
     on_stream_data: Callable[[Attempt, bytes], None] | None = None
+    # called for each part of a value that is kept until it is complete, with its size in bytes;
+    # returns whether there is memory for it
+    reserve_buffer: Callable[[Attempt, int], bool] | None = None
     # called before the write if the attempt had to wait for a connection
     is_still_wanted: Callable[[Attempt], bool] | None = None
     # called right before the write; the argument is whether the server is ready
--- a/ironrail/net/upstream/origin_connection.py
+++ b/ironrail/net/upstream/origin_connection.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-from http import HTTPStatus
-from urllib.parse import quote_from_bytes
 
 import h11
 
@@ -14,20 +12,24 @@
 from ironrail.net.protocol.meta_codec import (
     MAX_BUFFERED_VALUE_BYTES,
     MAX_VALUE_BYTES,
-    Command,
     info_with_wait,
     is_printable,
 )
 from ironrail.net.upstream.connection import Attempt, Connection, ConnectionObserver
+from ironrail.net.upstream.origin_codec import header_of, request_of, status_of
 from ironrail.policy.events import AttemptStatus
 
-SAFE_PATH_CHARACTERS = "/:@!$&'()*+,;=-._~"  # all other bytes of a key are percent-encoded
 MAX_RECEIPT_BYTES = 1024
 REST_TIMEOUT_SECONDS = 0.01
 """In which bytes are read that are unread when a response is complete by its length."""
 
+BODY_RESERVATION_BYTES = 256 * 1024
+"""Reserved at a time for a long body that is kept until it is complete."""
+
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Ahead of one response; parsing more would only cost CPU."""
+
 STATUS_LINE_START = b"HTTP/1."
-OVERLOADED_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
 
 
 class OriginConnection(Connection):
@@ -38,6 +40,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self._response: h11.Response | None = None
         self._body = bytearray()
+        self._body_capacity = MAX_BUFFERED_VALUE_BYTES
+        self._num_informational = 0
         self._is_streaming = False
         self._is_complete = False  # up to its length; its outcome is not reported yet
         self._is_last_response = False
@@ -49,7 +53,7 @@
         http = self._http
         info = info_with_wait(command, self.remaining_milliseconds(attempt))
         host = "{}:{}".format(*self.pool.address)
-        head = http.send(_request_of(command, info, host, len(body))) or b""
+        head = http.send(request_of(command, info, host, len(body))) or b""
         if body:
             http.send_with_data_passthrough(h11.Data(body))
         http.send(h11.EndOfMessage())  # adds no bytes after a body with a length
@@ -125,9 +129,16 @@
                 self._read_body(event)
             elif isinstance(event, h11.EndOfMessage):
                 return True
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                self._count_informational()
+            else:
                 return False  # needs more data, or the connection has ended
 
+    def _count_informational(self) -> None:
+        self._num_informational += 1
+        if self._num_informational > MAX_INFORMATIONAL_RESPONSES:
+            raise h11.RemoteProtocolError("too many informational responses")
+
     def _read_body(self, event: h11.Data) -> None:
         if self._is_streaming:
             self.pool.on_stream_data(self.upstream, bytes(event.data))
@@ -135,10 +146,24 @@
         self._body += event.data
         if len(self._body) > MAX_VALUE_BYTES:  # a body without a length may be endless
             raise h11.RemoteProtocolError("value too large")
+        while len(self._body) > self._body_capacity:
+            self._reserve_body()
+
+    def _reserve_body(self) -> None:
+        """Reserve memory for more of a body that is kept whole, such as one without a length.
+
+        Raises:
+            h11.RemoteProtocolError: There is none, and the attempt has been abandoned.
+        """
+        attempt = self.in_flight[0]
+        reserve = attempt.reserve_buffer
+        if reserve is not None and not reserve(attempt, BODY_RESERVATION_BYTES):
+            raise h11.RemoteProtocolError("no memory for the body")
+        self._body_capacity += BODY_RESERVATION_BYTES
 
     def _start_stream_if_long(self, response: h11.Response) -> None:
         """Start to forward a long value as it arrives; a value without a length is buffered."""
-        length = int(_header(response, b"content-length") or b"0")
+        length = int(header_of(response, b"content-length") or b"0")
         if length > MAX_VALUE_BYTES:
             raise h11.RemoteProtocolError("value too large")
         is_value = (
@@ -178,6 +203,8 @@
             raise h11.RemoteProtocolError("receipt does not fit into a response line")
         self._response = None
         self._body = bytearray()
+        self._body_capacity = MAX_BUFFERED_VALUE_BYTES
+        self._num_informational = 0
         self._is_streaming = False
         self._is_complete = False
         self._prepare_next()
@@ -191,31 +218,3 @@
         else:
             self.pool.retire(self.upstream)
             self._is_last_response = True
-
-
-def _request_of(command: Command, info: bytes, host: str, length: int) -> h11.Request:
-    headers = [
-        (b"Host", host.encode()),
-        (b"Request-Id", command.request_id),
-        (b"Request-Info", info),
-    ]
-    if command.is_write:
-        headers.append((b"Content-Length", b"%d" % length))
-    target = "/" + quote_from_bytes(command.key, SAFE_PATH_CHARACTERS)
-    return h11.Request(method="PUT" if command.is_write else "GET", target=target, headers=headers)
-
-
-def _header(response: h11.Response, wanted: bytes) -> bytes | None:
-    return next((value for name, value in response.headers if name == wanted), None)
-
-
-def status_of(response: h11.Response) -> AttemptStatus:
-    """Return the outcome that a response means for its attempt."""
-    if response.status_code == HTTPStatus.OK:
-        return AttemptStatus.OK
-    # A proxy in between may answer 503 or 504 as well. Only this header proves that the request
-    # never ran.
-    never_ran = any(name == b"not-started" and value == b"1" for name, value in response.headers)
-    if response.status_code in OVERLOADED_STATUSES and never_ran:
-        return AttemptStatus.BUSY
-    return AttemptStatus.ERROR
--- a/tests/net/dispatch/test_unexpected_replies.py
+++ b/tests/net/dispatch/test_unexpected_replies.py
@@ -203,3 +203,14 @@
     first.reply(b"VA 1 O1 h1\r\nv\r\n")
     outcome = await policy.outcome()
     assert (outcome.request_id, outcome.status) == ("1", AttemptStatus.OK)
+
+
+# An origin that sent 1xx responses without end held up the router: all of one read were parsed at once.
+@scenario
+@pytest.mark.parametrize(("number", "status"), [(5, AttemptStatus.OK), (50, AttemptStatus.ERROR)])
+async def test_informational_responses_ahead_are_limited(number: int, status: AttemptStatus) -> None:
+    peer, policy = await Peer(read_http).start(), ScriptedPolicy()
+    harness = DispatchHarness(policy, peer.port, OriginConnection, most=1)
+    harness.take("1")
+    (await peer.next()).reply(b"HTTP/1.1 100 Continue\r\n\r\n" * number + GOOD_HTTP)
+    assert (await policy.outcome()).status is status
--- a/tests/net/downstream/test_response_memory.py
+++ b/tests/net/downstream/test_response_memory.py
@@ -100,3 +100,28 @@
 async def respond_to_all(world: World) -> None:
     while True:
         (await world.origin.next()).respond(b"r")
+
+
+# Values without a length were held whole and in no budget: 60 at once were 91 MiB.
+@scenario
+async def test_a_value_without_a_length_takes_memory_from_the_budget() -> None:
+    world = await World(max_attempts=2).start()
+    dispatcher = world.node._dispatcher
+    budget = dispatcher.streamer.memory_budget = MemoryBudget(BUDGET_BYTES)
+    clients = [await world.client() for _ in range(3)]
+    fetches = []
+    for number, client in enumerate(clients):
+        client.get(str(number), key=f"k{number}")
+        (await world.cache.next()).reply(b"EN O%d\r\n" % number)
+        fetches.append(await world.origin.next())
+    value = VALUE * 8
+    for fetch in fetches:
+        fetch.reply(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + value)
+    await until(lambda: len(dispatcher.requests.by_id) == 1)  # two were given up
+    assert 0 < budget.reserved_bytes <= BUDGET_BYTES
+    for fetch in fetches:
+        fetch.end()
+    first = [(await client.line()).split()[0] for client in clients]
+    assert sorted(first) == [b"SERVER_ERROR", b"SERVER_ERROR", b"VA"]
+    assert await clients[first.index(b"VA")].reader.readexactly(len(value) + 2) == value + b"\r\n"
+    await until(lambda: budget.free_bytes == BUDGET_BYTES)
