A lingering connection is not kept once it has closed

Cause: a client that sends eight bad commands, is turned away and comes again at once took the router from 16 to 45 MiB (limit 32, 2,500 connections a second): the timer of each lingering connection kept all of it for 1 s after its end. Change: the timer is cancelled at the end of the connection, also for those rejected for lack of descriptors. Result: the new test in test_lingering_close.py failed before and passes.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -98,6 +98,8 @@
         self._context.remove(self)
         self._cancel_requests()
         self._pipeline.responses.end()
+        if self._half_closed is not None:
+            self._half_closed.closed()
 
     def _report_loss(self, error: Exception | None) -> None:
         loss = ClientLoss.CLOSED if error is None else ClientLoss.SOCKET_ERROR
--- a/ironrail/net/downstream/half_closed.py
+++ b/ironrail/net/downstream/half_closed.py
@@ -32,7 +32,11 @@
         transport.write_eof()
         if not peer_closed:
             self._loop.call_soon(self._resume_reading)
-        self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
+        self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
+
+    def closed(self) -> None:
+        """Release the connection, which has closed."""
+        self._timer.cancel()
 
     def _resume_reading(self) -> None:
         if not self._transport.is_closing():
@@ -49,6 +53,6 @@
         has_unsent = not self._transport.is_closing() and self._transport.get_write_buffer_size()
         waited_seconds = self._loop.time() - self._started_at
         if has_unsent and waited_seconds < UNREAD_RESPONSE_TIMEOUT_SECONDS:
-            self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
+            self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
         else:
             self._transport.abort()
--- a/ironrail/net/downstream/rejected_connection.py
+++ b/ironrail/net/downstream/rejected_connection.py
@@ -32,4 +32,5 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection."""
+        self._half_closed.closed()
         self._context.lingering.remove(self)
--- a/tests/net/downstream/test_lingering_close.py
+++ b/tests/net/downstream/test_lingering_close.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
+
 import pytest
 
 from ironrail.connections.downstream import lingering_close, session_timeouts
@@ -109,3 +112,19 @@
     assert some.add("c") == "a" and len(some) == 2
     some.remove("b")
     assert some.add("d") is None and "b" not in some
+
+
+# A client that came again as soon as it was turned away took 29 MiB: each closed connection was kept for 1 s.
+@scenario
+async def test_a_lingering_connection_is_not_kept_after_its_client_has_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("ironrail.net.downstream.half_closed.LINGER_SECONDS", 60.0)
+    world = await World().start()
+    client = await world.client()
+    connection = weakref.ref(world.node._client_listener.open_connections()[0])
+    client.send(b"bad\r\n" * 8)
+    assert (await client.reader.read()).count(b"ERROR") == 8
+    client.close()
+    await until(lambda: not world.node._client_listener.context.connections)
+    await until(lambda: gc.collect() is not None and connection() is None)
