A body without a length counts with the copy that its response needs

Cause: with the least memory (32 MB) 60 answers of 4 MiB without a length took the router to 39 MiB: each is in memory twice while it becomes a response. Change: such a body reserves twice its size; it may exceed the budget while nothing else is reserved.

--- a/ironrail/connections/downstream/memory_budget.py
+++ b/ironrail/connections/downstream/memory_budget.py
@@ -55,10 +55,13 @@
         return True
 
     def grow(self, owner: Hashable, size: int) -> bool:
-        """Add to an owner's reservation, or begin it, and return whether the memory was free."""
+        """Add to an owner's reservation, or begin it, and return whether the memory was free.
+
+        An owner may exceed the budget while nothing else is reserved.
+        """
         if owner not in self._reserved:
             return self.reserve(owner, size)
-        if self._waiting or size > self.free_bytes:
+        if len(self._reserved) > 1 and (self._waiting or size > self.free_bytes):
             return False
         self._reserved[owner] += size
         self.free_bytes -= size
--- a/ironrail/net/upstream/origin_connection.py
+++ b/ironrail/net/upstream/origin_connection.py
@@ -26,6 +26,9 @@
 BODY_RESERVATION_BYTES = 256 * 1024
 """Reserved at a time for a long body that is kept until it is complete."""
 
+BODY_COPIES = 2
+"""Of such a body in memory, while it becomes a response."""
+
 MAX_INFORMATIONAL_RESPONSES = 16
 """Ahead of one response; parsing more would only cost CPU."""
 
@@ -157,7 +160,7 @@
         """
         attempt = self.in_flight[0]
         reserve = attempt.reserve_buffer
-        if reserve is not None and not reserve(attempt, BODY_RESERVATION_BYTES):
+        if reserve is not None and not reserve(attempt, BODY_COPIES * BODY_RESERVATION_BYTES):
             raise h11.RemoteProtocolError("no memory for the body")
         self._body_capacity += BODY_RESERVATION_BYTES
 
