A write whose id comes again after it may have run is not run a second time

Cause: a client left with writes in flight and sent the same requests once more on new connections: 32 of some 2,800 ran twice. An id was free again as soon as its request had ended. Not mended: the same id at the other process of an upgrade, which knows nothing of the first.

--- a/ironrail/net/dispatch/response_tracker.py
+++ b/ironrail/net/dispatch/response_tracker.py
@@ -10,10 +10,11 @@
 from ironrail.diagnostics.reasons import RejectionReason
 from ironrail.net.dispatch.in_flight_request import InFlightRequest
 from ironrail.net.dispatch.open_attempts import OpenAttempts
+from ironrail.net.dispatch.recent_writes import RecentWrites
 from ironrail.net.dispatch.request_summary import rejection_reason, summarize, written_attempts
 from ironrail.net.protocol import meta_codec
 from ironrail.net.protocol.meta_codec import Command
-from ironrail.policy.settings import Settings
+from ironrail.policy.settings import Idempotency, Settings
 
 # Called for a request that ended, with its command, its duration in seconds, its outcome and the
 # size of its value in bytes.
@@ -36,6 +37,7 @@
         on_completed: CompletionObserver | None,
     ) -> None:
         self.by_id: dict[str, InFlightRequest] = {}
+        self.recent_writes = RecentWrites()
         self.request_metrics = RequestMetrics(settings.classes)
         # Set at the response deadline of a shutdown, long after SIGTERM: no attempt is sent then.
         self.has_expired_all = False
@@ -103,6 +105,14 @@
         value_bytes = 0 if request.command.is_write else request.value_bytes
         self._report_end(request, outcome, value_bytes)
 
+    def _remember(self, request: InFlightRequest) -> None:
+        """Remember a request that may have had an effect, as its id may come again."""
+        if self._classes[request.command.fields["c"]].idempotency is Idempotency.SAFE:
+            return
+        written = written_attempts(request, len(request.attempts))
+        if any(attempt.may_have_run() for attempt in written):
+            self.recent_writes.add(request.request_id, self._now())
+
     def count_unread(self, command: Command, waited_seconds: float) -> None:
         """Count a write that is rejected before its value was read, for lack of memory."""
         outcome = RequestOutcome.REJECTED
@@ -126,6 +136,7 @@
     def _report_end(
         self, request: InFlightRequest, outcome: RequestOutcome, value_bytes: int
     ) -> None:
+        self._remember(request)
         request.report_end(self._now(), outcome)
         if self._on_completed is not None:
             seconds = self._now() - request.received_at
