A long value goes on when an attempt behind it on its connection is overdue

Cause: where second copies are not allowed, an overdue attempt is revoked by aborting its connection, also if a long value of another client is being passed on over it: that client lost the rest of the value. Change: behind a long value of another request an attempt is not revoked; it ends by its reply or its deadline. Result: the new test in test_broken_values.py failed before (100,000 of 1,048,576 bytes) and passes.

--- a/ironrail/connections/upstream/attempt_canceller.py
+++ b/ironrail/connections/upstream/attempt_canceller.py
@@ -58,12 +58,16 @@
     def revoke(self, now: float, attempt: Attempt) -> None:
         """Give up an attempt of a request that may not be in flight twice.
 
-        It is in flight as long as its connection, so that is aborted.
+        It is in flight as long as its connection, so that is aborted. Behind a long value that is
+        being forwarded the attempt stays in flight until its reply or its deadline instead: the
+        client of that value has received a part of it.
         """
         connection = attempt.connection
         if connection is None or not attempt.is_open or is_unsent(attempt):
             self.abandon(now, attempt, AttemptStatus.CANCELLED)
             return
+        if connection.is_streaming and not _is_streamed(connection, attempt):
+            return
         self._lifecycle.remove(now, connection)
         # before the outcomes, because each may cause another attempt at once
         self._actions.add(AbortConnection(connection))
--- a/tests/net/downstream/test_broken_values.py
+++ b/tests/net/downstream/test_broken_values.py
@@ -71,3 +71,20 @@
     assert await client.line() == b"VA %d O1\r\n" % told
     with pytest.raises(asyncio.IncompleteReadError):
         await client.reader.readexactly(told + 2)
+
+
+# A long value that its server wrote slowly was cut off: an overdue attempt behind it was revoked with its connection.
+@scenario
+async def test_a_slow_long_value_goes_on_when_an_attempt_behind_it_is_overdue() -> None:
+    world = await World(hedging_allowed=False).start()
+    world.node._dispatcher.pools["c"].manager.state.max_connections = 1
+    reader, other = await world.client(), await world.client()
+    reader.get("1")
+    first = await world.cache.next()
+    other.get("2", key="k2", wait=2000)
+    second = await world.cache.next()
+    assert second.writer is first.writer
+    first.reply(HEAD + LONG[:100_000])
+    assert await other.line() in (meta_codec.FAILED, meta_codec.write_busy(0.005))
+    first.reply(LONG[100_000:] + b"\r\n")
+    assert await reader.value("1") == LONG
