A keyed request is not repeated at a process that started after its first attempt

Cause: a keyed request that may have run was sent once more to a server that had restarted meanwhile; the new process has not seen the key, so that the effect can happen twice. Change: servers that started after the first attempt that may have run are no candidates for its retry. Result: the new test in test_retry_policy.py failed before (the same server) and passes; the recorded decisions of the policy's tests are unchanged. A new process at an old address of which the endpoint list does not tell yet can't be told from the old one: open.

--- a/ironrail/policy/retry_policy.py
+++ b/ironrail/policy/retry_policy.py
@@ -109,8 +109,11 @@
         return True
     if request_class.idempotency is Idempotency.UNSAFE:
         return False
-    if now >= _first_sent_at(may_have_run) + request_class.idempotency_window:
+    first_sent_at = _first_sent_at(may_have_run)
+    if now >= first_sent_at + request_class.idempotency_window:
         return False
+    if endpoint.started_at > first_sent_at:
+        return False  # a process that has started since has not seen the key
     scope = request_class.idempotency_scope
     return all(_share_keys(scope, attempt.server.endpoint, endpoint) for attempt in may_have_run)
 
--- a/tests/policy/test_retry_policy.py
+++ b/tests/policy/test_retry_policy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from ironrail.policy.actions import Action, SendAttempt
@@ -105,3 +107,18 @@
     d.receive("r", class_name=name, time_left=3.0)
     d.end_attempt("r", first)
     assert [s.send_within for s in sent(d.last_actions)] == [None]
+
+
+# A keyed request ran twice: a restarted server was taken for the process that had seen its key.
+def test_a_keyed_request_is_not_repeated_at_a_process_that_started_after_its_first_attempt() -> None:
+    kind = RequestClass("keyed", 2.0, Idempotency.IDEMPOTENCY_KEY, idempotency_window=1.5)
+    d = Driver(settings(classes={"keyed": kind}))
+    (only,) = fleet("a")
+    d.update_endpoints(only)
+    assert d.receive("r", class_name="keyed", time_left=3.0) == "a"
+    d.now += 0.2
+    d.update_endpoints(replace(only, started_at=d.now - 0.1))
+    assert d.end_attempt("r", AttemptStatus.RESET) is None
+    d.receive("s", class_name="keyed", time_left=3.0)
+    d.now += 0.2
+    assert d.end_attempt("s", AttemptStatus.RESET) == "a"  # nothing has started since
