--- a/tests/net/downstream/test_broken_values.py
+++ b/tests/net/downstream/test_broken_values.py
@@ -73,7 +73,7 @@
         await client.reader.readexactly(told + 2)
 
 
-# A long value that its server wrote slowly was cut off: an overdue attempt behind it was revoked with its connection.
+# A long value that its server wrote slowly was cut off: an attempt behind it was revoked with its connection.
 @scenario
 async def test_a_slow_long_value_goes_on_when_an_attempt_behind_it_is_overdue() -> None:
     world = await World(hedging_allowed=False).start()
