--- a/tests/incidents/test_memory_limit.py
+++ b/tests/incidents/test_memory_limit.py
@@ -1,4 +1,4 @@
-"""A router process with the least memory that deployments have, under clients that send what they should not."""
+"""A router process with the least memory that deployments have, under unsound clients."""
 
 from __future__ import annotations
 
