A connection lingers until its client's system has the responses

Change: it is closed once nothing is unacknowledged (TIOCOUTQ), after 10 s at most, as with bytes that are still in the router.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -204,7 +204,9 @@
             self.close_reason = reason
         self.session.end()
         self._pipeline.discard_partial_command()
-        self._half_closed = HalfClosedConnection(self.transport, peer_closed=peer_closed)
+        self._half_closed = HalfClosedConnection(
+            self.transport, self._context.system, peer_closed=peer_closed
+        )
         self._context.sessions.remove(self.session)
         self._context.start_linger(self)
 
--- a/ironrail/net/downstream/half_closed.py
+++ b/ironrail/net/downstream/half_closed.py
@@ -10,19 +10,28 @@
 
 from ironrail.connections.downstream.lingering_close import LINGER_SECONDS, MAX_DISCARDED_BYTES
 from ironrail.connections.downstream.session_timeouts import UNREAD_RESPONSE_TIMEOUT_SECONDS
+from ironrail.net.system import System
 
 
 class HalfClosedConnection:
     """One connection between its shutdown for writing and its close."""
 
-    def __init__(self, transport: asyncio.Transport, *, peer_closed: bool = False) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        system: System,
+        *,
+        peer_closed: bool = False,
+    ) -> None:
         """Half-close the transport after pending writes.
 
         Args:
             transport: The connection.
+            system: Tells what the client's system has received.
             peer_closed: Whether the client has closed its side.
         """
         self._transport = transport
+        self._system = system
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
         self._bytes_to_discard = MAX_DISCARDED_BYTES
@@ -49,8 +58,12 @@
             self._transport.pause_reading()
 
     def _close_or_wait(self) -> None:
-        """Close the connection unless the client may still read responses."""
-        has_unsent = not self._transport.is_closing() and self._transport.get_write_buffer_size()
+        """Close the connection unless the client may still read responses.
+
+        Once it is closed, the next command of the client resets it, and responses that are still
+        in the system's buffers are lost.
+        """
+        has_unsent = not self._transport.is_closing() and self._system.unsent_bytes(self._transport)
         waited_seconds = self._loop.time() - self._started_at
         if has_unsent and waited_seconds < UNREAD_RESPONSE_TIMEOUT_SECONDS:
             self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
--- a/ironrail/net/downstream/rejected_connection.py
+++ b/ironrail/net/downstream/rejected_connection.py
@@ -23,7 +23,7 @@
         """Send the error, and half-close the connection."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class is no subclass of it
         self.transport.write(meta_codec.TOO_MANY_CONNECTIONS)
-        self._half_closed = HalfClosedConnection(self.transport)
+        self._half_closed = HalfClosedConnection(self.transport, self._context.system)
         self._context.start_linger(self)
 
     def data_received(self, data: bytes) -> None:
--- a/ironrail/net/system.py
+++ b/ironrail/net/system.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import errno
+import fcntl
 import gc
 import select
 import signal
 import socket
 import struct
+import termios
 import time
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -27,6 +29,9 @@
 TCP_INFO_RTT = struct.Struct("=I")
 """`tcpi_rtt` of Linux's `struct tcp_info`: the smoothed round-trip time in microseconds."""
 
+UNSENT_BYTES = struct.Struct("=i")
+"""The result of Linux's TIOCOUTQ: bytes that the peer has not acknowledged."""
+
 TCP_INFO_BYTES = 72
 """Size of `struct tcp_info` up to the end of `tcpi_rtt` (linux/tcp.h)."""
 
@@ -70,6 +75,9 @@
         False if that is unknown.
         """
 
+    def unsent_bytes(self, transport: asyncio.Transport) -> int:
+        """Bytes that were written and that the peer's system has not received; 0 if unknown."""
+
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         """Round-trip time in seconds as estimated by the system; None if it is unknown."""
 
@@ -149,6 +157,17 @@
         except OSError:  # no memory for the call
             return peek(descriptor) is PeekResult.END
 
+    def unsent_bytes(self, transport: asyncio.Transport) -> int:
+        """Bytes that were written and that the peer's system has not received; 0 if unknown."""
+        buffered = transport.get_write_buffer_size()
+        try:
+            descriptor = transport.get_extra_info("socket").fileno()
+            queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(UNSENT_BYTES.size))
+        except OSError:
+            return buffered
+        (unacknowledged,) = UNSENT_BYTES.unpack(queued)
+        return buffered + int(unacknowledged)
+
     def round_trip(self, transport: asyncio.Transport) -> float | None:
         """Round-trip time in seconds as estimated by the kernel; None if it is unknown."""
         try:
--- a/ironrail/rehearsal/links/peer_group_router.py
+++ b/ironrail/rehearsal/links/peer_group_router.py
@@ -49,6 +49,9 @@
     def unread_check(self, transport: Any) -> Any:
         raise NotImplementedError
 
+    def unsent_bytes(self, transport: Any) -> int:
+        raise NotImplementedError
+
     def has_hung_up(self, transport: Any) -> bool:
         raise NotImplementedError
 
--- a/ironrail/rehearsal/links/switch.py
+++ b/ironrail/rehearsal/links/switch.py
@@ -83,5 +83,6 @@
         self.wall: Callable[[], float] = DriftingClock(system.wall, switch)
         self.listen, self.is_served, self.unread_check = system.listen, system.is_served, system.unread_check
         self.has_hung_up, self.on_signal = system.has_hung_up, system.on_signal
+        self.unsent_bytes = system.unsent_bytes
         self.run_pending_signals = system.run_pending_signals
         self.round_trip, self.startup_complete = system.round_trip, system.startup_complete
--- a/ironrail/rehearsal/virtual/environment.py
+++ b/ironrail/rehearsal/virtual/environment.py
@@ -54,6 +54,11 @@
         waiting: Callable[[], bool] = transport.get_extra_info("socket").waiting
         return waiting
 
+    def unsent_bytes(self, transport: asyncio.Transport) -> int:
+        """Bytes that were written and have not arrived."""
+        unsent: int = transport.get_extra_info("socket").unsent()
+        return unsent
+
     def has_hung_up(self, transport: asyncio.Transport) -> bool:
         return bool(transport.get_extra_info("socket").hung_up())
 
--- a/tests/net/downstream/test_lingering_close.py
+++ b/tests/net/downstream/test_lingering_close.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
+import socket
 import weakref
 
 import pytest
@@ -128,3 +130,27 @@
     client.close()
     await until(lambda: not world.node._client_listener.context.connections)
     await until(lambda: gc.collect() is not None and connection() is None)
+
+
+# Responses in the system's buffers were lost: the client's next command reset a connection closed after 1 s.
+@scenario
+async def test_a_connection_lingers_until_the_system_of_its_client_has_the_responses(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("ironrail.net.downstream.half_closed.LINGER_SECONDS", 0.05)
+    world = await World().start()
+    client = await world.client()
+    client.reader._transport.pause_reading()  # type: ignore[attr-defined]
+    client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    value = b"v" * 40_000
+    client.get("1")
+    (await world.cache.next()).reply_value(value)
+    connection = connection_of(world)
+    await until(lambda: connection.session.has_been_used and connection.session.is_idle)
+    await until(lambda: not connection.transport.get_write_buffer_size())
+    connection.close()
+    await asyncio.sleep(0.3)
+    client.send(b"mn\r\n")
+    await asyncio.sleep(0.05)
+    client.reader._transport.resume_reading()  # type: ignore[attr-defined]
+    assert await client.value("1") == value
