The wait for memory counts for the value that waited, whether or not it was read before

A value of up to 16 KiB that was read whole before it found memory counted as arrived when it did, so that its answer came late by the wait; and the wait stayed noted, so that a request of the same client long after it counted as arrived then, and was rejected at once. Change: the end of the wait returns its begin for the input that was read, and ends it if nothing is unread. Result: the two new tests in test_memory_wait.py failed before and pass.

--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -62,7 +62,7 @@
                 self._half_closed.discard(len(data))
             return
         unread_since = self._resilient_transport.unread_since
-        waited_for_memory = self.arrival.begin(unread_since, self._has_socket_input)
+        waited_for_memory = self.arrival.begin(unread_since, self.has_socket_input)
         now = self._context.system.now()
         heard_at = resumed_wait_start(self.session, now) if waited_for_memory else now
         self._context.sessions.record_data(heard_at, self.session)
@@ -141,9 +141,10 @@
 
     def has_unread_input(self) -> bool:
         """Whether received input is not parsed yet."""
-        return self._pipeline.is_parse_scheduled or self._has_socket_input()
+        return self._pipeline.is_parse_scheduled or self.has_socket_input()
 
-    def _has_socket_input(self) -> bool:
+    def has_socket_input(self) -> bool:
+        """Whether received input has not been read."""
         return self._context.system.unread_check(self.transport)()
 
     def can_close_cleanly(self) -> bool:
--- a/ironrail/net/downstream/command_pipeline.py
+++ b/ironrail/net/downstream/command_pipeline.py
@@ -25,6 +25,9 @@
     def is_closing(self) -> bool:
         """Whether the connection is closing or half closed."""
 
+    def has_socket_input(self) -> bool:
+        """Whether received input has not been read."""
+
     def perform(self, action: NextAction) -> None:
         """Take the action that is due after responses were written."""
 
@@ -114,19 +117,24 @@
         session = self._connection.session
         self._parser.admit_value()
         session.memory_granted(resumed_wait_start(session, self._context.system.now()))
-        self._stop_parsing(None)
+        self._stop_parsing(self._end_memory_wait())
         if session.has_unparsed_input:
             self._schedule_parse()
         self._connection.update_reading()
 
     def memory_refused(self) -> None:
         """Reject a value that waited for memory, and skip it."""
+        self._end_memory_wait()
         self.responses.is_held = True
         self._reject_unread_value()
         self._parse_available(COMMANDS_PER_SLICE)
         self.responses.is_held = False
         self.flush()
 
+    def _end_memory_wait(self) -> float | None:
+        """Return when the input may have arrived that was read before the wait for memory."""
+        return self._connection.arrival.memory_wait_ended(self._connection.has_socket_input)
+
     def _reject_unread_value(self) -> None:
         """Respond to a write whose value was not read, and skip the value as it arrives."""
         session = self._connection.session
--- a/ironrail/net/downstream/input_arrival.py
+++ b/ironrail/net/downstream/input_arrival.py
@@ -49,6 +49,21 @@
         if self._memory_awaited_since is None:
             self._memory_awaited_since = now if self.arrived_at is None else self.arrived_at
 
+    def memory_wait_ended(self, has_more: Callable[[], bool]) -> float | None:
+        """Record that the wait for memory has ended.
+
+        Args:
+            has_more: Returns whether input that waited can still be read.
+
+        Returns:
+            When the input may have arrived that was read before the wait.
+        """
+        since = self._memory_awaited_since
+        if not has_more():
+            self._was_paused = False
+            self._memory_awaited_since = None
+        return since
+
     def begin(self, unread_since: float | None, has_more: Callable[[], bool]) -> bool:
         """Record that input was read.
 
--- a/tests/net/downstream/test_memory_wait.py
+++ b/tests/net/downstream/test_memory_wait.py
@@ -9,6 +9,7 @@
 
 from ironrail.connections.downstream import session_timeouts
 from ironrail.connections.downstream.memory_budget import MemoryBudget
+from ironrail.net.dispatch.memory_grants import release_memory
 from ironrail.net.dispatch.value_streamer import STREAM_BUFFER_BYTES
 from ironrail.net.downstream.client_connection import ClientConnection
 from ironrail.net.protocol import meta_codec
@@ -172,7 +173,7 @@
 async def test_a_client_that_goes_on_after_a_wait_for_memory_is_served(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(ClientConnection, "_has_socket_input", lambda _: True)  # it sends without a rest
+    monkeypatch.setattr(ClientConnection, "has_socket_input", lambda _: True)  # it sends without a rest
     world, budget = await without_memory()
     client = await world.client()
     data = write(b"1", b"c=once,t=x,d=5000")
@@ -185,3 +186,38 @@
         client.send(data[start : start + 100_000])
     (await world.origin.next()).respond(b"receipt")
     assert await client.line() == b"HD O1 creceipt\r\n"
+
+
+# A value that was read whole before it found memory counted as arrived when it did: its answer came late.
+@scenario
+async def test_the_wait_of_a_value_that_was_read_already_counts_towards_its_deadline() -> None:
+    world, budget = await world_with_memory(100_000)
+    assert budget.reserve("another", 95_000)
+    client = await world.client()
+    sent_at = time.monotonic()
+    client.put("1", b"v" * 10_000, wait=600)
+    await until(lambda: budget.waiting_count)
+    await asyncio.sleep(0.4)
+    release_memory(budget, "another")
+    await world.origin.next()  # it never answers
+    assert (await client.line()).startswith(b"SERVER_ERROR")
+    assert time.monotonic() - sent_at < 0.6 + SLACK_SECONDS
+
+
+# The wait for memory of a value that was read whole before it counted towards later requests as well.
+@pytest.mark.parametrize("is_granted", [True, False])
+@scenario
+async def test_the_wait_for_memory_does_not_count_towards_a_later_request(is_granted: bool) -> None:
+    world, budget = await world_with_memory(100_000)
+    assert budget.reserve("another", 95_000)
+    client = await world.client()
+    client.put("1", b"v" * 10_000, wait=300)
+    await until(lambda: budget.waiting_count)
+    if is_granted:
+        release_memory(budget, "another")
+        (await world.origin.next()).respond(b"r")
+    await client.line()
+    await asyncio.sleep(0.5)
+    client.get("2", wait=300)
+    (await world.cache.next()).reply_value(b"v")
+    assert await client.value("2") == b"v"
