Ids of recent writes stop only requests that are not safe to repeat

A read has no effect to repeat. Forgetting the oldest id also took ever longer in a plain dict. Change: reads are not checked; an ordered dict. Result: the test of reads whose ids come again covers the id of a write, and passes.

--- a/ironrail/net/dispatch/recent_writes.py
+++ b/ironrail/net/dispatch/recent_writes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 RETENTION_SECONDS = 10.0
 """Longer than any client waits for a response and sends its request once more."""
 
@@ -17,15 +19,15 @@
 
     def __init__(self) -> None:
         """Start without any."""
-        self._ended_at: dict[str, float] = {}  # seconds on the monotonic clock
+        self._ended_at = OrderedDict[str, float]()  # seconds on the monotonic clock
 
     def __len__(self) -> int:
         return len(self._ended_at)
 
     def add(self, request_id: str, now: float) -> None:
         """Remember a request that has ended."""
-        self._ended_at.pop(request_id, None)
         self._ended_at[request_id] = now
+        self._ended_at.move_to_end(request_id)
         self._forget(now)
 
     def has(self, request_id: str, now: float) -> bool:
@@ -39,4 +41,4 @@
             is_recent = now - self._ended_at[oldest] < RETENTION_SECONDS
             if is_recent and len(self._ended_at) <= MAX_REQUESTS:
                 return
-            del self._ended_at[oldest]
+            self._ended_at.popitem(last=False)
--- a/ironrail/net/dispatch/request_validation.py
+++ b/ironrail/net/dispatch/request_validation.py
@@ -9,7 +9,7 @@
 from ironrail.net.dispatch.response_tracker import ResponseTracker
 from ironrail.net.protocol import meta_codec
 from ironrail.net.protocol.meta_codec import Command
-from ironrail.policy.settings import Settings
+from ironrail.policy.settings import Idempotency, Settings
 
 
 class RequestError(Enum):
@@ -54,7 +54,8 @@
         is_in_flight = request_id in self._requests.by_id
         if is_in_flight or self._attempts.has_request(request_id, settings.max_attempts):
             return RequestError.ID_IN_USE
-        if self._requests.recent_writes.has(request_id, now):
+        is_safe = request_class.idempotency is Idempotency.SAFE
+        if not is_safe and self._requests.recent_writes.has(request_id, now):
             return RequestError.ID_IN_USE
         if not self._guard.may_start(now, request_id, is_in_flight, self._requests.has_expired_all):
             return RequestError.INVARIANT_VIOLATED
--- a/tests/net/dispatch/test_recent_writes.py
+++ b/tests/net/dispatch/test_recent_writes.py
@@ -60,6 +60,9 @@
 async def test_a_read_whose_id_comes_again_is_served() -> None:
     world = await World().start()
     client = await world.client()
+    client.put("1", b"v")
+    (await world.origin.next()).respond(b"r")
+    assert await client.line() == b"HD O1 cr\r\n"
     for _ in range(2):
         client.get("1")
         (await world.cache.next()).reply_value(b"v")
