--- a/ironrail/rehearsal/links/peer_group_router.py
+++ b/ironrail/rehearsal/links/peer_group_router.py
@@ -22,9 +22,9 @@
 from ironrail.rehearsal.links.peer_group_monitor import PeerGroupMonitor
 from ironrail.rehearsal.links.switch import DriftingSystem, Slot, Switch
 from ironrail.rehearsal.links.virtual_disk import MemoryDisk, VirtualRecordWriter, make_faulty_store
-from ironrail.rehearsal.virtual.environment import SIMULATION_START_UNIX_SECONDS
 from ironrail.rehearsal.virtual.loop import LOOP_START_SECONDS, VirtualLoop
 from ironrail.rehearsal.virtual.process import Process
+from ironrail.rehearsal.virtual.system import SIMULATION_START_UNIX_SECONDS
 
 MAX_NORMAL_DRIFT_RATIO = 0.0005  # drift of a clock that is being slewed; a larger one is injected as a fault
 MAX_CLOCK_OFFSET_SECONDS = 1e4  # so that the clocks of no two routers agree
--- a/ironrail/rehearsal/virtual/environment.py
+++ b/ironrail/rehearsal/virtual/environment.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -26,55 +25,13 @@
 from ironrail.rehearsal.virtual.loop import CURRENT_PROCESS, LOOP_START_SECONDS, VirtualLoop
 from ironrail.rehearsal.virtual.network import Network
 from ironrail.rehearsal.virtual.process import Process
-from ironrail.rehearsal.virtual.socket import Listener
+from ironrail.rehearsal.virtual.system import SIMULATION_START_UNIX_SECONDS, VirtualSystem
 from ironrail.rehearsal.virtual.trace import Trace
 
-SIMULATION_START_UNIX_SECONDS = 1_700_000_000.0  # wall clock at the start of a run
 MIN_STARTUP_SECONDS = 0.15  # until a process listens; up to as long again is added at random
 BASE_MEMORY_BYTES = 40 * 1024**2  # of an idle router; buffered bytes are added
 
 
-class VirtualSystem:
-    """Implements the `System` interface of `net/system.py` on the simulated network and clock."""
-
-    def __init__(self, loop: VirtualLoop, network: Network) -> None:
-        self.now: Callable[[], float] = loop.time
-        self.wall: Callable[[], float] = lambda: (
-            SIMULATION_START_UNIX_SECONDS + loop.time() - LOOP_START_SECONDS
-        )
-        self._loop, self._network = loop, network
-
-    def listen(self, address: tuple[str, int], backlog: int) -> Listener:
-        return self._network.listen(address, backlog)
-
-    def is_served(self, address: tuple[str, int]) -> bool:
-        return self._network.is_listening(address)
-
-    def unread_check(self, transport: asyncio.Transport) -> Callable[[], bool]:
-        waiting: Callable[[], bool] = transport.get_extra_info("socket").waiting
-        return waiting
-
-    def unsent_bytes(self, transport: asyncio.Transport) -> int:
-        """Bytes that were written and have not arrived."""
-        unsent: int = transport.get_extra_info("socket").unsent()
-        return unsent
-
-    def has_hung_up(self, transport: asyncio.Transport) -> bool:
-        return bool(transport.get_extra_info("socket").hung_up())
-
-    def round_trip(self, transport: asyncio.Transport) -> float | None:
-        return self._network.round_trip(transport.get_extra_info("socket"))
-
-    def on_signal(self, number: signal.Signals, callback: Callable[[], object]) -> None:
-        self._loop.add_signal_handler(number, callback)
-
-    def run_pending_signals(self) -> None:
-        """Does nothing: a simulated system loses no signal."""
-
-    def startup_complete(self) -> None:
-        """Does nothing: a simulated system has no startup memory to release."""
-
-
 class VirtualListening:
     """A listening address of a stand-in."""
 
--- a/tests/connections/downstream/test_session_manager.py
+++ b/tests/connections/downstream/test_session_manager.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import pytest
-
 from ironrail.connections.downstream.client_session import (
     MAX_CONSECUTIVE_BAD_COMMANDS,
     MAX_PIPELINED_COMMANDS,
     ClientSession,
-    CommandProgress,
 )
 from ironrail.connections.downstream.idle_retention import MIN_RETAINED_SESSIONS
 from ironrail.connections.downstream.session_manager import (
@@ -17,11 +14,7 @@
     NextAction,
 )
 from ironrail.connections.downstream.session_timeouts import (
-    COMMAND_TIMEOUT_SECONDS,
-    IDLE_TIMEOUT_SECONDS,
-    LONG_VALUE_TIMEOUT_SECONDS,
     SHUTDOWN_STALL_TIMEOUT_SECONDS,
-    UNREAD_RESPONSE_TIMEOUT_SECONDS,
     TimeoutAction,
     timeout_action,
 )
@@ -142,55 +135,6 @@
     assert sessions.record_progress(session, session.pending_responses, False) is NextAction.FINISH
 
 
-@pytest.mark.parametrize(
-    ("has_been_used", "has_partial_command", "pending", "after", "action"),
-    [
-        (False, False, 0, COMMAND_TIMEOUT_SECONDS - 0.1, TimeoutAction.KEEP),
-        (False, False, 0, COMMAND_TIMEOUT_SECONDS + 0.1, TimeoutAction.REJECT_COMMAND),
-        (True, True, 0, COMMAND_TIMEOUT_SECONDS + 0.1, TimeoutAction.REJECT_COMMAND),
-        (True, True, 1, COMMAND_TIMEOUT_SECONDS + 0.1, TimeoutAction.REJECT_COMMAND),
-        (True, False, 0, COMMAND_TIMEOUT_SECONDS + 0.1, TimeoutAction.KEEP),
-        (True, False, 0, IDLE_TIMEOUT_SECONDS + 0.1, TimeoutAction.CLOSE),
-        (
-            True,
-            False,
-            1,
-            IDLE_TIMEOUT_SECONDS + 0.1,
-            TimeoutAction.KEEP,
-        ),  # the response is pending, so the router is slow, not the client
-    ],
-)
-def test_each_state_of_a_session_has_its_timeout(
-    has_been_used: bool, has_partial_command: bool, pending: int, after: float, action: TimeoutAction
-) -> None:
-    sessions = ClientSessionManager(max_sessions=9, max_retained_sessions=9)
-    session = open_session(sessions, 1.0)
-    if has_been_used:
-        sessions.record_command(1.0, session, True)
-        sessions.record_progress(session, 1 - pending, has_partial_command)
-    sessions.record_progress(session, 0, has_partial_command)
-    assert timeout_action(session, 1.0 + after) is action
-
-
-@pytest.mark.parametrize(
-    ("after", "action"),
-    [
-        (UNREAD_RESPONSE_TIMEOUT_SECONDS - 0.1, TimeoutAction.KEEP),
-        (UNREAD_RESPONSE_TIMEOUT_SECONDS + 0.1, TimeoutAction.ABORT),
-    ],
-)
-def test_a_session_with_unread_responses_is_aborted_after_its_timeout(
-    after: float, action: TimeoutAction
-) -> None:
-    sessions = ClientSessionManager(max_sessions=9, max_retained_sessions=9)
-    session = use_once(sessions)
-    session.set_responses_unread(1.0, True)
-    assert not session.should_read
-    assert timeout_action(session, 1.0 + after) is action
-    session.set_responses_unread(1.0, False)
-    assert timeout_action(session, 1.0 + after) is TimeoutAction.KEEP
-
-
 def test_a_rejected_partial_command_is_answered_behind_earlier_responses() -> None:
     sessions = ClientSessionManager(max_sessions=9, max_retained_sessions=9)
     session = open_session(sessions)
@@ -261,19 +205,3 @@
         stalled,
     }
     assert set(sessions.sessions_to_close(1.5, close_partial=True)) == {silent, stalled, slow}
-
-
-def test_a_long_value_has_a_longer_timeout_while_bytes_arrive() -> None:
-    sessions = ClientSessionManager(max_sessions=8, max_retained_sessions=2)
-    session = open_session(sessions)
-    session.progress = CommandProgress.RESERVED_VALUE
-    session.is_value_long = True
-    for second in range(int(LONG_VALUE_TIMEOUT_SECONDS) - 1):
-        sessions.record_data(float(second), session)
-        assert timeout_action(session, second + COMMAND_TIMEOUT_SECONDS / 2) is TimeoutAction.KEEP
-    assert (
-        timeout_action(session, LONG_VALUE_TIMEOUT_SECONDS - 2 + COMMAND_TIMEOUT_SECONDS)
-        is TimeoutAction.REJECT_COMMAND
-    )
-    sessions.record_data(LONG_VALUE_TIMEOUT_SECONDS + 0.1, session)
-    assert timeout_action(session, LONG_VALUE_TIMEOUT_SECONDS + 0.2) is TimeoutAction.REJECT_COMMAND
--- a/tests/rehearsal/virtual/transports.py
+++ b/tests/rehearsal/virtual/transports.py
@@ -10,9 +10,9 @@
 
 from ironrail.net.system import REAL, System
 from ironrail.rehearsal.scenario.model import Network as Conditions
-from ironrail.rehearsal.virtual.environment import VirtualSystem
 from ironrail.rehearsal.virtual.loop import VirtualLoop
 from ironrail.rehearsal.virtual.network import Network
+from ironrail.rehearsal.virtual.system import VirtualSystem
 from ironrail.rehearsal.virtual.trace import Trace
 
 LOCAL = "127.0.0.1"
