--- a/tests/net/dispatch/test_unexpected_replies.py
+++ b/tests/net/dispatch/test_unexpected_replies.py
@@ -20,6 +20,28 @@
 from tests.peers import Peer, read_command, read_http, scenario
 
 
+async def reply_and_ask_again(kind: Any, data: bytes) -> tuple[list[AttemptStatus], dict[str, list[bytes]]]:
+    """Play a request whose reply is `data`, and one that is asked as soon as the policy hears of that.
+
+    Returns:
+        The outcomes of both, and the responses by request.
+    """
+    is_cache = kind is CacheConnection
+    peer, policy = await Peer(read_command if is_cache else read_http).start(), ScriptedPolicy()
+    harness = DispatchHarness(policy, peer.port, kind, most=1)
+    harness.take("1")
+    first = await peer.next()
+    policy.after = lambda: harness.take("2")
+    first.reply(data)
+    second = await peer.next()
+    assert second.writer is not first.writer
+    if is_cache:
+        second.reply_value(b"w")
+    else:
+        second.respond(b"w")
+    return [(await policy.outcome()).status for _ in "12"], harness.answers
+
+
 @scenario
 @pytest.mark.parametrize(
     ("kind", "data"),
@@ -31,24 +53,9 @@
     ],
 )
 async def test_surplus_bytes_after_a_reply_affect_no_other_request(kind: Any, data: bytes) -> None:
-    peer, policy = (
-        await Peer(read_command if kind is CacheConnection else read_http).start(),
-        ScriptedPolicy(),
-    )
-    harness = DispatchHarness(policy, peer.port, kind, most=1)
-    harness.take("1")
-    first = await peer.next()
-    # asks for the next one as soon as the module hears of the reply
-    policy.after = lambda: harness.take("2")
-    first.reply(data)
-    second = await peer.next()
-    assert second.writer is not first.writer
-    if kind is CacheConnection:
-        second.reply_value(b"w")
-    else:
-        second.respond(b"w")
-    assert [(await policy.outcome()).status for _ in "12"] == [AttemptStatus.OK, AttemptStatus.OK]
-    assert harness.answers == {"1": [GOOD.replace(b" h1", b"")], "2": [b"VA 1 O2\r\nw\r\n"]}
+    outcomes, answers = await reply_and_ask_again(kind, data)
+    assert outcomes == [AttemptStatus.OK, AttemptStatus.OK]
+    assert answers == {"1": [GOOD.replace(b" h1", b"")], "2": [b"VA 1 O2\r\nw\r\n"]}
 
 
 def http_response(told: int, body: bytes) -> bytes:
@@ -66,17 +73,9 @@
     ],
 )
 async def test_a_response_of_the_origin_that_is_longer_than_its_length_fails(data: bytes) -> None:
-    peer, policy = await Peer(read_http).start(), ScriptedPolicy()
-    harness = DispatchHarness(policy, peer.port, OriginConnection, most=1)
-    harness.take("1")
-    first = await peer.next()
-    policy.after = lambda: harness.take("2")
-    first.reply(data)
-    second = await peer.next()
-    assert second.writer is not first.writer
-    second.respond(b"w")
-    assert [(await policy.outcome()).status for _ in "12"] == [AttemptStatus.ERROR, AttemptStatus.OK]
-    assert harness.answers == {"1": [meta_codec.FAILED], "2": [b"VA 1 O2\r\nw\r\n"]}
+    outcomes, answers = await reply_and_ask_again(OriginConnection, data)
+    assert outcomes == [AttemptStatus.ERROR, AttemptStatus.OK]
+    assert answers == {"1": [meta_codec.FAILED], "2": [b"VA 1 O2\r\nw\r\n"]}
 
 
 # The same where the rest of the value is still unread when the response is complete by its length.
