Tests: a test of 64 commands in flight waits for all of them

It took 'not read' for 'at the limit'; since a connection with unparsed input is not read either, and its commands are parsed in turns. Change: the test waits until 64 are in flight and the connection is not read; what it asserts is as it was.

--- a/tests/net/dispatch/test_disconnected_clients.py
+++ b/tests/net/dispatch/test_disconnected_clients.py
@@ -149,7 +149,8 @@
     client.send(b"".join(b"ms k 1 O%d Pc=once,t=x,d=5000\r\nv\r\n" % n for n in range(many)))
     await until(lambda: len(world.node._client_listener.sessions))
     (session,) = world.node._client_listener.sessions
-    await until(lambda: not session.is_reading)
+    requests = world.node._dispatcher.requests.by_id
+    await until(lambda: len(requests) == client_session.MAX_PIPELINED_COMMANDS and not session.is_reading)
     sent = [await world.origin.next()]
     origin = world.node._dispatcher.driver.router.servers["o"]
     await until(lambda: len(sent) + world.origin.messages.qsize() == origin.in_flight)
