A client that takes its responses slowly counts as alive by its last progress

Cause: the 10 s counted from when the buffers filled up to when they were nearly empty, and a closed connection had 10 s in all. Neither looked at what the client took. Evidence: with a scratch sender on loopback, a reader of 60,000 bytes a second empties its buffers never, and the system acknowledges its reads in steps 0.8 to 8.9 s apart, by the size of its receive buffer.

The time now counts from the last bytes that the client's system has received, as the system of the router tells (TIOCOUTQ). As steps are large, each byte also allows for the time that it takes at 16 KiB a second, up to 20 s.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
+from ironrail.connections.downstream.transfer_progress import TransferProgress
+
 MAX_PIPELINED_COMMANDS = 64
 """Commands of one session without a written response; at this limit no more are read."""
 
@@ -60,13 +62,19 @@
     has_unparsed_input: bool = False
     """Whether input was read that may hold a whole command, and is not parsed yet."""
     responses_unread_since: float | None = None
-    """When the client stopped reading responses; None while it reads them."""
+    """Since when unread responses fill the buffers, and reading pauses; None if they do not."""
+    responses_taken: TransferProgress = field(init=False)
+    """The progress of a client that takes its responses slowly."""
     max_pipelined_commands: int = MAX_PIPELINED_COMMANDS
     is_reading: bool = True
     """Whether the transport is set to read."""
     is_value_long: bool = False
     """Whether the value that is being received or skipped may take longer than other commands."""
 
+    def __post_init__(self) -> None:
+        """Expect nothing to be taken yet."""
+        self.responses_taken = TransferProgress(self.wait_started_at)
+
     @property
     def is_ending(self) -> bool:
         """Whether no more commands are accepted."""
@@ -170,5 +178,7 @@
         self.state = _ENDING
 
     def set_responses_unread(self, now: float, is_unread: bool) -> None:
-        """Record whether the client has stopped reading responses."""
+        """Record whether unread responses fill the buffers, so that the client is waited for."""
         self.responses_unread_since = now if is_unread else None
+        if is_unread:
+            self.responses_taken.restart(now)
--- a/ironrail/connections/downstream/session_timeouts.py
+++ b/ironrail/connections/downstream/session_timeouts.py
@@ -19,7 +19,7 @@
 """Between two commands; a client that is idle for longer has most likely disconnected."""
 
 UNREAD_RESPONSE_TIMEOUT_SECONDS = 10.0
-"""For a client to read responses; those that it does not read stay in memory."""
+"""For a client to take more of its responses; those that it does not read stay in memory."""
 
 SHUTDOWN_STALL_TIMEOUT_SECONDS = 1.0
 """Without another byte of a partial command during a graceful shutdown: it has stalled."""
@@ -46,8 +46,7 @@
     if session.is_ending:
         return TimeoutAction.KEEP
     if session.responses_unread_since is not None:
-        unread_seconds = now - session.responses_unread_since
-        if unread_seconds >= UNREAD_RESPONSE_TIMEOUT_SECONDS:
+        if session.responses_taken.has_stopped(now, UNREAD_RESPONSE_TIMEOUT_SECONDS):
             return TimeoutAction.ABORT
         return TimeoutAction.KEEP
     if session.has_partial_command or not session.has_been_used:
--- /dev/null
+++ b/ironrail/connections/downstream/transfer_progress.py
@@ -0,0 +1,53 @@
+"""Whether a slow client still makes progress, and whether that is too slow to hold memory.
+
+Without I/O. The sender sees only in steps what a client has read: the client's system tells of
+free space in its receive buffer once a good part of it is free.
+"""
+
+from __future__ import annotations
+
+MIN_BYTES_PER_SECOND = 16 * 1024
+"""A client that is slower may lose its connection where others wait for memory or descriptors."""
+
+SLOW_GRACE_SECONDS = 5.0
+"""In which no client counts as too slow."""
+
+MAX_CREDIT_SECONDS = 20.0
+"""Limit on the time that transferred bytes allow for; the largest steps come seconds apart."""
+
+
+class TransferProgress:
+    """The bytes that a client takes or sends. Times are seconds on a monotonic clock.
+
+    Attributes:
+        progressed_at: When bytes were last seen to be transferred.
+    """
+
+    __slots__ = ("_credit_until", "_started_at", "progressed_at")
+
+    def __init__(self, now: float) -> None:
+        """Expect bytes from now on."""
+        self.progressed_at = now
+        self._started_at = now
+        self._credit_until = now
+
+    def restart(self, now: float) -> None:
+        """Expect bytes from now on, after a time in which there was nothing to transfer."""
+        self.progressed_at = now
+        self._started_at = now
+
+    def record(self, now: float, num_bytes: int) -> None:
+        """Record that bytes were transferred since the last call; each allows for some time."""
+        if num_bytes <= 0:
+            return
+        self.progressed_at = now
+        credit_until = max(self._credit_until, now) + num_bytes / MIN_BYTES_PER_SECOND
+        self._credit_until = min(credit_until, now + MAX_CREDIT_SECONDS)
+
+    def is_slow(self, now: float) -> bool:
+        """Whether the client is slower than the minimum, with some allowance for pauses."""
+        return now >= max(self._credit_until, self._started_at + SLOW_GRACE_SECONDS)
+
+    def has_stopped(self, now: float, timeout: float) -> bool:
+        """Whether no bytes came for `timeout` seconds, nor for as long as the last steps allow."""
+        return now >= max(self._credit_until, self.progressed_at + timeout)
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -7,16 +7,13 @@
 
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_manager import NextAction
-from ironrail.connections.downstream.session_timeouts import (
-    TimeoutAction,
-    resumed_wait_start,
-    timeout_action,
-)
+from ironrail.connections.downstream.session_timeouts import resumed_wait_start
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
 from ironrail.net.downstream.half_closed import HalfClosedConnection
 from ironrail.net.downstream.input_arrival import InputArrival
+from ironrail.net.downstream.progress_check import ProgressCheck
 from ironrail.net.downstream.resilient_transport import ResilientTransport
 from ironrail.net.downstream.session_context import SessionContext
 
@@ -53,6 +50,9 @@
         self.arrival.opened(self._context.system.now())
         self.session = self._context.add(self)
         self._pipeline = CommandPipeline(self._context, self)
+        self._progress_check = ProgressCheck(
+            self, self._resilient_transport, self._pipeline, self._context.system
+        )
         self.client_region = self._context.client_region_of(self.transport)
 
     def data_received(self, data: bytes) -> None:
@@ -206,7 +206,10 @@
         self.session.end()
         self._pipeline.discard_partial_command()
         self._half_closed = HalfClosedConnection(
-            self.transport, self._context.system, peer_closed=peer_closed
+            self.transport,
+            self._context.system,
+            progress=self.session.responses_taken,
+            peer_closed=peer_closed,
         )
         self._context.sessions.remove(self.session)
         self._context.start_linger(self)
@@ -221,27 +224,18 @@
 
     def check_timeouts(self, now: float) -> None:
         """End the session of a client that has disconnected, or whose timeout has expired."""
-        self._pipeline.responses.update_memory()
-        self._end_if_departed()
-        if self.is_closing:
-            return
-        match timeout_action(self.session, now):
-            case TimeoutAction.ABORT:
-                self._context.dispatcher.diagnostics.client_closes.add(ClientCloseReason.UNREAD)
-                self.transport.abort()
-            case TimeoutAction.REJECT_COMMAND:
-                self._finish_reason = ClientCloseReason.PARTIAL_COMMAND
-                self._pipeline.reject_partial_command()
-            # Applies even if the client has not read the last of its responses.
-            case TimeoutAction.CLOSE if not self.has_unread_input():
-                self.close(ClientCloseReason.IDLE)
-
-    def _end_if_departed(self) -> None:
-        """Find the disconnect of a client whose value waits for memory, and thus is not read.
-
-        Other pauses in reading end by the deadlines of the requests that are in flight.
-        """
-        if not self.session.awaits_memory or self.is_closing:
-            return
-        if self._context.system.has_hung_up(self.transport) and not self.eof_received():
-            self.transport.abort()
+        self._progress_check.run(now)
+
+    def end_unread(self) -> None:
+        """Abort the connection of a client that does not take its responses."""
+        self._context.dispatcher.diagnostics.client_closes.add(ClientCloseReason.UNREAD)
+        self.transport.abort()
+
+    def reject_partial_command(self) -> None:
+        """Send an error for a command that was not complete in time, and close."""
+        self._finish_reason = ClientCloseReason.PARTIAL_COMMAND
+        self._pipeline.reject_partial_command()
+
+    def close_unused(self) -> None:
+        """Close a connection that was idle for too long."""
+        self.close(ClientCloseReason.IDLE)
--- a/ironrail/net/downstream/half_closed.py
+++ b/ironrail/net/downstream/half_closed.py
@@ -10,6 +10,7 @@
 
 from ironrail.connections.downstream.lingering_close import LINGER_SECONDS, MAX_DISCARDED_BYTES
 from ironrail.connections.downstream.session_timeouts import UNREAD_RESPONSE_TIMEOUT_SECONDS
+from ironrail.connections.downstream.transfer_progress import TransferProgress
 from ironrail.net.system import System
 
 
@@ -21,6 +22,7 @@
         transport: asyncio.Transport,
         system: System,
         *,
+        progress: TransferProgress | None = None,
         peer_closed: bool = False,
     ) -> None:
         """Half-close the transport after pending writes.
@@ -28,17 +30,19 @@
         Args:
             transport: The connection.
             system: Tells what the client's system has received.
+            progress: How the client has taken its responses so far, if it had any.
             peer_closed: Whether the client has closed its side.
         """
         self._transport = transport
         self._system = system
         self._loop = asyncio.get_running_loop()
-        self._started_at = self._loop.time()
+        self.progress = progress or TransferProgress(system.now())
         self._bytes_to_discard = MAX_DISCARDED_BYTES
         # The event loop shuts the socket down only in its next iteration. A command that is read
         # before would be discarded, although the client may assume that it was accepted.
         transport.pause_reading()
         transport.write_eof()
+        self._unsent_bytes = system.unsent_bytes(transport)
         if not peer_closed:
             self._loop.call_soon(self._resume_reading)
         self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
@@ -58,14 +62,21 @@
             self._transport.pause_reading()
 
     def _close_or_wait(self) -> None:
-        """Close the connection unless the client may still read responses.
+        """Close the connection unless the client still takes responses.
 
         Once it is closed, the next command of the client resets it, and responses that are still
         in the system's buffers are lost.
         """
-        has_unsent = not self._transport.is_closing() and self._system.unsent_bytes(self._transport)
-        waited_seconds = self._loop.time() - self._started_at
-        if has_unsent and waited_seconds < UNREAD_RESPONSE_TIMEOUT_SECONDS:
+        has_unsent = not self._transport.is_closing() and self.has_unsent()
+        now = self._system.now()
+        if has_unsent and not self.progress.has_stopped(now, UNREAD_RESPONSE_TIMEOUT_SECONDS):
             self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
         else:
             self._transport.abort()
+
+    def has_unsent(self) -> bool:
+        """Whether responses have not reached the client's system; record those that have."""
+        unsent_bytes = self._system.unsent_bytes(self._transport)
+        self.progress.record(self._system.now(), self._unsent_bytes - unsent_bytes)
+        self._unsent_bytes = unsent_bytes
+        return unsent_bytes > 0
--- /dev/null
+++ b/ironrail/net/downstream/progress_check.py
@@ -0,0 +1,88 @@
+"""The periodic check of one client connection: whether its client is still there, and in time."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ironrail.connections.downstream.client_session import ClientSession
+from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
+from ironrail.net.downstream.command_pipeline import CommandPipeline
+from ironrail.net.downstream.resilient_transport import ResilientTransport
+from ironrail.net.system import System
+
+
+class CheckedConnection(Protocol):
+    """The interface of a connection to its periodic check."""
+
+    session: ClientSession
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is closing or half closed."""
+
+    def has_unread_input(self) -> bool:
+        """Whether received input is not parsed yet."""
+
+    def eof_received(self) -> bool:
+        """Cancel the client's requests, and return whether the connection stays open."""
+
+    def end_unread(self) -> None:
+        """Abort the connection of a client that does not take its responses."""
+
+    def reject_partial_command(self) -> None:
+        """Send an error for a command that was not complete in time, and close."""
+
+    def close_unused(self) -> None:
+        """Close a connection that was idle for too long."""
+
+
+class ProgressCheck:
+    """Checks one connection each time that its listener asks for it."""
+
+    def __init__(
+        self,
+        connection: CheckedConnection,
+        transport: ResilientTransport,
+        pipeline: CommandPipeline,
+        system: System,
+    ) -> None:
+        """Start before the first response is written."""
+        self._connection = connection
+        self._transport = transport
+        self._pipeline = pipeline
+        self._system = system
+        self._bytes_taken = 0  # by the client's system, when that was last looked at
+
+    def run(self, now: float) -> None:
+        """End the session of a client that has disconnected, or whose timeout has expired."""
+        self._pipeline.responses.update_memory()
+        if self._transport.get_write_buffer_size():
+            self._record_taken_responses(now)
+        self._end_if_departed()
+        if self._connection.is_closing:
+            return
+        match timeout_action(self._connection.session, now):
+            case TimeoutAction.ABORT:
+                self._connection.end_unread()
+            case TimeoutAction.REJECT_COMMAND:
+                self._connection.reject_partial_command()
+            # Applies even if the client has not read the last of its responses.
+            case TimeoutAction.CLOSE if not self._connection.has_unread_input():
+                self._connection.close_unused()
+
+    def _record_taken_responses(self, now: float) -> None:
+        """Record how much the client's system has received since the last check."""
+        bytes_taken = self._transport.bytes_written - self._system.unsent_bytes(self._transport)
+        self._connection.session.responses_taken.record(now, bytes_taken - self._bytes_taken)
+        self._bytes_taken = bytes_taken
+
+    def _end_if_departed(self) -> None:
+        """Find the disconnect of a client whose value waits for memory, and thus is not read.
+
+        Other pauses in reading end by the deadlines of the requests that are in flight.
+        """
+        connection = self._connection
+        if not connection.session.awaits_memory or connection.is_closing:
+            return
+        if self._system.has_hung_up(self._transport) and not connection.eof_received():
+            self._transport.abort()
--- a/ironrail/net/downstream/resilient_transport.py
+++ b/ironrail/net/downstream/resilient_transport.py
@@ -30,6 +30,7 @@
     Attributes:
         unread_since: Since when input may have waited because a read failed, on the loop's clock;
             None if no read has failed since the latest input.
+        bytes_written: Bytes that the protocol has written, sent or not.
     """
 
     _transport: asyncio.Transport
@@ -49,6 +50,7 @@
         self._may_be_buffered = False  # the event loop's transport may hold unsent bytes
         self._reopening: asyncio.Task[None] | None = None
         self.unread_since: float | None = None
+        self.bytes_written = 0
 
     # Events of the event loop's transport
 
@@ -134,6 +136,7 @@
         """Send data at once as far as the kernel takes it; the rest follows by itself."""
         if self._is_closing and not self._has_buffered():
             return
+        self.bytes_written += len(data)
         if self._unsent:
             self._unsent += data
         else:
