A slow client keeps its memory and time while it moves bytes, and yields to others

Callers saw: a long value that a client wrote steadily for more than 20 s was rejected, as the time counted from its start. And since the clock of a reader counts its progress (last commit), one that takes a byte now and then could hold its memory and descriptor without end; a writer of the kind kept others from the memory for 20 s already.

Cause: one clock of the whole stood for two questions: is the client alive, and may it keep what others wait for? They are asked apart now. A long value may take as long as bytes arrive, with the 2.2 s of silence as before. While others wait for memory, or were refused memory or a descriptor since the last check (every 0.25 s), a client that moved less than 16 KiB a second after 5 s of grace loses its connection, in both directions and also where the connection is closing (`client_closed.too_slow`). Without such others it keeps it.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -65,6 +65,8 @@
     """Since when unread responses fill the buffers, and reading pauses; None if they do not."""
     responses_taken: TransferProgress = field(init=False)
     """The progress of a client that takes its responses slowly."""
+    value_progress: TransferProgress = field(init=False)
+    """The progress of a client that sends a long value."""
     max_pipelined_commands: int = MAX_PIPELINED_COMMANDS
     is_reading: bool = True
     """Whether the transport is set to read."""
@@ -72,8 +74,9 @@
     """Whether the value that is being received or skipped may take longer than other commands."""
 
     def __post_init__(self) -> None:
-        """Expect nothing to be taken yet."""
+        """Start without progress; `value_progress` is replaced when a long value starts."""
         self.responses_taken = TransferProgress(self.wait_started_at)
+        self.value_progress = self.responses_taken
 
     @property
     def is_ending(self) -> bool:
@@ -146,6 +149,7 @@
         self.is_value_long = is_long
         if is_long:
             self.wait_started_at = now
+            self.value_progress = TransferProgress(now)
 
     def memory_granted(self, wait_started_at: float) -> None:
         """Record that a value that waited for memory may be read.
@@ -155,6 +159,7 @@
         """
         self.progress = _RESERVED_VALUE
         self.wait_started_at = wait_started_at
+        self.value_progress.restart(wait_started_at)
 
     def value_rejected(self, now: float) -> None:
         """Record that the command of a value was rejected before the value was received."""
--- a/ironrail/connections/downstream/memory_budget.py
+++ b/ironrail/connections/downstream/memory_budget.py
@@ -22,6 +22,8 @@
         self._waiting: dict[Hashable, int] = {}  # the owner that has waited longest is first
         self._responses: dict[Hashable, int] = {}
         self.response_bytes = 0
+        self.shortages = 0
+        """How often memory was asked for and not granted at once."""
 
     @property
     def waiting_count(self) -> int:
@@ -50,6 +52,7 @@
         would otherwise wait forever.
         """
         if self._waiting or not self._fits(size):
+            self.shortages += 1
             return False
         self._grant(owner, size)
         return True
@@ -62,6 +65,7 @@
         if owner not in self._reserved:
             return self.reserve(owner, size)
         if len(self._reserved) > 1 and (self._waiting or size > self.free_bytes):
+            self.shortages += 1
             return False
         self._reserved[owner] += size
         self.free_bytes -= size
@@ -105,6 +109,7 @@
         """
         is_too_much = self.response_bytes + size > self.total_bytes * MAX_RESPONSE_FRACTION
         if self.response_bytes and (is_too_much or size > self.free_bytes):
+            self.shortages += 1
             return False
         self.set_response(owner, self._responses.get(owner, 0) + size)
         return True
--- a/ironrail/connections/downstream/session_manager.py
+++ b/ironrail/connections/downstream/session_manager.py
@@ -57,6 +57,8 @@
         self.max_sessions = max_sessions
         self.retention = IdleRetention(max_retained_sessions)
         self.is_draining = False
+        self.rejected_count = 0
+        """Connections that were not admitted."""
         # Without a valid command so far; the one that has been silent longest is first.
         self._unused: dict[ClientSession, None] = {}
         # The least recently used is first.
@@ -86,6 +88,7 @@
             return Admission(True)
         evicted = next(iter(self._unused), None) or next(iter(self._idle), None)
         if evicted is None:
+            self.rejected_count += 1
             return Admission(False)
         self.remove(evicted)
         self._opening += 1
--- a/ironrail/connections/downstream/session_timeouts.py
+++ b/ironrail/connections/downstream/session_timeouts.py
@@ -9,9 +9,6 @@
 COMMAND_TIMEOUT_SECONDS = 2.2
 """To receive a complete command; frees descriptors of silent clients and partial commands."""
 
-LONG_VALUE_TIMEOUT_SECONDS = 20.0
-"""To receive a complete long value; other clients wait for the memory that it occupies."""
-
 RESUMED_VALUE_TIMEOUT_SECONDS = 0.5
 """At least this time is left for the next byte of a value that waited for memory."""
 
@@ -31,26 +28,42 @@
     KEEP = "keep"
     ABORT = "abort"
     """The client reads no responses."""
+    ABORT_SLOW = "abort_slow"
+    """It reads them so slowly that others wait for what the session holds."""
     REJECT_COMMAND = "reject_command"
     """Send an error and close the session: its command was not complete in time."""
     CLOSE = "close"
     """It was idle for too long."""
 
 
-def timeout_action(session: ClientSession, now: float) -> TimeoutAction:
+def timeout_action(
+    session: ClientSession,
+    now: float,
+    *,
+    is_contended: bool = False,
+    has_unsent: bool = False,
+) -> TimeoutAction:
     """Check the one timeout that applies to a session in its state.
 
     Limits the descriptors and the memory used by clients that stop in the middle of a command,
     never send one, read no responses, or leave the connection unused.
+
+    Args:
+        session: The session in question.
+        now: Seconds on the clock of the session.
+        is_contended: Whether others wait for memory or descriptors; slow clients then lose theirs.
+        has_unsent: Whether responses wait to be taken by the client.
     """
     if session.is_ending:
         return TimeoutAction.KEEP
+    if is_contended and has_unsent and session.responses_taken.is_slow(now):
+        return TimeoutAction.ABORT_SLOW
     if session.responses_unread_since is not None:
         if session.responses_taken.has_stopped(now, UNREAD_RESPONSE_TIMEOUT_SECONDS):
             return TimeoutAction.ABORT
         return TimeoutAction.KEEP
     if session.has_partial_command or not session.has_been_used:
-        if _is_command_overdue(session, now):
+        if _is_command_overdue(session, now, is_contended):
             return TimeoutAction.REJECT_COMMAND
         return TimeoutAction.KEEP
     idle_seconds = now - session.wait_started_at
@@ -59,16 +72,20 @@
     return TimeoutAction.KEEP
 
 
-def _is_command_overdue(session: ClientSession, now: float) -> bool:
-    """Whether the client is late with a complete command."""
+def _is_command_overdue(session: ClientSession, now: float, is_contended: bool) -> bool:
+    """Whether the client is late with a complete command.
+
+    A long value may take longer, as long as bytes arrive, and fast enough if others wait.
+    """
     if session.has_unparsed_input or not session.should_read:
         return False  # the delay is the router's own
-    waited_seconds = now - session.wait_started_at
+    waiting_since = session.wait_started_at
     has_value = session.has_reserved_value or session.is_skipping_value
-    if has_value and session.is_value_long and waited_seconds < LONG_VALUE_TIMEOUT_SECONDS:
-        # A long value may take longer, as long as bytes arrive.
-        waited_seconds = now - max(session.wait_started_at, session.last_received_at)
-    return waited_seconds >= COMMAND_TIMEOUT_SECONDS
+    if has_value and session.is_value_long:
+        if is_contended and session.value_progress.is_slow(now):
+            return True
+        waiting_since = max(waiting_since, session.last_received_at)
+    return now - waiting_since >= COMMAND_TIMEOUT_SECONDS
 
 
 def resumed_wait_start(session: ClientSession, now: float) -> float:
--- a/ironrail/diagnostics/reasons.py
+++ b/ironrail/diagnostics/reasons.py
@@ -59,6 +59,7 @@
 
     IDLE = "idle"
     UNREAD = "unread"  # the client reads no responses
+    TOO_SLOW = "too_slow"  # it reads them slowly, and others wait for memory or descriptors
     BROKEN_VALUE = "broken_value"  # a long value broke off after a part of it was written
     PARTIAL_COMMAND = "partial_command"  # a command stayed incomplete
     BAD_COMMANDS = "bad_commands"
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -66,6 +66,8 @@
         now = self._context.system.now()
         heard_at = resumed_wait_start(self.session, now) if waited_for_memory else now
         self._context.sessions.record_data(heard_at, self.session)
+        if self.session.is_value_long:
+            self.session.value_progress.record(now, len(data))
         self._pipeline.feed(data)
         self.arrival.end()
 
@@ -222,15 +224,21 @@
         self._cancel_requests()
         self.close(ClientCloseReason.BROKEN_VALUE)
 
-    def check_timeouts(self, now: float) -> None:
-        """End the session of a client that has disconnected, or whose timeout has expired."""
-        self._progress_check.run(now)
+    def check_timeouts(self, now: float, is_contended: bool = False) -> None:
+        """End a client that has disconnected, or is too slow while others wait (`is_contended`)."""
+        self._progress_check.run(now, is_contended)
 
-    def end_unread(self) -> None:
-        """Abort the connection of a client that does not take its responses."""
-        self._context.dispatcher.diagnostics.client_closes.add(ClientCloseReason.UNREAD)
+    def end_unread(self, reason: ClientCloseReason) -> None:
+        """Abort the connection of a client that takes its responses too slowly, or not at all."""
+        self._context.dispatcher.diagnostics.client_closes.add(reason)
         self.transport.abort()
 
+    def end_slow_linger(self, now: float) -> None:
+        """Abort the connection if it is half closed, and its client takes responses too slowly."""
+        lingering = self._half_closed
+        if lingering is not None and lingering.is_slow(now):
+            self.end_unread(ClientCloseReason.TOO_SLOW)
+
     def reject_partial_command(self) -> None:
         """Send an error for a command that was not complete in time, and close."""
         self._finish_reason = ClientCloseReason.PARTIAL_COMMAND
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -59,6 +59,7 @@
         self._accepts_per_turn = accepts_per_turn
         self._loop = asyncio.get_running_loop()
         self._opening: set[asyncio.Task[None]] = set()
+        self._shortages_seen = 0
 
     def listen(self, address: Address) -> Address:
         """Accept connections from now on, and return the listening address."""
@@ -114,11 +115,17 @@
         # First, so that no exception below ends the checks.
         self._loop.call_later(TIMEOUT_CHECK_INTERVAL_SECONDS, self._check_timeouts)
         now = self._system.now()
-        for session in self.sessions:
-            # The check of one connection may have closed another.
-            connection = self.context.connections.get(session)
-            if connection is not None:
-                run_contained("check a client's timeouts", connection.check_timeouts, now)
+        is_contended = self._is_contended()
+        for connection in list(self.context.connections.values()):
+            run_contained("check a client's timeouts", connection.check_timeouts, now, is_contended)
+
+    def _is_contended(self) -> bool:
+        """Whether clients wait for memory, or some got no memory or descriptor of late."""
+        budget = self._dispatcher.memory_budget
+        shortages = budget.shortages + self.sessions.rejected_count
+        has_new_shortage = shortages != self._shortages_seen
+        self._shortages_seen = shortages
+        return has_new_shortage or budget.waiting_count > 0
 
     # Graceful shutdown
 
--- a/ironrail/net/downstream/half_closed.py
+++ b/ironrail/net/downstream/half_closed.py
@@ -36,7 +36,7 @@
         self._transport = transport
         self._system = system
         self._loop = asyncio.get_running_loop()
-        self.progress = progress or TransferProgress(system.now())
+        self._progress = progress or TransferProgress(system.now())
         self._bytes_to_discard = MAX_DISCARDED_BYTES
         # The event loop shuts the socket down only in its next iteration. A command that is read
         # before would be discarded, although the client may assume that it was accepted.
@@ -67,16 +67,23 @@
         Once it is closed, the next command of the client resets it, and responses that are still
         in the system's buffers are lost.
         """
-        has_unsent = not self._transport.is_closing() and self.has_unsent()
         now = self._system.now()
-        if has_unsent and not self.progress.has_stopped(now, UNREAD_RESPONSE_TIMEOUT_SECONDS):
+        if self._has_unsent(now) and not self._progress.has_stopped(
+            now, UNREAD_RESPONSE_TIMEOUT_SECONDS
+        ):
             self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
         else:
             self._transport.abort()
 
-    def has_unsent(self) -> bool:
+    def is_slow(self, now: float) -> bool:
+        """Whether the client takes its last responses too slowly to be waited for."""
+        return self._has_unsent(now) and self._progress.is_slow(now)
+
+    def _has_unsent(self, now: float) -> bool:
         """Whether responses have not reached the client's system; record those that have."""
+        if self._transport.is_closing():
+            return False
         unsent_bytes = self._system.unsent_bytes(self._transport)
-        self.progress.record(self._system.now(), self._unsent_bytes - unsent_bytes)
+        self._progress.record(now, self._unsent_bytes - unsent_bytes)
         self._unsent_bytes = unsent_bytes
         return unsent_bytes > 0
--- a/ironrail/net/downstream/progress_check.py
+++ b/ironrail/net/downstream/progress_check.py
@@ -6,6 +6,7 @@
 
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
+from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net.downstream.command_pipeline import CommandPipeline
 from ironrail.net.downstream.resilient_transport import ResilientTransport
 from ironrail.net.system import System
@@ -26,8 +27,11 @@
     def eof_received(self) -> bool:
         """Cancel the client's requests, and return whether the connection stays open."""
 
-    def end_unread(self) -> None:
-        """Abort the connection of a client that does not take its responses."""
+    def end_unread(self, reason: ClientCloseReason) -> None:
+        """Abort the connection of a client that takes its responses too slowly, or not at all."""
+
+    def end_slow_linger(self, now: float) -> None:
+        """Abort the connection if it is half closed, and its client takes responses too slowly."""
 
     def reject_partial_command(self) -> None:
         """Send an error for a command that was not complete in time, and close."""
@@ -51,19 +55,36 @@
         self._transport = transport
         self._pipeline = pipeline
         self._system = system
+        self._had_unsent = False  # at the last check
         self._bytes_taken = 0  # by the client's system, when that was last looked at
 
-    def run(self, now: float) -> None:
-        """End the session of a client that has disconnected, or whose timeout has expired."""
+    def run(self, now: float, is_contended: bool) -> None:
+        """End the session of a client that has disconnected, or whose timeout has expired.
+
+        Args:
+            now: Seconds on the monotonic clock.
+            is_contended: Whether others wait for memory or descriptors.
+        """
         self._pipeline.responses.update_memory()
-        if self._transport.get_write_buffer_size():
-            self._record_taken_responses(now)
-        self._end_if_departed()
         if self._connection.is_closing:
+            if is_contended:
+                self._connection.end_slow_linger(now)
             return
-        match timeout_action(self._connection.session, now):
+        self._record_taken_responses(now)
+        self._end_if_departed()
+        if not self._connection.is_closing:
+            self._end_if_overdue(now, is_contended)
+
+    def _end_if_overdue(self, now: float, is_contended: bool) -> None:
+        session = self._connection.session
+        action = timeout_action(
+            session, now, is_contended=is_contended, has_unsent=self._had_unsent
+        )
+        match action:
             case TimeoutAction.ABORT:
-                self._connection.end_unread()
+                self._connection.end_unread(ClientCloseReason.UNREAD)
+            case TimeoutAction.ABORT_SLOW:
+                self._connection.end_unread(ClientCloseReason.TOO_SLOW)
             case TimeoutAction.REJECT_COMMAND:
                 self._connection.reject_partial_command()
             # Applies even if the client has not read the last of its responses.
@@ -72,6 +93,12 @@
 
     def _record_taken_responses(self, now: float) -> None:
         """Record how much the client's system has received since the last check."""
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        if has_unsent and not self._had_unsent:
+            self._connection.session.responses_taken.restart(now)
+        self._had_unsent = has_unsent
+        if not has_unsent:
+            return
         bytes_taken = self._transport.bytes_written - self._system.unsent_bytes(self._transport)
         self._connection.session.responses_taken.record(now, bytes_taken - self._bytes_taken)
         self._bytes_taken = bytes_taken
@@ -82,7 +109,7 @@
         Other pauses in reading end by the deadlines of the requests that are in flight.
         """
         connection = self._connection
-        if not connection.session.awaits_memory or connection.is_closing:
+        if not connection.session.awaits_memory:
             return
         if self._system.has_hung_up(self._transport) and not connection.eof_received():
             self._transport.abort()
--- a/tests/net/downstream/test_slow_clients.py
+++ b/tests/net/downstream/test_slow_clients.py
@@ -7,6 +7,9 @@
 import pytest
 
 from ironrail.connections.downstream import session_timeouts
+from ironrail.connections.downstream.memory_budget import MemoryBudget
+from ironrail.diagnostics.reasons import ClientCloseReason
+from ironrail.net.dispatch.value_streamer import STREAM_BUFFER_BYTES
 from ironrail.net.downstream import client_listener
 from tests.net.downstream.test_connection_close import connection_of
 from tests.net.downstream.test_response_memory import slow_client
@@ -107,3 +110,54 @@
     assert asyncio.get_running_loop().time() - begun_at < 4 * TIMEOUT_SECONDS
     budget = world.node._dispatcher.memory_budget
     assert budget.reserved_bytes == 0 and not world.node._dispatcher.attempts
+
+
+# Without a limit on the whole, one that takes a byte now and then would hold its memory for good.
+@scenario
+async def test_a_client_that_takes_a_byte_now_and_then_gives_way_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    progress = "ironrail.connections.downstream.transfer_progress"
+    monkeypatch.setattr(f"{progress}.SLOW_GRACE_SECONDS", TIMEOUT_SECONDS)
+    monkeypatch.setattr(f"{progress}.MAX_CREDIT_SECONDS", TIMEOUT_SECONDS)
+    monkeypatch.setattr(client_listener, "TIMEOUT_CHECK_INTERVAL_SECONDS", 0.02)
+    world = await World().start()
+    world.node._dispatcher.streamer.memory_budget = MemoryBudget(STREAM_BUFFER_BYTES + 100_000)
+    slow = await slow_client(world)
+    slow.get("slow", key="k1")
+    (await world.cache.next()).reply_value(VALUE)
+    await until(lambda: world.node._dispatcher.memory_budget.reserved_bytes)
+    await asyncio.sleep(2 * TIMEOUT_SECONDS)
+    closes = world.node._dispatcher.diagnostics.client_closes
+    assert not closes[ClientCloseReason.TOO_SLOW]  # nobody waits
+    writer = await world.client()
+    writer.put("writer", VALUE)
+    assert (await world.origin.next()).value == VALUE
+    assert closes[ClientCloseReason.TOO_SLOW] == 1
+
+
+# A client that wrote a long value a byte at a time kept others from the memory for 20 s.
+@scenario
+async def test_a_client_that_sends_a_byte_now_and_then_gives_way_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    progress = "ironrail.connections.downstream.transfer_progress"
+    monkeypatch.setattr(f"{progress}.SLOW_GRACE_SECONDS", TIMEOUT_SECONDS)
+    monkeypatch.setattr(client_listener, "TIMEOUT_CHECK_INTERVAL_SECONDS", 0.02)
+    world = await World().start()
+    budget = world.node._dispatcher.streamer.memory_budget = MemoryBudget(len(VALUE) + 1000)
+    slow, writer = await world.client(), await world.client()
+
+    async def send_slowly() -> None:
+        slow.send(b"ms k %d Oslow Pc=once,t=x,d=5000\r\n" % len(VALUE))
+        while True:
+            slow.send(b"v")
+            await asyncio.sleep(TIMEOUT_SECONDS / 4)
+
+    sending = asyncio.create_task(send_slowly())
+    await until(lambda: budget.reserved_bytes)
+    await asyncio.sleep(2 * TIMEOUT_SECONDS)
+    writer.put("writer", VALUE)
+    assert (await world.origin.next()).value == VALUE
+    assert (await slow.line()).startswith(b"CLIENT_ERROR")
+    sending.cancel()
