The time in which a client's connection is not read is no delay of the client

Callers saw: a client that sends a write in pieces behind a long read, which it takes slowly, gets CLIENT_ERROR for the write and loses its connection.

Cause: a command has 2.2 s from its first byte. While responses fill the buffers, or 64 commands are in flight, the router reads nothing, and that time counted as the client's.

A pause of the router is now taken off the time, except the wait for memory, which counts as before.

--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -70,6 +70,8 @@
     max_pipelined_commands: int = MAX_PIPELINED_COMMANDS
     is_reading: bool = True
     """Whether the transport is set to read."""
+    reading_paused_at: float | None = None
+    """Since when nothing is read, other than to wait for memory; None while it is read."""
     is_value_long: bool = False
     """Whether the value that is being received or skipped may take longer than other commands."""
 
@@ -129,6 +131,18 @@
             return False
         return self.accepts_commands and self.responses_unread_since is None
 
+    def set_reading(self, now: float, is_reading: bool) -> None:
+        """Record that reading is paused or resumed.
+
+        A pause is no delay of the client, except that the wait for memory counts towards its time.
+        """
+        self.is_reading = is_reading
+        if not is_reading:
+            self.reading_paused_at = None if self.awaits_memory else now
+        elif self.reading_paused_at is not None:
+            self.wait_started_at += now - max(self.reading_paused_at, self.wait_started_at)
+            self.reading_paused_at = None
+
     def end(self) -> None:
         """Accept no more commands."""
         self.state = _ENDING
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -167,7 +167,7 @@
         should_read = self.session.should_read
         if should_read is self.session.is_reading or self.is_closing:
             return
-        self.session.is_reading = should_read
+        self.session.set_reading(self._context.system.now(), should_read)
         if should_read:
             self.transport.resume_reading()
         else:
--- a/tests/connections/downstream/test_session_timeouts.py
+++ b/tests/connections/downstream/test_session_timeouts.py
@@ -150,3 +150,18 @@
     sessions.record_data(2.0, session)
     assert timeout_action(session, COMMAND_TIMEOUT_SECONDS - 0.1) is TimeoutAction.KEEP
     assert timeout_action(session, COMMAND_TIMEOUT_SECONDS) is TimeoutAction.REJECT_COMMAND
+
+
+# A command that a client wrote in pieces was rejected, as the time in which nothing was read counted.
+def test_the_time_in_which_nothing_is_read_is_no_delay_of_the_client() -> None:
+    sessions = ClientSessionManager(max_sessions=8, max_retained_sessions=2)
+    session = open_session(sessions)
+    sessions.record_command(1.0, session, True)
+    sessions.record_progress(session, 0, True)  # a part of the next command
+    session.set_responses_unread(2.0, True)
+    session.set_reading(2.0, session.should_read)
+    session.set_responses_unread(9.0, False)
+    session.set_reading(9.0, session.should_read)
+    left_seconds = COMMAND_TIMEOUT_SECONDS - 1.0  # of which 1 s had passed before the pause
+    assert timeout_action(session, 9.0 + left_seconds - 0.1) is TimeoutAction.KEEP
+    assert timeout_action(session, 9.0 + left_seconds + 0.1) is TimeoutAction.REJECT_COMMAND
--- a/tests/net/downstream/test_slow_clients.py
+++ b/tests/net/downstream/test_slow_clients.py
@@ -161,3 +161,28 @@
     assert (await world.origin.next()).value == VALUE
     assert (await slow.line()).startswith(b"CLIENT_ERROR")
     sending.cancel()
+
+
+# A write that followed a long read was rejected, as it had waited unread while the read was taken.
+@scenario
+async def test_a_write_behind_a_slowly_taken_value_has_its_whole_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(session_timeouts, "COMMAND_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
+    monkeypatch.setattr(client_listener, "TIMEOUT_CHECK_INTERVAL_SECONDS", 0.02)
+    world = await World().start()
+    client = await slow_client(world)
+    client.get("1")
+    client.send(b"ms k 1 O2 Pc=once,t=x,d=5000")
+    (await world.cache.next()).reply_value(VALUE)
+    expected = b"VA %d O1\r\n" % len(VALUE) + VALUE + b"\r\n"
+    reading = asyncio.create_task(read_slowly(client, len(expected)))
+    session = connection_of(world).session
+    await until(lambda: session.responses_unread_since is not None)
+    await until(lambda: session.responses_unread_since is None)
+    await asyncio.sleep(0.05)  # for checks
+    client.send(b"\r\nv\r\n")
+    (await world.origin.next()).respond(b"r")
+    assert await reading == expected
+    client.reader._transport.resume_reading()  # type: ignore[attr-defined]
+    assert await client.line() == b"HD O2 cr\r\n"
