At the limit of closing connections, those whose client has all answers end first

Callers saw: while many connections are closed at once (a crowd, a shutdown), the oldest was aborted at the limit even if its client was still taking its answers, and one that owed nothing stayed.

Cause: age alone chose the connection; whether the client's system has all that was written was not asked. It is asked now, oldest first; if all owe answers, the oldest ends as before, so that the number of descriptors stays bounded. The new test failed before: cut after 60,015 of 240,060 bytes.

--- a/ironrail/connections/downstream/lingering_close.py
+++ b/ironrail/connections/downstream/lingering_close.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
 Connection = TypeVar("Connection", bound=Hashable)
@@ -31,14 +31,21 @@
     def __contains__(self, connection: object) -> bool:
         return connection in self._connections
 
-    def add(self, connection: Connection) -> Connection | None:
-        """Add a connection, and return the one to be closed at once if there are too many."""
+    def add(
+        self, connection: Connection, is_done: Callable[[Connection], bool] = lambda _: False
+    ) -> Connection | None:
+        """Add a connection, and return the one to be closed at once if there are too many.
+
+        That is the oldest one whose client's system has all responses (`is_done`), or the oldest.
+        """
+        others = list(self._connections)
         self._connections[connection] = None
         if len(self._connections) <= self.max_connections:
             return None
         oldest = next(iter(self._connections))
-        del self._connections[oldest]
-        return oldest
+        surplus = next(filter(is_done, others), oldest)
+        del self._connections[surplus]
+        return surplus
 
     def remove(self, connection: Connection) -> None:
         """Forget a connection that has closed."""
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -36,7 +36,7 @@
         """
         self._context = context
         self.arrival = InputArrival(context.dispatcher.monitor, waiting_since)
-        self._half_closed: HalfClosedConnection | None = None
+        self.half_closed: HalfClosedConnection | None = None
         self._finish_reason = ClientCloseReason.BAD_COMMANDS
         self.close_reason: ClientCloseReason | None = None
         """Why the router closed the connection; None while it is open, or if the client did."""
@@ -58,8 +58,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data, or discard it once the session ends."""
         if self.session.is_ending:
-            if self._half_closed is not None:
-                self._half_closed.discard(len(data))
+            if self.half_closed is not None:
+                self.half_closed.discard(len(data))
             return
         unread_since = self._resilient_transport.unread_since
         waited_for_memory = self.arrival.begin(unread_since, self.has_socket_input)
@@ -100,8 +100,8 @@
         self._context.remove(self)
         self._cancel_requests()
         self._pipeline.responses.end()
-        if self._half_closed is not None:
-            self._half_closed.closed()
+        if self.half_closed is not None:
+            self.half_closed.closed()
 
     def _report_loss(self, error: Exception | None) -> None:
         loss = ClientLoss.CLOSED if error is None else ClientLoss.SOCKET_ERROR
@@ -123,7 +123,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether the connection is closing or half closed."""
-        return self._half_closed is not None or self.transport.is_closing()
+        return self.half_closed is not None or self.transport.is_closing()
 
     def has_left(self, waited: bool) -> bool:
         """Whether the client has disconnected, as far as the operating system knows.
@@ -207,7 +207,7 @@
             self.close_reason = reason
         self.session.end()
         self._pipeline.discard_partial_command()
-        self._half_closed = HalfClosedConnection(
+        self.half_closed = HalfClosedConnection(
             self.transport,
             self._context.system,
             progress=self.session.responses_taken,
@@ -233,12 +233,6 @@
         self._context.dispatcher.diagnostics.client_closes.add(reason)
         self.transport.abort()
 
-    def end_slow_linger(self, now: float) -> None:
-        """Abort the connection if it is half closed, and its client takes responses too slowly."""
-        lingering = self._half_closed
-        if lingering is not None and lingering.is_slow(now):
-            self.end_unread(ClientCloseReason.TOO_SLOW)
-
     def reject_partial_command(self) -> None:
         """Send an error for a command that was not complete in time, and close."""
         self._finish_reason = ClientCloseReason.PARTIAL_COMMAND
--- a/ironrail/net/downstream/half_closed.py
+++ b/ironrail/net/downstream/half_closed.py
@@ -68,7 +68,7 @@
         in the system's buffers are lost.
         """
         now = self._system.now()
-        if self._has_unsent(now) and not self._progress.has_stopped(
+        if self.has_unsent() and not self._progress.has_stopped(
             now, UNREAD_RESPONSE_TIMEOUT_SECONDS
         ):
             self._timer = self._loop.call_later(LINGER_SECONDS, self._close_or_wait)
@@ -77,13 +77,13 @@
 
     def is_slow(self, now: float) -> bool:
         """Whether the client takes its last responses too slowly to be waited for."""
-        return self._has_unsent(now) and self._progress.is_slow(now)
+        return self.has_unsent() and self._progress.is_slow(now)
 
-    def _has_unsent(self, now: float) -> bool:
+    def has_unsent(self) -> bool:
         """Whether responses have not reached the client's system; record those that have."""
         if self._transport.is_closing():
             return False
         unsent_bytes = self._system.unsent_bytes(self._transport)
-        self._progress.record(now, self._unsent_bytes - unsent_bytes)
+        self._progress.record(self._system.now(), self._unsent_bytes - unsent_bytes)
         self._unsent_bytes = unsent_bytes
         return unsent_bytes > 0
--- a/ironrail/net/downstream/progress_check.py
+++ b/ironrail/net/downstream/progress_check.py
@@ -8,6 +8,7 @@
 from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
 from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net.downstream.command_pipeline import CommandPipeline
+from ironrail.net.downstream.half_closed import HalfClosedConnection
 from ironrail.net.downstream.resilient_transport import ResilientTransport
 from ironrail.net.system import System
 
@@ -16,6 +17,7 @@
     """The interface of a connection to its periodic check."""
 
     session: ClientSession
+    half_closed: HalfClosedConnection | None
 
     @property
     def is_closing(self) -> bool:
@@ -30,9 +32,6 @@
     def end_unread(self, reason: ClientCloseReason) -> None:
         """Abort the connection of a client that takes its responses too slowly, or not at all."""
 
-    def end_slow_linger(self, now: float) -> None:
-        """Abort the connection if it is half closed, and its client takes responses too slowly."""
-
     def reject_partial_command(self) -> None:
         """Send an error for a command that was not complete in time, and close."""
 
@@ -68,7 +67,7 @@
         self._pipeline.responses.update_memory()
         if self._connection.is_closing:
             if is_contended:
-                self._connection.end_slow_linger(now)
+                self._end_slow_linger(now)
             return
         self._record_taken_responses(now)
         self._end_if_departed()
@@ -91,6 +90,12 @@
             case TimeoutAction.CLOSE if not self._connection.has_unread_input():
                 self._connection.close_unused()
 
+    def _end_slow_linger(self, now: float) -> None:
+        """Abort a half-closed connection whose client takes its last responses too slowly."""
+        half_closed = self._connection.half_closed
+        if half_closed is not None and half_closed.is_slow(now):
+            self._connection.end_unread(ClientCloseReason.TOO_SLOW)
+
     def _record_taken_responses(self, now: float) -> None:
         """Record how much the client's system has received since the last check."""
         has_unsent = self._transport.get_write_buffer_size() > 0
--- a/ironrail/net/downstream/rejected_connection.py
+++ b/ironrail/net/downstream/rejected_connection.py
@@ -18,19 +18,22 @@
     def __init__(self, context: SessionContext[Any]) -> None:
         """Wait for `connection_made`."""
         self._context = context
+        self.half_closed: HalfClosedConnection | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the error, and half-close the connection."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class is no subclass of it
         self.transport.write(meta_codec.TOO_MANY_CONNECTIONS)
-        self._half_closed = HalfClosedConnection(self.transport, self._context.system)
+        self.half_closed = HalfClosedConnection(self.transport, self._context.system)
         self._context.start_linger(self)
 
     def data_received(self, data: bytes) -> None:
         """Discard what the client sends."""
-        self._half_closed.discard(len(data))
+        if self.half_closed is not None:
+            self.half_closed.discard(len(data))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection."""
-        self._half_closed.closed()
+        if self.half_closed is not None:
+            self.half_closed.closed()
         self._context.lingering.remove(self)
--- a/ironrail/net/downstream/session_context.py
+++ b/ironrail/net/downstream/session_context.py
@@ -13,6 +13,7 @@
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.dispatch.memory_grants import grant_memory, refuse_memory
+from ironrail.net.downstream.half_closed import HalfClosedConnection
 from ironrail.net.downstream.parse_queue import ParseQueue
 from ironrail.net.system import System
 
@@ -21,6 +22,7 @@
     """A connection that is half-closed and not yet closed."""
 
     transport: asyncio.Transport
+    half_closed: HalfClosedConnection | None
 
     def __hash__(self) -> int: ...
 
@@ -113,10 +115,10 @@
             self._all_closed.set()
 
     def start_linger(self, connection: LingeringConnection) -> None:
-        """Let a connection linger until its client closes; abort the oldest at the limit."""
-        oldest = self.lingering.add(connection)
-        if oldest is not None:
-            oldest.transport.abort()
+        """Let a connection linger until its client closes; abort another one at the limit."""
+        surplus = self.lingering.add(connection, _is_done)
+        if surplus is not None:
+            surplus.transport.abort()
 
     def grant_memory(self) -> None:
         """Resume the connections whose values fit into the memory budget now."""
@@ -143,3 +145,8 @@
     async def wait_all_closed(self) -> None:
         """Wait until the last connection has closed."""
         await self._all_closed.wait()
+
+
+def _is_done(connection: LingeringConnection) -> bool:
+    """Whether the client's system has all responses of a lingering connection."""
+    return connection.half_closed is not None and not connection.half_closed.has_unsent()
--- a/tests/net/downstream/test_slow_clients.py
+++ b/tests/net/downstream/test_slow_clients.py
@@ -186,3 +186,23 @@
     assert await reading == expected
     client.reader._transport.resume_reading()  # type: ignore[attr-defined]
     assert await client.line() == b"HD O2 cr\r\n"
+
+
+# A crowd of closing connections cut off the one whose client was still taking its answers.
+@scenario
+async def test_a_connection_with_unread_answers_outlasts_others_that_linger(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    shorten_timeouts(monkeypatch)
+    world = await World().start()
+    client, expected = await client_with_unread_values(world)
+    others = [await world.client() for _ in range(2)]
+    context = world.node._client_listener.context
+    context.lingering.max_connections = 2
+    slow, *rest = world.node._client_listener.open_connections()
+    for connection in (slow, *rest):
+        connection.close()
+    await until(lambda: rest[0] not in context.connections.values())
+    assert await read_slowly(client, len(expected)) == expected
+    for other in others:
+        assert await other.ended()
