A connection that closes has its whole time for the client to take its answers

Callers saw: a client that reads late lost the answers that were still in the router's system, when its connection closed (idle, evicted, shutdown) 10 s or more after its last progress and it sent another command: reset after 1 s.

Cause: the closing connection goes on with the progress of the session, and progress is looked at only while the transport holds bytes. What the system alone held had been written long ago, so that the client counted as stopped from the start. Before it had 10 s from the close.

The time without progress starts again at the close. The new test failed before with the reset (ConnectionResetError), and passes.

--- a/ironrail/net/downstream/half_closed.py
+++ b/ironrail/net/downstream/half_closed.py
@@ -37,6 +37,7 @@
         self._system = system
         self._loop = asyncio.get_running_loop()
         self._progress = progress or TransferProgress(system.now())
+        self._progress.restart(system.now())  # its last progress may have been long ago
         self._bytes_to_discard = MAX_DISCARDED_BYTES
         # The event loop shuts the socket down only in its next iteration. A command that is read
         # before would be discarded, although the client may assume that it was accepted.
--- a/tests/net/downstream/test_slow_clients.py
+++ b/tests/net/downstream/test_slow_clients.py
@@ -206,3 +206,24 @@
     assert await read_slowly(client, len(expected)) == expected
     for other in others:
         assert await other.ended()
+
+
+# A connection that closed long after its last answer was reset at once, as the time before counted.
+@scenario
+async def test_the_time_before_a_close_is_no_time_without_progress(monkeypatch: pytest.MonkeyPatch) -> None:
+    shorten_timeouts(monkeypatch)
+    world = await World().start()
+    client = await slow_client(world)
+    value = VALUE[:40_000]
+    client.get("1")
+    (await world.cache.next()).reply_value(value)
+    connection = connection_of(world)
+    await until(lambda: connection.session.has_been_used and connection.session.is_idle)
+    await until(lambda: not connection.transport.get_write_buffer_size())
+    await asyncio.sleep(2 * TIMEOUT_SECONDS)
+    connection.close()
+    await asyncio.sleep(TIMEOUT_SECONDS / 2)
+    client.send(b"mn\r\n")
+    await asyncio.sleep(0.05)
+    client.reader._transport.resume_reading()  # type: ignore[attr-defined]
+    assert await client.value("1") == value
