--- a/ironrail/connections/downstream/client_session.py
+++ b/ironrail/connections/downstream/client_session.py
@@ -78,7 +78,7 @@
     def __post_init__(self) -> None:
         """Start without progress; `value_progress` is replaced when a long value starts."""
         self.responses_taken = TransferProgress(self.wait_started_at)
-        self.value_progress = self.responses_taken
+        self.value_progress = TransferProgress(self.wait_started_at)
 
     @property
     def is_ending(self) -> bool:
@@ -141,6 +141,8 @@
             self.reading_paused_at = None if self.awaits_memory else now
         elif self.reading_paused_at is not None:
             self.wait_started_at += now - max(self.reading_paused_at, self.wait_started_at)
+            self.last_received_at += now - max(self.reading_paused_at, self.last_received_at)
+            self.value_progress.skip(now - self.reading_paused_at)
             self.reading_paused_at = None
 
     def end(self) -> None:
--- a/ironrail/connections/downstream/transfer_progress.py
+++ b/ironrail/connections/downstream/transfer_progress.py
@@ -36,6 +36,12 @@
         self.progressed_at = now
         self._started_at = now
 
+    def skip(self, seconds: float) -> None:
+        """Leave out a time in which the client could not transfer anything."""
+        self.progressed_at += seconds
+        self._started_at += seconds
+        self._credit_until += seconds
+
     def record(self, now: float, num_bytes: int) -> None:
         """Record that bytes were transferred since the last call; each allows for some time."""
         if num_bytes <= 0:
--- a/tests/connections/downstream/test_session_timeouts.py
+++ b/tests/connections/downstream/test_session_timeouts.py
@@ -165,3 +165,17 @@
     left_seconds = COMMAND_TIMEOUT_SECONDS - 1.0  # of which 1 s had passed before the pause
     assert timeout_action(session, 9.0 + left_seconds - 0.1) is TimeoutAction.KEEP
     assert timeout_action(session, 9.0 + left_seconds + 0.1) is TimeoutAction.REJECT_COMMAND
+
+
+# The same within a long value, whose silence counted while the router waited for an earlier response.
+@pytest.mark.parametrize("is_contended", [False, True])
+def test_a_long_value_is_not_silent_or_slow_while_it_is_not_read(is_contended: bool) -> None:
+    sessions = ClientSessionManager(max_sessions=8, max_retained_sessions=2)
+    session = open_session(sessions)
+    session.value_started(0.0, is_long=True, is_memory_reserved=True)
+    sessions.record_data(4.0, session)
+    session.set_reading(4.0, False)
+    session.set_reading(9.0, True)
+    later = 9.0 + SLOW_GRACE_SECONDS - 4.0 - 0.1
+    assert timeout_action(session, later, is_contended=is_contended) is TimeoutAction.KEEP
+    assert timeout_action(session, 9.1 + COMMAND_TIMEOUT_SECONDS) is TimeoutAction.REJECT_COMMAND
