A shortage ends as many slow clients as there are others that it turns away

Callers saw: while one client found no memory, or one connection was refused, every client under 16 KiB a second lost its connection at once, where one of them held enough.

Cause: the check knew only that others wait, not how many. It now ends one slow client for each that waits or was refused since the last check; where that frees too little, the next check (0.25 s) ends more.

The new test of three slow readers and one writer: with the count left out all three end (failed, 3 instead of 1), with it one does. The tests of a slow writer name the new action, REJECT_SLOW, which sends the same error at the same times.

--- a/ironrail/connections/downstream/session_timeouts.py
+++ b/ironrail/connections/downstream/session_timeouts.py
@@ -32,6 +32,8 @@
     """It reads them so slowly that others wait for what the session holds."""
     REJECT_COMMAND = "reject_command"
     """Send an error and close the session: its command was not complete in time."""
+    REJECT_SLOW = "reject_slow"
+    """The same for a value that is sent so slowly that others wait for its memory."""
     CLOSE = "close"
     """It was idle for too long."""
 
@@ -63,29 +65,31 @@
             return TimeoutAction.ABORT
         return TimeoutAction.KEEP
     if session.has_partial_command or not session.has_been_used:
-        if _is_command_overdue(session, now, is_contended):
-            return TimeoutAction.REJECT_COMMAND
-        return TimeoutAction.KEEP
+        return _partial_command_action(session, now, is_contended)
     idle_seconds = now - session.wait_started_at
     if session.pending_responses == 0 and idle_seconds >= IDLE_TIMEOUT_SECONDS:
         return TimeoutAction.CLOSE
     return TimeoutAction.KEEP
 
 
-def _is_command_overdue(session: ClientSession, now: float, is_contended: bool) -> bool:
-    """Whether the client is late with a complete command.
+def _partial_command_action(
+    session: ClientSession, now: float, is_contended: bool
+) -> TimeoutAction:
+    """Return what to do with a session whose next command is not complete.
 
     A long value may take longer, as long as bytes arrive, and fast enough if others wait.
     """
     if session.has_unparsed_input or not session.should_read:
-        return False  # the delay is the router's own
+        return TimeoutAction.KEEP  # the delay is the router's own
     waiting_since = session.wait_started_at
     has_value = session.has_reserved_value or session.is_skipping_value
     if has_value and session.is_value_long:
         if is_contended and session.value_progress.is_slow(now):
-            return True
+            return TimeoutAction.REJECT_SLOW
         waiting_since = max(waiting_since, session.last_received_at)
-    return now - waiting_since >= COMMAND_TIMEOUT_SECONDS
+    if now - waiting_since >= COMMAND_TIMEOUT_SECONDS:
+        return TimeoutAction.REJECT_COMMAND
+    return TimeoutAction.KEEP
 
 
 def resumed_wait_start(session: ClientSession, now: float) -> float:
--- a/ironrail/connections/downstream/transfer_progress.py
+++ b/ironrail/connections/downstream/transfer_progress.py
@@ -16,6 +16,26 @@
 """Limit on the time that transferred bytes allow for; the largest steps come seconds apart."""
 
 
+class Contention:
+    """The clients that wait for memory or a descriptor, or were refused it since the last check.
+
+    Each slow client that gives way stands for one of them, so that one shortage does not end all.
+
+    Attributes:
+        unserved: How many of them none has given way to.
+    """
+
+    __slots__ = ("unserved",)
+
+    def __init__(self, unserved: int = 0) -> None:
+        """Start with so many clients."""
+        self.unserved = unserved
+
+    def give_way(self) -> None:
+        """Record that a slow client loses what it holds."""
+        self.unserved -= 1
+
+
 class TransferProgress:
     """The bytes that a client takes or sends. Times are seconds on a monotonic clock.
 
--- a/ironrail/net/downstream/client_connection.py
+++ b/ironrail/net/downstream/client_connection.py
@@ -8,6 +8,7 @@
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_manager import NextAction
 from ironrail.connections.downstream.session_timeouts import resumed_wait_start
+from ironrail.connections.downstream.transfer_progress import Contention
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.dispatch.in_flight_request import ClientRegion
 from ironrail.net.downstream.command_pipeline import CommandPipeline
@@ -224,9 +225,9 @@
         self._cancel_requests()
         self.close(ClientCloseReason.BROKEN_VALUE)
 
-    def check_timeouts(self, now: float, is_contended: bool = False) -> None:
-        """End a client that has disconnected, or is too slow while others wait (`is_contended`)."""
-        self._progress_check.run(now, is_contended)
+    def check_timeouts(self, now: float, contention: Contention) -> None:
+        """End a client that has disconnected, is overdue, or is too slow while others wait."""
+        self._progress_check.run(now, contention)
 
     def end_unread(self, reason: ClientCloseReason) -> None:
         """Abort the connection of a client that takes its responses too slowly, or not at all."""
--- a/ironrail/net/downstream/client_listener.py
+++ b/ironrail/net/downstream/client_listener.py
@@ -12,6 +12,7 @@
 
 from ironrail.connections.downstream.descriptor_budget import MAX_ACCEPTS_PER_TURN
 from ironrail.connections.downstream.session_manager import ClientSessionManager
+from ironrail.connections.downstream.transfer_progress import Contention
 from ironrail.diagnostics.reasons import ClientCloseReason, ClientLoss
 from ironrail.net.containment import run_contained
 from ironrail.net.dispatch.dispatcher import RequestDispatcher
@@ -115,17 +116,17 @@
         # First, so that no exception below ends the checks.
         self._loop.call_later(TIMEOUT_CHECK_INTERVAL_SECONDS, self._check_timeouts)
         now = self._system.now()
-        is_contended = self._is_contended()
+        contention = self._contention()
         for connection in list(self.context.connections.values()):
-            run_contained("check a client's timeouts", connection.check_timeouts, now, is_contended)
+            run_contained("check a client's timeouts", connection.check_timeouts, now, contention)
 
-    def _is_contended(self) -> bool:
-        """Whether clients wait for memory, or some got no memory or descriptor of late."""
+    def _contention(self) -> Contention:
+        """Return the clients that wait for memory, or got no memory or descriptor of late."""
         budget = self._dispatcher.memory_budget
         shortages = budget.shortages + self.sessions.rejected_count
-        has_new_shortage = shortages != self._shortages_seen
+        new_shortages = shortages - self._shortages_seen
         self._shortages_seen = shortages
-        return has_new_shortage or budget.waiting_count > 0
+        return Contention(max(new_shortages, budget.waiting_count))
 
     # Graceful shutdown
 
--- a/ironrail/net/downstream/progress_check.py
+++ b/ironrail/net/downstream/progress_check.py
@@ -6,6 +6,7 @@
 
 from ironrail.connections.downstream.client_session import ClientSession
 from ironrail.connections.downstream.session_timeouts import TimeoutAction, timeout_action
+from ironrail.connections.downstream.transfer_progress import Contention
 from ironrail.diagnostics.reasons import ClientCloseReason
 from ironrail.net.downstream.command_pipeline import CommandPipeline
 from ironrail.net.downstream.half_closed import HalfClosedConnection
@@ -57,24 +58,24 @@
         self._had_unsent = False  # at the last check
         self._bytes_taken = 0  # by the client's system, when that was last looked at
 
-    def run(self, now: float, is_contended: bool) -> None:
+    def run(self, now: float, contention: Contention) -> None:
         """End the session of a client that has disconnected, or whose timeout has expired.
 
         Args:
             now: Seconds on the monotonic clock.
-            is_contended: Whether others wait for memory or descriptors.
+            contention: The others that wait for memory or descriptors.
         """
         self._pipeline.responses.update_memory()
         if self._connection.is_closing:
-            if is_contended:
-                self._end_slow_linger(now)
+            self._end_slow_linger(now, contention)
             return
         self._record_taken_responses(now)
         self._end_if_departed()
         if not self._connection.is_closing:
-            self._end_if_overdue(now, is_contended)
+            self._end_if_overdue(now, contention)
 
-    def _end_if_overdue(self, now: float, is_contended: bool) -> None:
+    def _end_if_overdue(self, now: float, contention: Contention) -> None:
+        is_contended = contention.unserved > 0
         session = self._connection.session
         action = timeout_action(
             session, now, is_contended=is_contended, has_unsent=self._had_unsent
@@ -83,17 +84,24 @@
             case TimeoutAction.ABORT:
                 self._connection.end_unread(ClientCloseReason.UNREAD)
             case TimeoutAction.ABORT_SLOW:
+                contention.give_way()
                 self._connection.end_unread(ClientCloseReason.TOO_SLOW)
+            case TimeoutAction.REJECT_SLOW:
+                contention.give_way()
+                self._connection.reject_partial_command()
             case TimeoutAction.REJECT_COMMAND:
                 self._connection.reject_partial_command()
             # Applies even if the client has not read the last of its responses.
             case TimeoutAction.CLOSE if not self._connection.has_unread_input():
                 self._connection.close_unused()
 
-    def _end_slow_linger(self, now: float) -> None:
+    def _end_slow_linger(self, now: float, contention: Contention) -> None:
         """Abort a half-closed connection whose client takes its last responses too slowly."""
         half_closed = self._connection.half_closed
-        if half_closed is not None and half_closed.is_slow(now):
+        if contention.unserved <= 0 or half_closed is None:
+            return
+        if half_closed.is_slow(now):
+            contention.give_way()
             self._connection.end_unread(ClientCloseReason.TOO_SLOW)
 
     def _record_taken_responses(self, now: float) -> None:
--- a/tests/connections/downstream/test_session_timeouts.py
+++ b/tests/connections/downstream/test_session_timeouts.py
@@ -91,7 +91,7 @@
         (60_000, False, TimeoutAction.KEEP),
         (60_000, True, TimeoutAction.KEEP),
         (1, False, TimeoutAction.KEEP),
-        (1, True, TimeoutAction.REJECT_COMMAND),
+        (1, True, TimeoutAction.REJECT_SLOW),
     ],
 )
 def test_a_long_value_may_take_as_long_as_bytes_arrive_fast_enough_for_others(
@@ -99,7 +99,7 @@
 ) -> None:
     assert action_of_writer(bytes_per_second, 70, is_contended) is action
     assert action_of_writer(1, int(SLOW_GRACE_SECONDS) - 2, True) is TimeoutAction.KEEP
-    assert action_of_writer(1, int(SLOW_GRACE_SECONDS) + 1, True) is TimeoutAction.REJECT_COMMAND
+    assert action_of_writer(1, int(SLOW_GRACE_SECONDS) + 1, True) is TimeoutAction.REJECT_SLOW
 
 
 def test_a_long_value_that_stops_is_rejected() -> None:
--- a/tests/net/downstream/test_connection_close.py
+++ b/tests/net/downstream/test_connection_close.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ironrail.connections.downstream import session_manager, session_timeouts
+from ironrail.connections.downstream.transfer_progress import Contention
 from ironrail.net.downstream.client_connection import ClientConnection
 from tests.net.downstream.test_client_admission import P, is_ready
 from tests.peers import Client, World, scenario, until
@@ -104,7 +105,7 @@
         close()
 
     monkeypatch.setattr(connection, "close", crossed)
-    connection.check_timeouts(world.node._system.now())
+    connection.check_timeouts(world.node._system.now(), Contention())
     await expect_orderly_close(client, world)
 
 
--- a/tests/net/downstream/test_slow_clients.py
+++ b/tests/net/downstream/test_slow_clients.py
@@ -227,3 +227,28 @@
     await asyncio.sleep(0.05)
     client.reader._transport.resume_reading()  # type: ignore[attr-defined]
     assert await client.value("1") == value
+
+
+# One client that found no memory ended all slow ones, where one of them held enough.
+@scenario
+async def test_one_shortage_ends_one_slow_client(monkeypatch: pytest.MonkeyPatch) -> None:
+    progress = "ironrail.connections.downstream.transfer_progress"
+    monkeypatch.setattr(f"{progress}.SLOW_GRACE_SECONDS", TIMEOUT_SECONDS)
+    monkeypatch.setattr(f"{progress}.MAX_CREDIT_SECONDS", TIMEOUT_SECONDS)
+    monkeypatch.setattr(client_listener, "TIMEOUT_CHECK_INTERVAL_SECONDS", 0.02)
+    world = await World().start()
+    count = 3
+    budget = MemoryBudget(count * STREAM_BUFFER_BYTES + 100_000)
+    world.node._dispatcher.streamer.memory_budget = budget
+    slow_clients = []
+    for number in range(count):
+        slow_clients.append(await slow_client(world))
+        slow_clients[-1].get(str(number), key=f"k{number}")
+        (await world.cache.next()).reply_value(4 * VALUE)  # more than the buffers hold
+        await until(lambda: budget.reserved_bytes >= (number + 1) * STREAM_BUFFER_BYTES)  # noqa: B023
+    await asyncio.sleep(2 * TIMEOUT_SECONDS)
+    writer = await world.client()
+    writer.put("writer", VALUE)
+    assert (await world.origin.next()).value == VALUE
+    await asyncio.sleep(0.1)  # for more checks
+    assert world.node._dispatcher.diagnostics.client_closes[ClientCloseReason.TOO_SLOW] == 1
